--- /dev/null
+++ b/core/src/main/kotlin/org/bilberryhead/core/common/Payload.kt
@@ -0,0 +1,53 @@
+package org.bilberryhead.core.common
+
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.builtins.ByteArraySerializer
+import kotlinx.serialization.encoding.Decoder
+import kotlinx.serialization.encoding.Encoder
+
+/** An opaque body, compared by content. The array must not be changed after construction. */
+@Serializable(with = PayloadSerializer::class)
+class Payload(val bytes: ByteArray) {
+    /** Number of bytes. */
+    val size: Int get() = bytes.size
+
+    /** Returns the body decoded as UTF-8. */
+    fun text(): String = bytes.decodeToString()
+
+    override fun equals(other: Any?): Boolean = other is Payload && bytes.contentEquals(other.bytes)
+
+    override fun hashCode(): Int = bytes.contentHashCode()
+
+    override fun toString(): String = "Payload(${bytes.size} bytes)"
+
+    companion object {
+        /** A body without bytes. */
+        val EMPTY = Payload(ByteArray(0))
+
+        /** Returns the UTF-8 encoding of [text]. */
+        fun ofText(text: String): Payload = Payload(text.encodeToByteArray())
+
+        /** Returns all [parts] in one body, in order. */
+        fun join(parts: List<Payload>): Payload {
+            if (parts.size == 1) return parts.single()
+            val joined = ByteArray(parts.sumOf { it.size })
+            var offset = 0
+            for (part in parts) {
+                part.bytes.copyInto(joined, offset)
+                offset += part.size
+            }
+            return Payload(joined)
+        }
+    }
+}
+
+/** Writes a [Payload] as a plain byte string. */
+object PayloadSerializer : KSerializer<Payload> {
+    private val delegate = ByteArraySerializer()
+    override val descriptor = delegate.descriptor
+
+    override fun serialize(encoder: Encoder, value: Payload) = delegate.serialize(encoder, value.bytes)
+
+    override fun deserialize(decoder: Decoder): Payload = Payload(delegate.deserialize(decoder))
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/bilberryhead/core/common/SocketAddress.kt
@@ -0,0 +1,14 @@
+package org.bilberryhead.core.common
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Address of a listening socket.
+ *
+ * @property host IP number, without a name lookup
+ * @property port TCP port, 1 to 65535
+ */
+@Serializable
+data class SocketAddress(val host: String, val port: Int) {
+    override fun toString(): String = "$host:$port"
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/bilberryhead/core/execution/FrameAssembler.kt
@@ -0,0 +1,40 @@
+package org.bilberryhead.core.execution
+
+import org.bilberryhead.core.common.Payload
+import org.bilberryhead.core.message.Frame
+
+/**
+ * Puts the frames of one attempt in order. Frames may arrive late, twice, or out of order; each is released once.
+ */
+class FrameAssembler {
+    private val released = mutableListOf<Payload>()
+    private val waiting = sortedMapOf<Int, Frame>()
+
+    /** Number of the first frame that has not been released. */
+    val nextNumber: Int get() = released.size
+
+    /** Whether the last frame and all before it have been released. */
+    var isComplete: Boolean = false
+        private set
+
+    /** Adds [frame] and returns the payloads that are now in order, oldest first. */
+    fun add(frame: Frame): List<Payload> {
+        if (isComplete || frame.number < nextNumber) return emptyList()
+        waiting.putIfAbsent(frame.number, frame)
+        val ready = mutableListOf<Payload>()
+        while (!isComplete) {
+            val next = waiting.remove(nextNumber) ?: break
+            released += next.payload
+            ready += next.payload
+            isComplete = next.last
+        }
+        if (isComplete) waiting.clear()
+        return ready
+    }
+
+    /** Returns the whole answer; call only when complete. */
+    fun wholeAnswer(): Payload {
+        check(isComplete) { "the answer is not complete" }
+        return Payload.join(released)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/bilberryhead/core/tables/TableChange.kt
@@ -0,0 +1,69 @@
+package org.bilberryhead.core.tables
+
+import kotlinx.serialization.Serializable
+import org.bilberryhead.core.common.ChangeId
+import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.common.RequestKind
+import org.bilberryhead.core.common.TableVersion
+import kotlin.time.Instant
+
+/**
+ * One accepted or proposed change of the tables.
+ *
+ * @property baseVersion the version that the change was made against; it applies to no other
+ * @property author the operator, as named by the operator's token
+ * @property madeAt when the change was proposed
+ */
+@Serializable
+data class TableChange(
+    val id: ChangeId,
+    val baseVersion: TableVersion,
+    val author: String,
+    val madeAt: Instant,
+    val summary: String = "",
+    val putRoutes: List<Route> = emptyList(),
+    val deleteRoutes: List<RequestKind> = emptyList(),
+    val putPools: List<Pool> = emptyList(),
+    val deletePools: List<PoolName> = emptyList(),
+) {
+    /** The version that the tables have once the change is applied. */
+    val version: TableVersion get() = baseVersion.next()
+
+    /** Whether the change alters no row. */
+    val isEmpty: Boolean
+        get() = putRoutes.isEmpty() && deleteRoutes.isEmpty() && putPools.isEmpty() && deletePools.isEmpty()
+
+    /** Returns [tables] with this change applied; the caller has checked that the base version fits. */
+    fun applyTo(tables: Tables): Tables {
+        check(tables.version == baseVersion) { "change ${id.value} is for version $baseVersion, not ${tables.version}" }
+        return Tables(
+            version = version,
+            routes = tables.routes - deleteRoutes.toSet() + putRoutes.associateBy { it.kind },
+            pools = tables.pools - deletePools.toSet() + putPools.associateBy { it.name },
+        )
+    }
+
+    companion object {
+        /** Returns the change that turns [from] into rows [routes] and [pools]. */
+        @Suppress("LongParameterList") // each value comes from a different place and has no common owner
+        fun between(
+            from: Tables,
+            routes: Map<RequestKind, Route>,
+            pools: Map<PoolName, Pool>,
+            id: ChangeId,
+            author: String,
+            madeAt: Instant,
+            summary: String = "",
+        ): TableChange = TableChange(
+            id = id,
+            baseVersion = from.version,
+            author = author,
+            madeAt = madeAt,
+            summary = summary,
+            putRoutes = routes.values.filter { from.routes[it.kind] != it },
+            deleteRoutes = (from.routes.keys - routes.keys).toList(),
+            putPools = pools.values.filter { from.pools[it.name] != it },
+            deletePools = (from.pools.keys - pools.keys).toList(),
+        )
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bilberryhead/daemon/DaemonCommand.kt
@@ -0,0 +1,36 @@
+package org.bilberryhead.daemon
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.path
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.KSerializer
+
+/** Exit status when the settings can not be used. */
+const val EXIT_BAD_SETTINGS = 2
+
+/** The command line that every daemon has: `--settings FILE [--check-settings]`. */
+abstract class DaemonCommand<T : CheckedSettings>(name: String, private val serializer: KSerializer<T>) :
+    CliktCommand(name) {
+    private val settingsFile by option("--settings", help = "Settings file in YAML.").path().required()
+    private val checkOnly by option("--check-settings", help = "Check the settings and stop.").flag()
+
+    override fun run() {
+        val settings = SettingsReader.read(settingsFile, serializer).getOrElse { errors ->
+            errors.forEach { echo("settings: $it", err = true) }
+            throw ProgramResult(EXIT_BAD_SETTINGS)
+        }
+        if (checkOnly) {
+            echo("settings: no fault found")
+            return
+        }
+        runBlocking { serve(settings) }
+    }
+
+    /** Runs the daemon until it is told to stop. */
+    abstract suspend fun serve(settings: T)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bilberryhead/daemon/MonotonicClock.kt
@@ -0,0 +1,13 @@
+package org.bilberryhead.daemon
+
+import kotlin.time.Clock
+import kotlin.time.Instant
+import kotlin.time.TimeSource
+
+/** A clock that starts at the wall clock's time and never goes back or jumps afterwards. */
+class MonotonicClock : Clock {
+    private val startedAt = Clock.System.now()
+    private val started = TimeSource.Monotonic.markNow()
+
+    override fun now(): Instant = startedAt + started.elapsedNow()
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bilberryhead/daemon/SettingsReader.kt
@@ -0,0 +1,48 @@
+package org.bilberryhead.daemon
+
+import com.charleskorn.kaml.Yaml
+import com.charleskorn.kaml.YamlConfiguration
+import com.charleskorn.kaml.YamlException
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.serialization.KSerializer
+import java.io.IOException
+import java.nio.file.Path
+import kotlin.io.path.readText
+
+/**
+ * One fault of a settings file.
+ *
+ * @property path where in the file, such as `platform.timeout`; empty for the file as a whole
+ */
+data class SettingsError(val path: String, val problem: String) {
+    override fun toString(): String = if (path.isEmpty()) problem else "$path: $problem"
+}
+
+/** Settings that can tell what is wrong with them. */
+interface CheckedSettings {
+    /** Returns every fault; empty when the settings can be used. */
+    fun check(): List<SettingsError>
+}
+
+/** Reads settings files in YAML. Unknown keys are refused. */
+object SettingsReader {
+    private val yaml = Yaml(configuration = YamlConfiguration(strictMode = true))
+
+    /** Returns the settings in [file], or every fault that was found. */
+    fun <T : CheckedSettings> read(file: Path, serializer: KSerializer<T>): Result<T, List<SettingsError>> = try {
+        parse(file.readText(), serializer)
+    } catch (failure: IOException) {
+        Err(listOf(SettingsError("", "can not read $file: ${failure.message}")))
+    }
+
+    /** Returns the settings in [text], or every fault that was found. */
+    fun <T : CheckedSettings> parse(text: String, serializer: KSerializer<T>): Result<T, List<SettingsError>> = try {
+        val settings = yaml.decodeFromString(serializer, text)
+        val errors = settings.check()
+        if (errors.isEmpty()) Ok(settings) else Err(errors)
+    } catch (failure: YamlException) {
+        Err(listOf(SettingsError(failure.path.toHumanReadableString(), "line ${failure.line}: ${failure.message}")))
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/EntrySettings.kt
@@ -0,0 +1,65 @@
+package org.bilberryhead.entry
+
+import kotlinx.serialization.Serializable
+import org.bilberryhead.core.common.ClientAccount
+import org.bilberryhead.core.common.DaemonId
+import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.common.DurationTextSerializer
+import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.daemon.CheckedSettings
+import org.bilberryhead.daemon.SettingsError
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Length of a SHA-256 digest in hexadecimal digits. */
+private const val SHA256_HEX_DIGITS = 64
+
+/**
+ * Settings of an entry.
+ *
+ * @property listen where callers and operators connect, by HTTP
+ * @property peerListen where other entries connect
+ * @property peers where other entries listen for this one
+ * @property clientAccounts who may send requests
+ * @property operators who may read and change the tables
+ * @property pollInterval how often the table service is asked for changes
+ * @property maximumBodyBytes largest request body, in bytes
+ */
+@Serializable
+data class EntrySettings(
+    val id: DaemonId,
+    val dataCentre: DataCentre,
+    val listen: SocketAddress,
+    val peerListen: SocketAddress,
+    val platformUrl: String,
+    val peers: List<SocketAddress> = emptyList(),
+    val clientAccounts: List<AccountToken> = emptyList(),
+    val operators: List<OperatorToken> = emptyList(),
+    @Serializable(with = DurationTextSerializer::class) val pollInterval: Duration = 500.milliseconds,
+    @Serializable(with = DurationTextSerializer::class) val drainLimit: Duration = 60.seconds,
+    val maximumBodyBytes: Long = 1_048_576,
+) : CheckedSettings {
+    override fun check(): List<SettingsError> = buildList {
+        if (!platformUrl.startsWith("http")) add(SettingsError("platformUrl", "'$platformUrl' is not an HTTP address"))
+        if (pollInterval < 50.milliseconds) add(SettingsError("pollInterval", "$pollInterval is less than 50ms"))
+        clientAccounts.forEachIndexed { index, account -> checkDigest("clientAccounts[$index]", account.tokenSha256) }
+        operators.forEachIndexed { index, operator -> checkDigest("operators[$index]", operator.tokenSha256) }
+    }
+
+    private fun MutableList<SettingsError>.checkDigest(path: String, digest: String) {
+        if (digest.length !=
+            SHA256_HEX_DIGITS
+        ) {
+            add(SettingsError("$path.tokenSha256", "not $SHA256_HEX_DIGITS hexadecimal digits"))
+        }
+    }
+}
+
+/** The hashed token of a client account. */
+@Serializable
+data class AccountToken(val account: ClientAccount, val tokenSha256: String)
+
+/** The hashed token of an operator. */
+@Serializable
+data class OperatorToken(val name: String, val tokenSha256: String)
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarSettings.kt
@@ -0,0 +1,40 @@
+package org.bilberryhead.sidecar
+
+import kotlinx.serialization.Serializable
+import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.common.DurationTextSerializer
+import org.bilberryhead.core.common.EndpointId
+import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.daemon.CheckedSettings
+import org.bilberryhead.daemon.SettingsError
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Settings of a sidecar.
+ *
+ * @property listen where entries connect
+ * @property operations where `/metrics` and `/health` are served
+ * @property endpointUrl where the endpoint takes calls
+ * @property concurrency calls that the endpoint works on at once, until the pools table says otherwise
+ * @property queueCapacity attempts that may wait
+ * @property drainLimit longest time that a graceful shutdown may take
+ */
+@Serializable
+data class SidecarSettings(
+    val endpoint: EndpointId,
+    val dataCentre: DataCentre,
+    val listen: SocketAddress,
+    val operations: SocketAddress,
+    val endpointUrl: String,
+    val platformUrl: String,
+    val concurrency: Int = 4,
+    val queueCapacity: Int = 64,
+    @Serializable(with = DurationTextSerializer::class) val drainLimit: Duration = 60.seconds,
+) : CheckedSettings {
+    override fun check(): List<SettingsError> = buildList {
+        if (!endpointUrl.startsWith("http")) add(SettingsError("endpointUrl", "'$endpointUrl' is not an HTTP address"))
+        if (concurrency < 1) add(SettingsError("concurrency", "$concurrency is less than 1"))
+        if (queueCapacity < 1) add(SettingsError("queueCapacity", "$queueCapacity is less than 1"))
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/org/bilberryhead/standin/Faults.kt
@@ -0,0 +1,87 @@
+package org.bilberryhead.standin
+
+import kotlinx.serialization.Serializable
+
+/** What is wrong with one platform service. */
+@Serializable
+enum class PlatformFaultKind {
+    /** The service works. */
+    NONE,
+
+    /** Calls are refused at once. */
+    DOWN,
+
+    /** Calls are answered late. */
+    SLOW,
+
+    /** Calls take effect and their answers are lost. */
+    LOSE_ANSWERS,
+}
+
+/** The services of the platform. */
+@Serializable
+enum class PlatformService { TABLES, OBJECTS, VMS }
+
+/**
+ * A fault to set on one service of the platform.
+ *
+ * @property delayMillis how late a slow service answers, in milliseconds
+ * @property calls number of calls that are hit before the service works again; 0 for all
+ */
+@Serializable
+data class PlatformFault(
+    val service: PlatformService,
+    val kind: PlatformFaultKind,
+    val delayMillis: Long = 1_000,
+    val calls: Int = 0,
+)
+
+/** What is wrong with an endpoint. */
+@Serializable
+enum class EndpointFaultKind {
+    /** The endpoint works. */
+    NONE,
+
+    /** Calls take [EndpointFault.factor] times as long. */
+    STRAGGLE,
+
+    /** Calls fail at once without taking effect. */
+    FAIL_BEFORE_EFFECT,
+
+    /** Calls take effect and then fail. */
+    FAIL_AFTER_EFFECT,
+
+    /** Calls are refused with the statement that they did not run. */
+    REFUSE,
+
+    /** Calls take effect and are never answered. */
+    SILENT,
+
+    /** The answer is cut off in the middle. */
+    CUT,
+}
+
+/** A fault to set on one endpoint. */
+@Serializable
+data class EndpointFault(val kind: EndpointFaultKind, val factor: Double = 10.0, val calls: Int = 0)
+
+/** Holds a fault and counts the calls that it hits. Safe for use by several threads. */
+class FaultSwitch<T : Any>(private val none: T) {
+    private var current = none
+    private var remaining = 0
+
+    /** Sets [fault] for the next [calls] calls, or for all when 0. */
+    @Synchronized
+    fun set(fault: T, calls: Int) {
+        current = fault
+        remaining = calls
+    }
+
+    /** Returns the fault that hits the next call. */
+    @Synchronized
+    fun next(): T {
+        val hit = current
+        if (remaining > 0 && --remaining == 0) current = none
+        return hit
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/org/bilberryhead/standin/PlatformStandin.kt
@@ -0,0 +1,130 @@
+package org.bilberryhead.standin
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.receive
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.respondBytes
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.put
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.serialization.json.Json
+import org.bilberryhead.platform.Condition
+import org.bilberryhead.platform.ListedVm
+import org.bilberryhead.platform.StoredRow
+import org.bilberryhead.platform.Transaction
+import java.util.TreeMap
+import java.util.concurrent.ConcurrentHashMap
+
+/** Plays the table service, the object store and the VM list, in memory. */
+class PlatformStandin {
+    private val json = Json { encodeDefaults = true }
+    private val rows = TreeMap<String, StoredRow>()
+    private val objects = ConcurrentHashMap<String, ByteArray>()
+    private val faults = PlatformService.entries.associateWith { service ->
+        FaultSwitch(PlatformFault(service, PlatformFaultKind.NONE))
+    }
+
+    @Volatile
+    private var vms = emptyList<ListedVm>()
+
+    /** Adds the routes of the platform and of its faults. */
+    fun install(route: Route) = with(route) {
+        tableRoutes()
+        objectRoutes()
+        get("/vms") { underFault(PlatformService.VMS) { Answer.text(json.encodeToString(vms)) } }
+        put("/vms") {
+            vms = json.decodeFromString(call.receiveText())
+            call.respondText("set\n")
+        }
+        post("/faults/platform") {
+            val fault = json.decodeFromString<PlatformFault>(call.receiveText())
+            faults.getValue(fault.service).set(fault, fault.calls)
+            call.respondText("set\n")
+        }
+    }
+
+    private fun Route.tableRoutes() {
+        get("/tables/row") {
+            underFault(PlatformService.TABLES) {
+                val row = synchronized(rows) { rows[parameter("key")] }
+                if (row == null) Answer.MISSING else Answer.text(json.encodeToString(row))
+            }
+        }
+        get("/tables/rows") {
+            underFault(PlatformService.TABLES) { Answer.text(json.encodeToString(scan())) }
+        }
+        post("/tables/transactions") {
+            val transaction = json.decodeFromString<Transaction>(call.receiveText())
+            underFault(PlatformService.TABLES) { commit(transaction) }
+        }
+    }
+
+    private fun Route.objectRoutes() {
+        get("/objects/{name...}") {
+            underFault(PlatformService.OBJECTS) {
+                objects[parameters.getAll("name").orEmpty().joinToString("/")]?.let { Answer(it) } ?: Answer.MISSING
+            }
+        }
+        put("/objects/{name...}") {
+            val content = call.receive<ByteArray>()
+            underFault(PlatformService.OBJECTS) {
+                objects[parameters.getAll("name").orEmpty().joinToString("/")] = content
+                Answer.text("stored\n")
+            }
+        }
+    }
+
+    private fun ApplicationCall.scan(): List<StoredRow> = synchronized(rows) {
+        val prefix = parameter("prefix")
+        val after = parameter("after")
+        val from = if (after > prefix) rows.tailMap(after, false) else rows.tailMap(prefix, true)
+        from.values.asSequence().takeWhile { it.key.startsWith(prefix) }.take(parameter("limit").toInt()).toList()
+    }
+
+    private fun commit(transaction: Transaction): Answer = synchronized(rows) {
+        val broken = transaction.conditions.find { !holds(it) }
+        if (broken != null) return Answer.text("condition on ${broken.key} does not hold", HttpStatusCode.Conflict)
+        for (write in transaction.writes) {
+            val version = (rows[write.key]?.version ?: 0) + 1
+            rows[write.key] = StoredRow(write.key, write.value, version)
+        }
+        Answer.text("committed\n")
+    }
+
+    private fun holds(condition: Condition): Boolean = when (condition) {
+        is Condition.Absent -> condition.key !in rows
+        is Condition.HasVersion -> rows[condition.key]?.version == condition.version
+    }
+
+    private suspend fun io.ktor.server.routing.RoutingContext.underFault(
+        service: PlatformService,
+        work: ApplicationCall.() -> Answer,
+    ) {
+        val fault = faults.getValue(service).next()
+        if (fault.kind == PlatformFaultKind.DOWN) {
+            call.respondText("down\n", status = HttpStatusCode.ServiceUnavailable)
+            return
+        }
+        if (fault.kind == PlatformFaultKind.SLOW) delay(fault.delayMillis)
+        val answer = call.work()
+        if (fault.kind == PlatformFaultKind.LOSE_ANSWERS) awaitCancellation()
+        call.respondBytes(answer.body, ContentType.Application.Json, answer.status)
+    }
+
+    private class Answer(val body: ByteArray, val status: HttpStatusCode = HttpStatusCode.OK) {
+        companion object {
+            val MISSING = Answer(ByteArray(0), HttpStatusCode.NotFound)
+
+            fun text(text: String, status: HttpStatusCode = HttpStatusCode.OK) =
+                Answer(text.encodeToByteArray(), status)
+        }
+    }
+}
+
+private fun ApplicationCall.parameter(name: String): String = parameters[name].orEmpty()
