--- a/core/src/main/kotlin/org/bilberryhead/core/common/Payload.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/common/Payload.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.builtins.ByteArraySerializer
+import kotlinx.serialization.descriptors.SerialDescriptor
 import kotlinx.serialization.encoding.Decoder
 import kotlinx.serialization.encoding.Encoder
 
@@ -45,9 +46,9 @@
 /** Writes a [Payload] as a plain byte string. */
 object PayloadSerializer : KSerializer<Payload> {
     private val delegate = ByteArraySerializer()
-    override val descriptor = delegate.descriptor
+    override val descriptor = SerialDescriptor("Payload", delegate.descriptor)
 
-    override fun serialize(encoder: Encoder, value: Payload) = delegate.serialize(encoder, value.bytes)
+    override fun serialize(encoder: Encoder, value: Payload) = encoder.encodeSerializableValue(delegate, value.bytes)
 
-    override fun deserialize(decoder: Decoder): Payload = Payload(delegate.deserialize(decoder))
+    override fun deserialize(decoder: Decoder): Payload = Payload(decoder.decodeSerializableValue(delegate))
 }
--- a/standin/src/main/kotlin/org/bilberryhead/standin/PlatformStandin.kt
+++ b/standin/src/main/kotlin/org/bilberryhead/standin/PlatformStandin.kt
@@ -127,4 +127,4 @@
     }
 }
 
-private fun ApplicationCall.parameter(name: String): String = parameters[name].orEmpty()
+private fun ApplicationCall.parameter(name: String): String = request.queryParameters[name].orEmpty()
