--- /dev/null
+++ b/operator-api/src/main/kotlin/org/bilberryhead/operator/ChangeAnswer.kt
@@ -0,0 +1,40 @@
+package org.bilberryhead.operator
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.tables.TableChange
+import org.bilberryhead.core.tables.TableProblem
+
+/** What became of a proposed change of the tables. */
+@Serializable
+sealed interface ChangeAnswer {
+    /**
+     * The change is committed and never reverts.
+     *
+     * @property holders other live processes known to hold the change; 0 when this entry knows of no other
+     */
+    @Serializable
+    @SerialName("accepted")
+    data class Accepted(val version: TableVersion, val holders: Int) : ChangeAnswer
+
+    /** Another operator's change came first; [winner] is that change. */
+    @Serializable
+    @SerialName("lost_race")
+    data class LostRace(val proposed: TableChange, val winner: TableChange?) : ChangeAnswer
+
+    /** The tables would not be valid, so nothing was written. */
+    @Serializable
+    @SerialName("invalid")
+    data class Invalid(val problems: List<TableProblem>) : ChangeAnswer
+
+    /** The change is not in the log and will not be. */
+    @Serializable
+    @SerialName("not_committed")
+    data class NotCommitted(val detail: String) : ChangeAnswer
+
+    /** The change may be in the log; ask for it by its id later. */
+    @Serializable
+    @SerialName("unknown")
+    data class Unknown(val detail: String) : ChangeAnswer
+}
--- /dev/null
+++ b/operator-api/src/main/kotlin/org/bilberryhead/operator/OperatorPaths.kt
@@ -0,0 +1,22 @@
+package org.bilberryhead.operator
+
+/** Paths of the operators' interface of an entry. Every call needs an operator's bearer token. */
+object OperatorPaths {
+    /** GET: the tables in force, as `Tables`. */
+    const val TABLES = "/v1/operator/tables"
+
+    /** GET with query parameter `limit`: the newest changes, newest first, as a list of `TableChange`. */
+    const val HISTORY = "/v1/operator/history"
+
+    /** POST a `TableChange`: proposes it, answered with [ChangeAnswer]. */
+    const val CHANGES = "/v1/operator/changes"
+
+    /** GET: what became of the change with the id that follows, as [ChangeAnswer]. */
+    const val CHANGE = "/v1/operator/changes/{id}"
+
+    /** GET: what this entry sees of the system, as [EntryStatus]. */
+    const val STATUS = "/v1/operator/status"
+
+    /** GET: where a request of the kind that follows would go now, as [Explanation]. */
+    const val EXPLAIN = "/v1/operator/explain/{kind}"
+}
