Harden the attempt ledger, the gate and the request execution

Cause: the ledger copied an answer for each frame and forgot attempts without a trace, so that a late dispatch could run again; a ticket's answer went to any caller who named it; one attempt had one subscriber; an unwritten cancel of a sent attempt counted as a proof that the attempt did not run; a cancel that reached a new sidecar run buried an attempt of the old one; a withdrawal near the deadline was followed by a retry; a moved ticket was counted twice by the selector. Change: append-only answers, bounds in entries and bytes, a compact record of forgotten attempts; fingerprints checked on dispatch and query; subscriptions by request and connection; cancels name their sidecar run and may spare running work; the attempt chart tells accepted, resumed and moved attempts apart; refusals that cost no endpoint are retried outside the budget a few times.

--- a/core/src/main/kotlin/org/bilberryhead/core/execution/AttemptChart.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/execution/AttemptChart.kt
@@ -3,7 +3,18 @@
 import org.bilberryhead.core.statechart.StateChart
 
 /** What an entry knows of an attempt. */
-enum class AttemptState { SENT, RECEIVING, ASKING, FINISHED, NOT_RUN, UNKNOWN, ABANDONED }
+enum class AttemptState {
+    SENT,
+    ACCEPTED,
+    RECEIVING,
+    ASKING,
+    RESUMING,
+    MOVING,
+    FINISHED,
+    NOT_RUN,
+    UNKNOWN,
+    ABANDONED,
+}
 
 /** What can happen to an attempt, as its entry sees it. */
 enum class AttemptEvent {
@@ -11,6 +22,8 @@
     FRAME,
     LAST_FRAME,
     REFUSED,
+    MOVABLE,
+    MOVED,
     FAILED,
     RUNNING,
     FORGOTTEN,
@@ -20,7 +33,7 @@
 }
 
 /** What an entry does about an event of an attempt. */
-enum class AttemptAction { RETRY, RETRY_IF_IDEMPOTENT, TAKE_FRAME, COMPLETE_STAGE, ASK, CANCEL }
+enum class AttemptAction { RETRY, RETRY_IF_IDEMPOTENT, TAKE_FRAME, COMPLETE_STAGE, ASK, MOVE, FOLLOW, CANCEL }
 
 /** The chart that every attempt follows. */
 object AttemptChart {
--- a/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
@@ -19,7 +19,9 @@
 import org.bilberryhead.core.message.RefusalReason
 import org.bilberryhead.core.message.Refused
 import org.bilberryhead.core.message.Running
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /**
@@ -27,8 +29,10 @@
  *
  * @property concurrency attempts that the endpoint works on at once
  * @property queueCapacity attempts that may wait
+ * @property answerLinger how long a leaving sidecar stays after its last attempt has ended, so that an entry whose
+ *   connection went silent can still ask for the answer
  */
-data class GateLimits(val concurrency: Int = 4, val queueCapacity: Int = 64)
+data class GateLimits(val concurrency: Int = 4, val queueCapacity: Int = 64, val answerLinger: Duration = 3.seconds)
 
 /**
  * Decides what reaches one endpoint. Every attempt runs at most once, whatever the entries believe: the gate refuses
@@ -43,9 +47,9 @@
 ) {
     private val queue = SidecarQueue(limits.queueCapacity)
     private val running = HashMap<AttemptId, RunningAttempt>()
-    private val subscribers = HashMap<AttemptId, ConnectionId>()
-    private val connections = LinkedHashSet<ConnectionId>()
+    private val subscriptions = Subscriptions()
     private var state = SidecarChart.chart.initial
+    private var lastEndedAt: Instant? = null
     private var serviceMillis = 0.0
 
     /** Current counts. */
@@ -62,8 +66,8 @@
         val actions = mutableListOf<GateAction>()
         when (event) {
             is GateEvent.MessageArrived -> takeMessage(event.connection, event.message, now, actions)
-            is GateEvent.ConnectionOpened -> connections += event.connection
-            is GateEvent.ConnectionClosed -> connections -= event.connection
+            is GateEvent.ConnectionOpened -> subscriptions.open(event.connection)
+            is GateEvent.ConnectionClosed -> subscriptions.close(event.connection)
             is GateEvent.EndpointAnswered -> takeAnswer(event, now, actions)
             is GateEvent.EndpointDidNotRun -> takeNotRun(event, now, actions)
             is GateEvent.EndpointFailed -> takeFailure(event, now, actions)
@@ -72,7 +76,8 @@
             GateEvent.Tick -> ledger.forgetOld(now)
         }
         startWaiting(now, actions)
-        if (queue.size == 0 && running.isEmpty()) step(SidecarEvent.DRAINED, actions)
+        val hasLingered = lastEndedAt?.let { now - it >= limits.answerLinger } ?: true
+        if (queue.size == 0 && running.isEmpty() && hasLingered) step(SidecarEvent.DRAINED, actions)
         return actions
     }
 
@@ -80,7 +85,7 @@
         val transition = SidecarChart.chart.next(state, event)
         state = transition.target
         when (transition.action) {
-            SidecarAction.ANNOUNCE -> connections.forEach { actions += GateAction.Send(it, Leaving) }
+            SidecarAction.ANNOUNCE -> subscriptions.connections.forEach { actions += GateAction.Send(it, Leaving) }
             SidecarAction.STOP -> actions += GateAction.Stop
             null -> Unit
         }
@@ -92,6 +97,7 @@
         now: Instant,
         actions: MutableList<GateAction>,
     ) {
+        if (!subscriptions.isOpen(connection)) return
         when (message) {
             is Dispatch -> takeDispatch(connection, message, now, actions)
             is Query -> takeQuery(connection, message, now, actions)
@@ -107,18 +113,29 @@
         now: Instant,
         actions: MutableList<GateAction>,
     ) {
-        subscribers[dispatch.attempt] = connection
-        val known = ledger[dispatch.attempt]
+        val attempt = dispatch.attempt
+        if (dispatch.incarnation != incarnation || ledger.isForgotten(attempt)) {
+            actions += GateAction.Send(connection, Forgotten(attempt))
+            return
+        }
+        val fingerprint = AttemptFingerprint(dispatch.clientAccount, dispatch.fingerprint)
+        val known = ledger[attempt]
+        if (known != null && !known.matches(fingerprint)) {
+            actions += GateAction.Send(connection, Refused(attempt, RefusalReason.ATTEMPT_MISMATCH))
+            return
+        }
+        if (!subscriptions.subscribe(attempt, dispatch.request, connection)) return
         if (known != null) {
-            answerKnown(connection, dispatch.attempt, known, resumeAt = 0, actions)
+            answerKnown(connection, attempt, known, resumeAt = 0, actions)
             return
         }
         val refusal = refusalFor(dispatch)
         if (refusal != null) {
-            refuse(dispatch.attempt, refusal, now, actions)
+            ledger.bury(attempt, refusal, now, fingerprint)
+            refuse(attempt, refusal, now, actions)
             return
         }
-        ledger.accept(dispatch.attempt, AttemptFingerprint(dispatch.clientAccount, dispatch.payload.hashCode()))
+        ledger.accept(attempt, fingerprint)
         queue.add(QueuedAttempt(dispatch, now + dispatch.remainingMillis.milliseconds))
     }
 
@@ -131,13 +148,19 @@
     }
 
     private fun takeQuery(connection: ConnectionId, query: Query, now: Instant, actions: MutableList<GateAction>) {
-        if (query.incarnation != incarnation) {
-            actions += GateAction.Send(connection, Forgotten(query.attempt))
+        val attempt = query.attempt
+        if (query.incarnation != incarnation || ledger.isForgotten(attempt)) {
+            actions += GateAction.Send(connection, Forgotten(attempt))
             return
         }
-        subscribers[query.attempt] = connection
-        val known = ledger[query.attempt] ?: ledger.bury(query.attempt, RefusalReason.NEVER_SEEN, now)
-        answerKnown(connection, query.attempt, known, query.resumeAt, actions)
+        val fingerprint = AttemptFingerprint(query.clientAccount, query.fingerprint)
+        val known = ledger[attempt] ?: ledger.bury(attempt, RefusalReason.NEVER_SEEN, now, fingerprint)
+        if (!known.matches(fingerprint)) {
+            actions += GateAction.Send(connection, Refused(attempt, RefusalReason.ATTEMPT_MISMATCH))
+            return
+        }
+        if (!subscriptions.subscribe(attempt, query.request, connection)) return
+        answerKnown(connection, attempt, known, query.resumeAt, actions)
     }
 
     private fun answerKnown(
@@ -147,6 +170,7 @@
         resumeAt: Int,
         actions: MutableList<GateAction>,
     ) {
+        if (known !is LedgerEntry.Accepted) subscriptions.remove(attempt)
         when (known) {
             is LedgerEntry.Tombstone -> actions += GateAction.Send(connection, refusedMessage(attempt, known))
             is LedgerEntry.Failed -> actions += GateAction.Send(connection, Failed(attempt, known.detail, load()))
@@ -174,35 +198,46 @@
 
     private fun takeCancel(connection: ConnectionId, cancel: Cancel, now: Instant, actions: MutableList<GateAction>) {
         val attempt = cancel.attempt
-        subscribers[attempt] = connection
+        if (cancel.incarnation != incarnation || ledger.isForgotten(attempt)) {
+            actions += GateAction.Send(connection, Forgotten(attempt))
+            return
+        }
+        val hasOthers = subscriptions.hasOthers(attempt, cancel.request)
+        if (!cancel.onlyIfWaiting) subscriptions.unsubscribe(attempt, cancel.request)
+        val known = ledger[attempt]
         val run = running[attempt]
         when {
-            run == null -> {
-                queue.remove(attempt)
-                val known = ledger.bury(attempt, RefusalReason.CANCELLED, now)
-                if (known is LedgerEntry.Tombstone) {
-                    actions +=
-                        GateAction.Send(connection, refusedMessage(attempt, known))
-                }
-            }
-            run.dispatch.idempotent -> stopRun(attempt, now, actions)
-            else -> actions += GateAction.Send(connection, Running(attempt))
+            known != null && known !is LedgerEntry.Accepted ->
+                answerKnown(connection, attempt, known, resumeAt = 0, actions)
+            hasOthers -> actions += GateAction.Send(connection, Running(attempt))
+            run == null -> withdraw(connection, attempt, now, actions)
+            cancel.onlyIfWaiting || !run.dispatch.idempotent ->
+                actions += GateAction.Send(connection, Running(attempt))
+            else -> stopRun(attempt, now, actions)
         }
     }
 
+    private fun withdraw(connection: ConnectionId, attempt: AttemptId, now: Instant, actions: MutableList<GateAction>) {
+        queue.remove(attempt)
+        subscriptions.remove(attempt)
+        val entry = ledger.bury(attempt, RefusalReason.CANCELLED, now)
+        check(entry is LedgerEntry.Tombstone) { "attempt $attempt has run and can not be withdrawn" }
+        actions += GateAction.Send(connection, refusedMessage(attempt, entry))
+    }
+
     private fun stopRun(attempt: AttemptId, now: Instant, actions: MutableList<GateAction>) {
         running.remove(attempt)
-        subscribers.remove(attempt)
+        subscriptions.remove(attempt)
         ledger.fail(attempt, "cancelled", now)
         actions += GateAction.CancelRun(attempt)
     }
 
     private fun takeMove(connection: ConnectionId, move: Move, actions: MutableList<GateAction>) {
-        val known = ledger.recordMove(move.attempt, move.target)
-        if (known == null) {
-            actions += GateAction.Send(connection, Forgotten(move.attempt))
-        } else {
-            answerKnown(connection, move.attempt, known, resumeAt = 0, actions)
+        when (val known = ledger.recordMove(move.attempt, move.target)) {
+            null -> actions += GateAction.Send(connection, Forgotten(move.attempt))
+            is LedgerEntry.Tombstone -> actions += GateAction.Send(connection, refusedMessage(move.attempt, known))
+            is LedgerEntry.Accepted, is LedgerEntry.Failed, is LedgerEntry.Finished ->
+                actions += GateAction.Send(connection, Running(move.attempt))
         }
     }
 
@@ -211,22 +246,33 @@
         val number = ledger.append(event.attempt, event.payload, event.last, now)
         if (event.last) {
             running.remove(event.attempt)
+            lastEndedAt = now
             recordService((now - run.startedAt).inWholeMicroseconds / MICROS_PER_MILLI)
         }
-        notifySubscriber(event.attempt, Frame(event.attempt, number, event.payload, event.last, load()), actions)
-        if (event.last) subscribers.remove(event.attempt)
+        notifySubscribers(event.attempt, Frame(event.attempt, number, event.payload, event.last, load()), actions)
+        if (event.last) subscriptions.remove(event.attempt)
     }
 
     private fun takeNotRun(event: GateEvent.EndpointDidNotRun, now: Instant, actions: MutableList<GateAction>) {
         if (running.remove(event.attempt) == null) return
-        refuse(event.attempt, RefusalReason.ENDPOINT_UNREACHABLE, now, actions)
+        val entry = ledger.bury(event.attempt, RefusalReason.ENDPOINT_UNREACHABLE, now)
+        if (entry is LedgerEntry.Tombstone) {
+            refuse(event.attempt, RefusalReason.ENDPOINT_UNREACHABLE, now, actions)
+        } else {
+            endFailed(event.attempt, event.detail, now, actions)
+        }
     }
 
     private fun takeFailure(event: GateEvent.EndpointFailed, now: Instant, actions: MutableList<GateAction>) {
         if (running.remove(event.attempt) == null) return
-        ledger.fail(event.attempt, event.detail, now)
-        notifySubscriber(event.attempt, Failed(event.attempt, event.detail, load()), actions)
-        subscribers.remove(event.attempt)
+        endFailed(event.attempt, event.detail, now, actions)
+    }
+
+    private fun endFailed(attempt: AttemptId, detail: String, now: Instant, actions: MutableList<GateAction>) {
+        ledger.fail(attempt, detail, now)
+        lastEndedAt = now
+        notifySubscribers(attempt, Failed(attempt, detail, load()), actions)
+        subscriptions.remove(attempt)
     }
 
     private fun startWaiting(now: Instant, actions: MutableList<GateAction>) {
@@ -244,16 +290,16 @@
     private fun refuse(attempt: AttemptId, reason: RefusalReason, now: Instant, actions: MutableList<GateAction>) {
         val entry = ledger.bury(attempt, reason, now)
         check(entry is LedgerEntry.Tombstone) { "attempt $attempt has run and can not be refused" }
-        notifySubscriber(attempt, refusedMessage(attempt, entry), actions)
-        subscribers.remove(attempt)
+        if (reason != RefusalReason.LEAVING) lastEndedAt = now
+        notifySubscribers(attempt, refusedMessage(attempt, entry), actions)
+        subscriptions.remove(attempt)
     }
 
     private fun refusedMessage(attempt: AttemptId, tombstone: LedgerEntry.Tombstone) =
         Refused(attempt, tombstone.reason, retryAfterMillis(), tombstone.movedTo, load())
 
-    private fun notifySubscriber(attempt: AttemptId, message: AttemptMessage, actions: MutableList<GateAction>) {
-        val connection = subscribers[attempt] ?: return
-        if (connection in connections) actions += GateAction.Send(connection, message)
+    private fun notifySubscribers(attempt: AttemptId, message: AttemptMessage, actions: MutableList<GateAction>) {
+        subscriptions.connectionsOf(attempt).forEach { actions += GateAction.Send(it, message) }
     }
 
     private fun recordService(millis: Double) {
--- a/core/src/main/kotlin/org/bilberryhead/core/message/Messages.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/message/Messages.kt
@@ -83,6 +83,7 @@
  * @property idempotent whether the stage may run more than once
  * @property streamed whether frames are passed on while the answer is made
  * @property prefixHash groups requests that share a prompt prefix; 0 when unknown
+ * @property fingerprint digest of the caller's own kind and body; a known attempt with another one is refused
  */
 @Serializable
 @SerialName("dispatch")
@@ -98,6 +99,7 @@
     val payload: Payload,
     val streamed: Boolean = false,
     val prefixHash: Int = 0,
+    val fingerprint: String = "",
 ) : AttemptMessage
 
 /**
@@ -105,15 +107,34 @@
  * dispatch can not run afterwards.
  *
  * @property resumeAt number of the first frame that the sender does not have
+ * @property request the request that waits for the answer
+ * @property fingerprint as in [Dispatch]
  */
 @Serializable
 @SerialName("query")
-data class Query(override val attempt: AttemptId, val incarnation: Incarnation, val resumeAt: Int) : AttemptMessage
+data class Query(
+    override val attempt: AttemptId,
+    val incarnation: Incarnation,
+    val resumeAt: Int,
+    val request: RequestId,
+    val clientAccount: ClientAccount,
+    val fingerprint: String,
+) : AttemptMessage
 
-/** Tells that the result of an attempt is no longer wanted. An attempt that is still queued never runs. */
+/**
+ * Tells that [request] no longer wants the result of an attempt. An attempt that is still queued, and that no other
+ * request waits for, never runs.
+ *
+ * @property onlyIfWaiting whether an attempt that runs goes on, with its answer still wanted
+ */
 @Serializable
 @SerialName("cancel")
-data class Cancel(override val attempt: AttemptId) : AttemptMessage
+data class Cancel(
+    override val attempt: AttemptId,
+    val incarnation: Incarnation,
+    val request: RequestId,
+    val onlyIfWaiting: Boolean = false,
+) : AttemptMessage
 
 /**
  * Asks the sidecar that refused an attempt to record where the attempt is moved. The first record wins.
@@ -157,6 +178,9 @@
     ENDPOINT_UNREACHABLE,
     NEVER_SEEN,
     ENDPOINT_REFUSED,
+
+    /** The attempt id belongs to another request; what became of that one is not told. */
+    ATTEMPT_MISMATCH,
 }
 
 /**
@@ -185,7 +209,7 @@
 @SerialName("running")
 data class Running(override val attempt: AttemptId) : AttemptMessage
 
-/** The sidecar run has ended and its ledger is gone, so nobody can tell whether the attempt ran. */
+/** The sidecar run has ended, or its ledger has dropped the attempt, so nobody can tell whether the attempt ran. */
 @Serializable
 @SerialName("forgotten")
 data class Forgotten(override val attempt: AttemptId) : AttemptMessage
--- /dev/null
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/ExecutionTimings.kt
@@ -0,0 +1,22 @@
+package org.bilberryhead.core.pipeline
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Timings and limits of a [RequestExecution].
+ *
+ * @property cancelMargin how long before the deadline attempts that still wait are withdrawn, so that an answer can
+ *   tell that they did not run; at most a quarter of the time that the request has
+ * @property askInterval how often an unanswered query is repeated
+ * @property hedgeAfterShare part of the remaining time after which a hedge starts
+ * @property maximumFreeRetries retries a stage may make outside the retry budget, after refusals that cost no endpoint
+ * @property maximumMoves how many recorded moves of a ticket are followed
+ */
+data class ExecutionTimings(
+    val cancelMargin: Duration = 100.milliseconds,
+    val askInterval: Duration = 200.milliseconds,
+    val hedgeAfterShare: Double = 0.3,
+    val maximumFreeRetries: Int = 3,
+    val maximumMoves: Int = 8,
+)
--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestEvent.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestEvent.kt
@@ -17,7 +17,7 @@
     /** A sidecar answered about an attempt. */
     data class MessageArrived(val message: AttemptMessage) : RequestEvent
 
-    /** No byte of the attempt's dispatch was written to a connection. */
+    /** No byte of the message that was last sent for the attempt was written to a connection. */
     data class NotWritten(val attempt: AttemptId) : RequestEvent
 
     /** The connection that carried the attempt is closed or silent. */
@@ -95,6 +95,7 @@
             RefusalReason.CANCELLED -> DEADLINE_PASSED
             RefusalReason.ENDPOINT_UNREACHABLE, RefusalReason.NEVER_SEEN -> NO_ENDPOINT
             RefusalReason.ENDPOINT_REFUSED -> ENDPOINT_REFUSED
+            RefusalReason.ATTEMPT_MISMATCH -> KEY_REUSED
         }
     }
 }
@@ -110,7 +111,7 @@
     /**
      * Some stage ran or may have run.
      *
-     * @property repeatable whether the whole pipeline is idempotent, so that the caller may send the request again
+     * @property repeatable whether only idempotent stages may have run, so that the caller may send the request again
      */
     data class Unknown(val reason: FailureReason, val repeatable: Boolean, val retryAfter: Duration?) : RequestOutcome
 }
--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
@@ -1,9 +1,9 @@
 package org.bilberryhead.core.pipeline
 
 import org.bilberryhead.core.common.AttemptId
-import org.bilberryhead.core.common.ClientAccount
+import org.bilberryhead.core.common.EndpointId
 import org.bilberryhead.core.common.Payload
-import org.bilberryhead.core.common.RequestId
+import org.bilberryhead.core.execution.ATTEMPT_SEPARATOR
 import org.bilberryhead.core.execution.AttemptAction
 import org.bilberryhead.core.execution.AttemptEvent
 import org.bilberryhead.core.execution.AttemptState
@@ -16,10 +16,10 @@
 import org.bilberryhead.core.message.Frame
 import org.bilberryhead.core.message.Move
 import org.bilberryhead.core.message.Query
+import org.bilberryhead.core.message.RefusalReason
 import org.bilberryhead.core.message.Refused
 import org.bilberryhead.core.message.Running
 import org.bilberryhead.core.retry.RetryBudget
-import org.bilberryhead.core.routing.AttemptResult
 import org.bilberryhead.core.routing.EndpointSelector
 import org.bilberryhead.core.routing.Selection
 import org.bilberryhead.core.routing.SelectionRequest
@@ -31,34 +31,6 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
-/**
- * A request that an entry has admitted.
- *
- * @property deadline when the answer is of no more use
- * @property ticket where a non-idempotent request with a key runs; null without a key
- */
-data class AdmittedRequest(
-    val id: RequestId,
-    val clientAccount: ClientAccount,
-    val payload: Payload,
-    val deadline: Instant,
-    val ticket: AttemptLocation? = null,
-)
-
-/**
- * Timings of a [RequestExecution].
- *
- * @property cancelMargin how long before the deadline open attempts are cancelled, so that an answer can still tell
- *   whether they ran
- * @property askInterval how often an unanswered query is repeated
- * @property hedgeAfterShare part of the remaining time after which a hedge starts
- */
-data class ExecutionTimings(
-    val cancelMargin: Duration = 100.milliseconds,
-    val askInterval: Duration = 200.milliseconds,
-    val hedgeAfterShare: Double = 0.3,
-)
-
 /**
  * Carries one request through the stages of its pipeline: chooses endpoints, retries what provably did not run, asks
  * what became of attempts whose connection was lost, and ends with one truthful outcome.
@@ -78,14 +50,21 @@
     private val actions = mutableListOf<RequestAction>()
     private var stageIndex = 0
     private var input = request.payload
+    private val messages = RequestMessages(request, route)
+    private val retries = RetryAllowance(budget, timings.maximumFreeRetries)
+    private val firstTicketStage = route.stages.indexOfFirst { !it.idempotent }
     private var attemptCount = 0
+    private var moveCount = 0
     private var leader: AttemptId? = null
     private var lastFailure: FailureReason? = null
+    private var lastRefusal: RefusalReason? = null
     private var lastRetryAfter: Duration? = null
+    private var isClosing = false
     private var isComplete = false
 
     private val stage: Stage get() = route.stages[stageIndex]
     private val isLastStage: Boolean get() = stageIndex == route.stages.lastIndex
+    private val isTicketed: Boolean get() = request.ticket != null && !stage.idempotent
 
     /** Handles [event], which happened at [now], and returns what to do about it. */
     fun handle(event: RequestEvent, now: Instant): List<RequestAction> {
@@ -94,7 +73,7 @@
         when (event) {
             RequestEvent.Started -> start(now)
             is RequestEvent.MessageArrived -> takeMessage(event.message, now)
-            is RequestEvent.NotWritten -> step(event.attempt, notWrittenEvent(), now)
+            is RequestEvent.NotWritten -> takeNotWritten(event.attempt, now)
             is RequestEvent.ConnectionLost -> step(event.attempt, AttemptEvent.CONNECTION_LOST, now)
             is RequestEvent.ConnectionRestored -> step(event.attempt, AttemptEvent.CONNECTION_RESTORED, now)
             is RequestEvent.IncarnationGone -> step(event.attempt, AttemptEvent.FORGOTTEN, now)
@@ -105,7 +84,8 @@
     }
 
     private fun start(now: Instant) {
-        actions += RequestAction.SetTimer(RequestTimer.CANCEL_BEFORE_DEADLINE, request.deadline - timings.cancelMargin)
+        val margin = minOf(timings.cancelMargin, (request.deadline - now) / MARGIN_DIVISOR)
+        actions += RequestAction.SetTimer(RequestTimer.CANCEL_BEFORE_DEADLINE, request.deadline - margin)
         actions += RequestAction.SetTimer(RequestTimer.DEADLINE, request.deadline)
         startStage(now)
     }
@@ -114,7 +94,7 @@
         budget.recordFirstAttempt()
         val ticket = request.ticket
         if (ticket != null && !stage.idempotent) {
-            dispatch(ticket, "ticket", candidates = 1, now)
+            startTicketStage(ticket, now)
             return
         }
         dispatchToChosen(now)
@@ -124,34 +104,50 @@
         }
     }
 
+    /** The sidecar of the ticket also records where the later non-idempotent stages of the same request run. */
+    private fun startTicketStage(ticket: AttemptLocation, now: Instant) {
+        if (stageIndex == firstTicketStage) {
+            dispatch(ticket, "ticket", candidates = 1, now)
+        } else {
+            val attempt = AttemptId("${ticket.attempt.value}$ATTEMPT_SEPARATOR${stage.name.value}")
+            attach(ticket.copy(attempt = attempt), now)
+        }
+    }
+
+    /** Asks what became of an attempt that another request may have sent, without sending it. */
+    private fun attach(location: AttemptLocation, now: Instant) {
+        attempts[location.attempt] = AttemptRecord(location, stageIndex, now, isShared = true)
+        selector.recordDispatch(location.endpoint, now)
+        step(location.attempt, AttemptEvent.CONNECTION_LOST, now)
+    }
+
     private fun dispatchToChosen(now: Instant) {
-        val target = chooseTarget(now) ?: return
-        dispatch(target.location, target.why, target.candidates, now)
+        val target = chooseTarget(now)
+        when {
+            target != null -> dispatch(target.location, target.why, target.candidates, now)
+            !hasOpenAttempt() -> end(lastFailure ?: FailureReason.NO_ENDPOINT, lastRetryAfter, now)
+        }
     }
 
+    /** Returns null, with the reason in [lastFailure], when no endpoint can be given the stage. */
     private fun chooseTarget(now: Instant): Target? {
         val pool = tables.poolOf(stage)
         if (pool == null) {
-            endUnlessOpen(FailureReason.CONFIGURATION_MISSING, null, now)
+            lastFailure = FailureReason.CONFIGURATION_MISSING
             return null
         }
-        val attempt = AttemptId("${request.id.value}:$stageIndex:${attemptCount++}")
+        val attempt = AttemptId("${request.id.value}$ATTEMPT_SEPARATOR$stageIndex$ATTEMPT_SEPARATOR${attemptCount++}")
         val selection = selector.choose(selectionRequest(pool, now), now)
         return when (selection) {
             is Selection.Chosen -> {
                 val candidate = selection.candidate
-                Target(
-                    AttemptLocation(candidate.endpoint, candidate.incarnation, attempt),
-                    selection.why,
-                    selection.candidates,
-                )
+                val location = AttemptLocation(candidate.endpoint, candidate.incarnation, attempt)
+                Target(location, selection.why, selection.candidates)
             }
             is Selection.NoneAvailable -> {
-                actions +=
-                    RequestAction.Log(
-                        RoutingDecision(attempt, stage.name.value, selection.candidates, null, selection.why),
-                    )
-                endUnlessOpen(lastFailure ?: FailureReason.NO_ENDPOINT, selection.retryAfter, now)
+                logDecision(attempt, selection.candidates, null, selection.why)
+                lastFailure = lastFailure ?: FailureReason.NO_ENDPOINT
+                lastRetryAfter = selection.retryAfter
                 null
             }
         }
@@ -166,25 +162,17 @@
     )
 
     private fun dispatch(location: AttemptLocation, why: String, candidates: Int, now: Instant) {
-        attempts[location.attempt] = AttemptRecord(location, stageIndex, now)
+        attempts[location.attempt] = AttemptRecord(location, stageIndex, now, isShared = isTicketed)
         selector.recordDispatch(location.endpoint, now)
-        val message = Dispatch(
-            attempt = location.attempt,
-            incarnation = location.incarnation,
-            request = request.id,
-            kind = route.kind,
-            stage = stage.name,
-            clientAccount = request.clientAccount,
-            remainingMillis = (request.deadline - now).inWholeMilliseconds,
-            idempotent = stage.idempotent,
-            payload = input,
-            streamed = route.streamed && isLastStage,
-        )
-        actions +=
-            RequestAction.Log(RoutingDecision(location.attempt, stage.name.value, candidates, location.endpoint, why))
+        logDecision(location.attempt, candidates, location.endpoint, why)
+        val message = messages.dispatch(location, stageIndex, input, now)
         actions += RequestAction.Send(location.endpoint, location.incarnation, message)
     }
 
+    private fun logDecision(attempt: AttemptId, candidates: Int, chosen: EndpointId?, why: String) {
+        actions += RequestAction.Log(RoutingDecision(attempt, stage.name.value, candidates, chosen, why))
+    }
+
     private fun takeMessage(message: AttemptMessage, now: Instant) {
         val record = attempts[message.attempt] ?: return
         when (message) {
@@ -216,61 +204,90 @@
     }
 
     private fun takeRefusal(record: AttemptRecord, refusal: Refused, now: Instant) {
+        if (!record.isOpen) return
+        lastRefusal = refusal.reason
         lastFailure = FailureReason.of(refusal.reason)
         lastRetryAfter = refusal.retryAfterMillis?.milliseconds
+        step(refusal.attempt, refusalEvent(record, refusal, now), now)
+    }
+
+    private fun refusalEvent(record: AttemptRecord, refusal: Refused, now: Instant): AttemptEvent {
         val movedTo = refusal.movedTo
-        if (movedTo != null && record.isOpen) {
-            record.step(AttemptEvent.REFUSED)
-            recordEnd(record, AttemptResult.REFUSED, now)
-            dispatch(movedTo, "ticket moved", candidates = 1, now)
-            return
+        if (!record.isShared) return AttemptEvent.REFUSED
+        if (movedTo != null) {
+            record.moveTarget = movedTo
+            return AttemptEvent.MOVED
         }
-        step(refusal.attempt, AttemptEvent.REFUSED, now)
+        return if (findMoveTarget(record, now)) AttemptEvent.MOVABLE else AttemptEvent.REFUSED
     }
 
-    /** With a ticket another entry may have sent the same attempt, so that an unwritten dispatch proves nothing. */
-    private fun notWrittenEvent(): AttemptEvent =
-        if (request.ticket != null && !stage.idempotent) AttemptEvent.CONNECTION_LOST else AttemptEvent.NOT_WRITTEN
+    private fun findMoveTarget(record: AttemptRecord, now: Instant): Boolean {
+        if (record.moveTarget != null) return true
+        if (!mayStartAnother() || !retries.takeUnrun(stage, lastRefusal)) return false
+        val target = chooseTarget(now) ?: return false
+        record.moveTarget = target.location
+        return true
+    }
+
+    /**
+     * With a ticket another request may have sent the same attempt, so that an unwritten dispatch proves nothing. An
+     * unwritten question proves nothing either; it is asked again in time.
+     */
+    private fun takeNotWritten(attempt: AttemptId, now: Instant) {
+        val record = attempts[attempt] ?: return
+        if (!record.isOnlyDispatched) return
+        lastRefusal = null
+        step(attempt, if (record.isShared) AttemptEvent.CONNECTION_LOST else AttemptEvent.NOT_WRITTEN, now)
+    }
 
     private fun step(attempt: AttemptId, event: AttemptEvent, now: Instant) {
         val record = attempts[attempt] ?: return
         if (!record.isOpen) return
         val action = record.step(event)
-        if (!record.isOpen) recordEnd(record, resultOf(record.state), now)
+        if (!record.isOpen) recordEnd(record, now)
         when (action) {
-            AttemptAction.RETRY -> retry(record, now)
+            AttemptAction.RETRY -> retryUnrun(now)
             AttemptAction.RETRY_IF_IDEMPOTENT -> retryIfIdempotent(record, event, now)
             AttemptAction.COMPLETE_STAGE -> completeStage(record, now)
-            AttemptAction.ASK -> ask(record, now)
-            AttemptAction.CANCEL -> send(record, Cancel(attempt))
+            AttemptAction.ASK -> ask(record, event, now)
+            AttemptAction.MOVE -> askAbout(record, now)
+            AttemptAction.FOLLOW -> followMove(record, now)
+            AttemptAction.CANCEL -> send(record, messages.cancel(record))
             AttemptAction.TAKE_FRAME, null -> Unit
         }
     }
 
-    private fun retry(record: AttemptRecord, now: Instant) {
-        if (hasOpenAttempt()) return
-        if (!budget.tryTake()) {
-            end(lastFailure ?: FailureReason.RETRIES_EXHAUSTED, lastRetryAfter, now)
-            return
-        }
-        if (request.ticket != null && !stage.idempotent) {
-            moveTicket(record, now)
-        } else {
-            dispatchToChosen(now)
-        }
+    /** The last attempt provably did not run. */
+    private fun retryUnrun(now: Instant) = when {
+        hasOpenAttempt() -> Unit
+        mayStartAnother() && retries.takeUnrun(stage, lastRefusal) -> dispatchToChosen(now)
+        else -> end(lastFailure ?: FailureReason.RETRIES_EXHAUSTED, lastRetryAfter, now)
     }
 
-    private fun moveTicket(record: AttemptRecord, now: Instant) {
-        val target = chooseTarget(now) ?: return
-        send(record, Move(record.location.attempt, target.location))
-        attempts[record.location.attempt] = AttemptRecord(record.location, stageIndex, now)
+    private fun mayStartAnother(): Boolean = !isClosing && leader == null && lastRefusal !in FINAL_REFUSALS
+
+    /** Goes where the ticket was moved; near the deadline only to ask, so that nothing starts late. */
+    private fun followMove(record: AttemptRecord, now: Instant) {
+        val target = checkNotNull(record.moveTarget) { "attempt ${record.location.attempt} is not moved" }
+        val isKnown = target.attempt in attempts
+        when {
+            isKnown -> end(FailureReason.RETRIES_EXHAUSTED, null, now)
+            isClosing -> attach(target, now)
+            moveCount++ < timings.maximumMoves -> dispatch(target, "ticket moved", candidates = 1, now)
+            else -> {
+                attach(target, now)
+                end(FailureReason.RETRIES_EXHAUSTED, null, now)
+            }
+        }
     }
 
     private fun retryIfIdempotent(record: AttemptRecord, event: AttemptEvent, now: Instant) {
         lastFailure = if (event == AttemptEvent.FORGOTTEN) FailureReason.SIDECAR_GONE else FailureReason.ENDPOINT_FAILED
         when {
             record.location.attempt == leader -> end(FailureReason.ANSWER_INCOMPLETE, null, now)
-            stage.idempotent -> retry(record, now)
+            !stage.idempotent -> end(lastFailure ?: FailureReason.ENDPOINT_FAILED, null, now)
+            hasOpenAttempt() -> Unit
+            !isClosing && budget.tryTake() -> dispatchToChosen(now)
             else -> end(lastFailure ?: FailureReason.ENDPOINT_FAILED, null, now)
         }
     }
@@ -286,33 +303,51 @@
         stageIndex++
         leader = null
         lastFailure = null
-        startStage(now)
+        lastRefusal = null
+        retries.reset()
+        if (isClosing && !stage.idempotent) {
+            end(FailureReason.DEADLINE_UNREACHABLE, null, now)
+        } else {
+            startStage(now)
+        }
     }
 
-    private fun ask(record: AttemptRecord, now: Instant) {
-        send(record, Query(record.location.attempt, record.location.incarnation, record.frames.nextNumber))
+    private fun ask(record: AttemptRecord, event: AttemptEvent, now: Instant) {
+        askAbout(record, now)
+        val isAlone = openAttempts().size == 1
+        val mayReplace = event == AttemptEvent.CONNECTION_LOST && stage.idempotent && isAlone && mayStartAnother()
+        if (mayReplace && budget.tryTake()) dispatchToChosen(now)
+    }
+
+    private fun askAbout(record: AttemptRecord, now: Instant) {
+        send(record, messages.question(record))
         actions += RequestAction.SetTimer(RequestTimer.ASK_AGAIN, now + timings.askInterval)
-        val mayStartAnother = stage.idempotent && record.location.attempt != leader && openAttempts().size == 1
-        if (mayStartAnother && budget.tryTake()) dispatchToChosen(now)
     }
 
     private fun takeTimer(timer: RequestTimer, now: Instant) {
         when (timer) {
             RequestTimer.HEDGE -> hedge(now)
             RequestTimer.ASK_AGAIN -> askAgain(now)
-            RequestTimer.CANCEL_BEFORE_DEADLINE -> openAttempts().forEach { send(it, Cancel(it.location.attempt)) }
+            RequestTimer.CANCEL_BEFORE_DEADLINE -> withdrawWaiting()
             RequestTimer.DEADLINE -> end(FailureReason.DEADLINE_PASSED, null, now)
         }
     }
 
+    private fun withdrawWaiting() {
+        isClosing = true
+        openAttempts().filter { it.state != AttemptState.MOVING }.forEach {
+            send(it, messages.cancel(it, onlyIfWaiting = true))
+        }
+    }
+
     private fun hedge(now: Instant) {
         val canHedge = stage.hedged && stage.idempotent && leader == null && openAttempts().size == 1
         if (canHedge && budget.tryTake()) dispatchToChosen(now)
     }
 
     private fun askAgain(now: Instant) {
-        val asking = openAttempts().filter { it.state == AttemptState.ASKING }
-        asking.forEach { send(it, Query(it.location.attempt, it.location.incarnation, it.frames.nextNumber)) }
+        val asking = openAttempts().filter { it.awaitsEvidence }
+        asking.forEach { send(it, messages.question(it)) }
         if (asking.isNotEmpty()) actions += RequestAction.SetTimer(RequestTimer.ASK_AGAIN, now + timings.askInterval)
     }
 
@@ -321,18 +356,15 @@
         losers.forEach { step(it, AttemptEvent.ABANDON, now) }
     }
 
-    private fun endUnlessOpen(reason: FailureReason, retryAfter: Duration?, now: Instant) {
-        if (!hasOpenAttempt()) end(reason, retryAfter, now)
-    }
-
     private fun end(reason: FailureReason, retryAfter: Duration?, now: Instant) {
-        val mayHaveRun = attempts.values.any { it.mayHaveRun }
+        val mayHaveRun = attempts.values.filter { it.mayHaveRun }
         openAttempts().forEach { step(it.location.attempt, AttemptEvent.ABANDON, now) }
         complete(
-            if (mayHaveRun) {
-                RequestOutcome.Unknown(reason, route.idempotent, retryAfter)
-            } else {
+            if (mayHaveRun.isEmpty()) {
                 RequestOutcome.NotRun(reason, retryAfter)
+            } else {
+                val repeatable = mayHaveRun.all { route.stages[it.stageIndex].idempotent }
+                RequestOutcome.Unknown(reason, repeatable, retryAfter)
             },
         )
     }
@@ -343,18 +375,12 @@
     }
 
     private fun send(record: AttemptRecord, message: AttemptMessage) {
+        record.isOnlyDispatched = false
         actions += RequestAction.Send(record.location.endpoint, record.location.incarnation, message)
     }
 
-    private fun recordEnd(record: AttemptRecord, result: AttemptResult, now: Instant) =
-        selector.recordEnd(record.location.endpoint, result, now - record.sentAt, now)
-
-    private fun resultOf(state: AttemptState): AttemptResult = when (state) {
-        AttemptState.FINISHED -> AttemptResult.ANSWERED
-        AttemptState.NOT_RUN -> AttemptResult.REFUSED
-        AttemptState.ABANDONED -> AttemptResult.ABANDONED
-        AttemptState.UNKNOWN, AttemptState.SENT, AttemptState.RECEIVING, AttemptState.ASKING -> AttemptResult.FAILED
-    }
+    private fun recordEnd(record: AttemptRecord, now: Instant) =
+        selector.recordEnd(record.location.endpoint, record.result, now - record.sentAt, now)
 
     private fun openAttempts(): List<AttemptRecord> = attempts.values.filter {
         it.isOpen && it.stageIndex == stageIndex
@@ -363,4 +389,12 @@
     private fun hasOpenAttempt(): Boolean = openAttempts().isNotEmpty()
 
     private data class Target(val location: AttemptLocation, val why: String, val candidates: Int)
+
+    private companion object {
+        /** The cancel margin is at most this part of the time that a request has. */
+        const val MARGIN_DIVISOR = 4
+
+        /** Refusals after which another endpoint would not help. */
+        val FINAL_REFUSALS = setOf(RefusalReason.DEADLINE_PASSED, RefusalReason.ATTEMPT_MISMATCH)
+    }
 }
