--- a/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
@@ -6,7 +6,9 @@
 import org.bilberryhead.core.execution.AttemptFingerprint
 import org.bilberryhead.core.execution.AttemptLedger
 import org.bilberryhead.core.execution.LedgerEntry
+import org.bilberryhead.core.message.AskOutcome
 import org.bilberryhead.core.message.AttemptMessage
+import org.bilberryhead.core.message.AttemptOutcome
 import org.bilberryhead.core.message.Cancel
 import org.bilberryhead.core.message.Dispatch
 import org.bilberryhead.core.message.Failed
@@ -15,6 +17,7 @@
 import org.bilberryhead.core.message.Leaving
 import org.bilberryhead.core.message.LoadReport
 import org.bilberryhead.core.message.Move
+import org.bilberryhead.core.message.OutcomeReport
 import org.bilberryhead.core.message.Query
 import org.bilberryhead.core.message.RefusalReason
 import org.bilberryhead.core.message.Refused
@@ -57,6 +60,19 @@
         limits = newLimits
     }
 
+    /** Returns what is known of an attempt; nothing changes by it. */
+    fun outcomeOf(question: AskOutcome): OutcomeReport {
+        val attempt = question.attempt
+        if (question.incarnation != incarnation) return OutcomeReport(attempt, AttemptOutcome.FORGOTTEN)
+        return when (val known = ledger[attempt]) {
+            null -> OutcomeReport(attempt, AttemptOutcome.NEVER_SEEN)
+            is LedgerEntry.Tombstone -> OutcomeReport(attempt, AttemptOutcome.NOT_RUN, known.movedTo)
+            is LedgerEntry.Accepted -> OutcomeReport(attempt, AttemptOutcome.RUNNING)
+            is LedgerEntry.Finished -> OutcomeReport(attempt, AttemptOutcome.ANSWERED)
+            is LedgerEntry.Failed -> OutcomeReport(attempt, AttemptOutcome.FAILED)
+        }
+    }
+
     /** Handles [event], which happened at [now], and returns what to do about it. */
     fun handle(event: GateEvent, now: Instant): List<GateAction> {
         val actions = mutableListOf<GateAction>()
--- a/core/src/main/kotlin/org/bilberryhead/core/message/Messages.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/message/Messages.kt
@@ -190,6 +190,46 @@
 @SerialName("forgotten")
 data class Forgotten(override val attempt: AttemptId) : AttemptMessage
 
+/**
+ * Asks what became of an attempt without subscribing to it or leaving a tombstone, so that its dispatch may still run
+ * afterwards.
+ */
+@Serializable
+@SerialName("ask-outcome")
+data class AskOutcome(val attempt: AttemptId, val incarnation: Incarnation) : Message
+
+/** What a sidecar knows of an attempt. */
+@Serializable
+enum class AttemptOutcome {
+    /** No message about the attempt has arrived; one may be under way. */
+    NEVER_SEEN,
+
+    /** The attempt is refused and never runs under this id. */
+    NOT_RUN,
+
+    /** The attempt is queued or running. */
+    RUNNING,
+
+    /** The endpoint answered completely. */
+    ANSWERED,
+
+    /** The endpoint failed and may have taken effect. */
+    FAILED,
+
+    /** The sidecar run that held the attempt has ended, and its ledger with it. */
+    FORGOTTEN,
+}
+
+/**
+ * Answer to [AskOutcome].
+ *
+ * @property movedTo where a refused attempt was moved, if a move is recorded
+ */
+@Serializable
+@SerialName("outcome-report")
+data class OutcomeReport(val attempt: AttemptId, val outcome: AttemptOutcome, val movedTo: AttemptLocation? = null) :
+    Message
+
 /** Asks a process for the changes that follow [after]. */
 @Serializable
 @SerialName("fetch-changes")
--- a/entry/src/main/kotlin/org/bilberryhead/entry/CallerRoutes.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/CallerRoutes.kt
@@ -1,126 +1,236 @@
 package org.bilberryhead.entry
 
+import com.github.michaelbull.result.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
-import io.ktor.server.request.receive
+import io.ktor.server.application.ApplicationCall
 import io.ktor.server.response.header
 import io.ktor.server.response.respondBytes
+import io.ktor.server.response.respondBytesWriter
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.Route
 import io.ktor.server.routing.RoutingContext
+import io.ktor.server.routing.get
 import io.ktor.server.routing.post
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import org.bilberryhead.core.common.IdempotencyKey
 import org.bilberryhead.core.common.Payload
 import org.bilberryhead.core.common.RequestId
 import org.bilberryhead.core.common.RequestKind
+import org.bilberryhead.core.execution.Ticket
 import org.bilberryhead.core.pipeline.AdmittedRequest
 import org.bilberryhead.core.pipeline.RequestOutcome
 import java.util.UUID
 import kotlin.time.Clock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+private val log = KotlinLogging.logger("callers")
 
 /** Name of the header with the request's id. */
 const val REQUEST_ID_HEADER = "X-Request-Id"
 
-/** Name of the header with the time that the caller waits, such as `4s`. */
-const val TIMEOUT_HEADER = "X-Request-Timeout"
+/** A ticket, to be sent as idempotency key. */
+@Serializable
+data class TicketAnswer(val ticket: String)
 
-/** A refusal in the form of RFC 9457. */
+/** What became of a key. */
 @Serializable
-data class Problem(
-    val title: String,
-    val status: Int,
-    val detail: String,
-    val outcome: String,
-    val reason: String,
-    val requestId: String,
-    val repeatable: Boolean,
-)
+data class OutcomeAnswer(val outcome: KeyOutcome)
 
 /** The interface for callers. */
-class CallerRoutes(
-    private val control: ControlPlane,
+class CallerRoutes internal constructor(
+    private val reader: CallerRequestReader,
+    private val keys: KeyResolver,
+    private val outcomes: OutcomeLookup,
     private val runner: RequestRunner,
-    private val tokens: Tokens,
+    private val tracker: RequestTracker,
+    private val metrics: EntryMetrics,
     private val clock: Clock,
 ) {
     /** Adds the routes. */
     fun install(route: Route) = with(route) {
-        post("/v1/requests/{kind}") { serve() }
+        post("/v1/requests/{kind}") { admitted { serve(it) } }
+        post("/v1/tickets/{kind}") { admitted { giveTicket(it) } }
+        get("/v1/outcomes/{key}") { admitted { tellOutcome(it) } }
+    }
+
+    /** One call of a caller, from its arrival to its answer. */
+    private class Exchange(val call: ApplicationCall, val id: RequestId, val startedAt: Instant) {
+        val hasKey: Boolean get() = call.request.headers.contains(KEY_HEADER)
+        val acceptsEvents: Boolean
+            get() {
+                val accept = call.request.headers[HttpHeaders.Accept].orEmpty()
+                return "application/json" !in accept || EVENT_STREAM in accept
+            }
+    }
+
+    private suspend fun RoutingContext.admitted(serve: suspend (Exchange) -> Unit) {
+        val exchange = Exchange(call, RequestId(UUID.randomUUID().toString()), clock.now())
+        call.response.header(REQUEST_ID_HEADER, exchange.id.value)
+        if (!tracker.tryBegin()) {
+            reject(exchange, Rejection(RejectionReason.DRAINING, "this entry is shutting down", DEFAULT_RETRY_AFTER))
+            return
+        }
+        try {
+            serve(exchange)
+        } finally {
+            tracker.end()
+        }
     }
 
-    private suspend fun RoutingContext.serve() {
-        val id = RequestId(UUID.randomUUID().toString())
-        call.response.header(REQUEST_ID_HEADER, id.value)
-        val account = tokens.account(call.request.headers[HttpHeaders.Authorization])
-            ?: return reject(id, HttpStatusCode.Unauthorized, "unauthorized", "the bearer token is missing or unknown")
-        val tables = control.tables
-        val route = tables.routes[RequestKind(call.parameters["kind"].orEmpty())]
-            ?: return reject(id, HttpStatusCode.NotFound, "unknown_kind", "no route answers this kind of request")
-        val timeoutText = call.request.headers[TIMEOUT_HEADER]
-        val timeout = if (timeoutText == null) route.defaultDeadline else Duration.parseOrNull(timeoutText)
-        if (timeout == null || !timeout.isPositive() || timeout > route.maximumDeadline) {
-            return reject(
-                id,
-                HttpStatusCode.BadRequest,
-                "bad_deadline",
-                "$TIMEOUT_HEADER must be up to ${route.maximumDeadline}",
-            )
+    private suspend fun giveTicket(exchange: Exchange) {
+        val head = reader.readHead(exchange.call).getOrElse { return reject(exchange, it) }
+        val location = keys.newLocation(head).getOrElse { return reject(exchange, it) }
+        val answer = Json.encodeToString(TicketAnswer(Ticket.encode(location)))
+        exchange.call.respondText(answer, ContentType.Application.Json, HttpStatusCode.Created)
+    }
+
+    private suspend fun tellOutcome(exchange: Exchange) {
+        val account = reader.account(exchange.call).getOrElse { return reject(exchange, it) }
+        val key = IdempotencyKey(exchange.call.parameters["key"].orEmpty())
+        if (!CallerRequestReader.isUsable(key)) {
+            return reject(exchange, Rejection(RejectionReason.BAD_KEY, "the key is not one"))
+        }
+        val answer = Json.encodeToString(OutcomeAnswer(outcomes.find(account, key)))
+        exchange.call.respondText(answer, ContentType.Application.Json)
+    }
+
+    private suspend fun serve(exchange: Exchange) {
+        val head = reader.readHead(exchange.call).getOrElse { return reject(exchange, it) }
+        val body = reader.readBody(exchange.call).getOrElse { return reject(exchange, it, head.route.kind) }
+        val deadline = exchange.startedAt + head.timeout
+        val location = head.key?.let { key ->
+            keys.resolve(head, key, body).getOrElse { return reject(exchange, it, head.route.kind) }
+        }
+        val request = AdmittedRequest(exchange.id, head.account, body, deadline, location)
+        val outcome = try {
+            if (head.route.streamed && exchange.acceptsEvents) {
+                stream(exchange, head, request)
+            } else {
+                answerWhole(exchange, head, request)
+            }
+        } catch (cancellation: CancellationException) {
+            count(exchange, head.route.kind, RequestResult.CALLER_GONE)
+            log.info { "callers: request ${exchange.id}: the caller went away" }
+            throw cancellation
         }
-        val request = AdmittedRequest(id, account, Payload(call.receive<ByteArray>()), clock.now() + timeout)
-        when (val outcome = runner.run(request, route, tables) { }) {
-            is RequestOutcome.Answered -> call.respondBytes(outcome.payload.bytes, ContentType.Application.Json)
-            is RequestOutcome.NotRun -> refuse(
-                id,
-                "not_run",
-                outcome.reason.name,
-                repeatable = true,
-                outcome.retryAfter,
-            )
-            is RequestOutcome.Unknown -> refuse(
-                id,
-                "unknown",
-                outcome.reason.name,
-                outcome.repeatable,
-                outcome.retryAfter,
-            )
+        count(exchange, head.route.kind, resultOf(outcome, deadline))
+        head.key?.let { keys.recordAnswer(head, it, outcome) }
+    }
+
+    private suspend fun answerWhole(exchange: Exchange, head: RequestHead, request: AdmittedRequest): RequestOutcome {
+        val outcome = runner.run(request, head.route.copy(streamed = false), head.tables) { }
+        if (outcome is RequestOutcome.Answered) {
+            exchange.call.respondBytes(outcome.payload.bytes, ContentType.Application.Json)
+        } else {
+            refusalOf(exchange.id, outcome, request.ticket != null)?.let { refuse(exchange, it) }
         }
+        return outcome
     }
 
-    private suspend fun RoutingContext.reject(id: RequestId, status: HttpStatusCode, reason: String, detail: String) =
-        respond(Problem(status.description, status.value, detail, "not_run", reason, id.value, repeatable = true))
+    /** The response begins with the first part, so that a refusal before it is an ordinary problem response. */
+    private suspend fun stream(exchange: Exchange, head: RequestHead, request: AdmittedRequest): RequestOutcome =
+        coroutineScope {
+            val parts = Channel<Payload>(Channel.UNLIMITED)
+            val outcome = CompletableDeferred<RequestOutcome>()
+            launch {
+                outcome.complete(runner.run(request, head.route, head.tables) { parts.trySend(it.payload) })
+                parts.close()
+            }
+            val first = parts.receiveCatching().getOrNull()
+            val refusal = if (first == null) refusalOf(exchange.id, outcome.await(), request.ticket != null) else null
+            if (refusal != null) {
+                refuse(exchange, refusal)
+            } else {
+                val limit = request.deadline - clock.now() + SLOW_READER_GRACE
+                withTimeoutOrNull(limit) { writeEvents(exchange, first, parts, outcome, request.ticket != null) }
+                    ?: log.info { "callers: request ${exchange.id}: the caller reads too slowly, stream given up" }
+            }
+            outcome.await()
+        }
 
-    private suspend fun RoutingContext.refuse(
-        id: RequestId,
-        outcome: String,
-        reason: String,
-        repeatable: Boolean,
-        retryAfter: Duration?,
+    private suspend fun writeEvents(
+        exchange: Exchange,
+        first: Payload?,
+        parts: Channel<Payload>,
+        outcome: CompletableDeferred<RequestOutcome>,
+        hasKey: Boolean,
     ) {
-        if (retryAfter !=
-            null
+        exchange.call.response.header(HttpHeaders.CacheControl, "no-store")
+        exchange.call.respondBytesWriter(ContentType.Text.EventStream) {
+            val events = EventStream(this)
+            first?.let { events.part(it) }
+            for (part in parts) events.part(part)
+            val refusal = refusalOf(exchange.id, outcome.await(), hasKey)
+            if (refusal == null) {
+                events.end(exchange.id.value)
+            } else {
+                logRefusal(exchange, refusal)
+                events.error(refusal.problem)
+            }
+        }
+    }
+
+    private suspend fun reject(exchange: Exchange, rejection: Rejection, kind: RequestKind? = null) {
+        val result = if (rejection.reason.status.value <
+            SERVER_ERRORS
         ) {
-            call.response.header(HttpHeaders.RetryAfter, retryAfter.inWholeSeconds.coerceAtLeast(1).toString())
+            RequestResult.REJECTED
+        } else {
+            RequestResult.NOT_RUN
         }
-        val status = if (outcome == "not_run") HttpStatusCode.ServiceUnavailable else HttpStatusCode.GatewayTimeout
-        respond(
-            Problem(
-                status.description,
-                status.value,
-                "the request was not answered",
-                outcome,
-                reason.lowercase(),
-                id.value,
-                repeatable,
-            ),
-        )
+        count(exchange, kind ?: NO_KIND, result)
+        refuse(exchange, refusalOf(exchange.id, rejection, exchange.hasKey))
+    }
+
+    private suspend fun refuse(exchange: Exchange, refusal: Refusal) {
+        logRefusal(exchange, refusal)
+        val problem = refusal.problem
+        refusal.retryAfter?.let { exchange.call.response.header(HttpHeaders.RetryAfter, wholeSeconds(it).toString()) }
+        if (problem.status == HttpStatusCode.Unauthorized.value) {
+            exchange.call.response.header(HttpHeaders.WWWAuthenticate, "Bearer")
+        }
+        val status = HttpStatusCode.fromValue(problem.status)
+        exchange.call.respondText(problem.toJson(), ContentType.Application.ProblemJson, status)
+    }
+
+    private fun logRefusal(exchange: Exchange, refusal: Refusal) {
+        metrics.countRefusal(refusal.problem)
+        val problem = refusal.problem
+        log.info { "callers: request ${exchange.id} refused: ${problem.reason}, outcome ${problem.outcome}" }
+    }
+
+    private fun count(exchange: Exchange, kind: RequestKind, result: RequestResult) =
+        metrics.countRequest(kind, result, clock.now() - exchange.startedAt)
+
+    private fun resultOf(outcome: RequestOutcome, deadline: Instant): RequestResult = when (outcome) {
+        is RequestOutcome.Answered -> if (clock.now() <= deadline) RequestResult.IN_TIME else RequestResult.LATE
+        is RequestOutcome.NotRun -> RequestResult.NOT_RUN
+        is RequestOutcome.Unknown -> RequestResult.UNKNOWN
     }
 
-    private suspend fun RoutingContext.respond(problem: Problem) = call.respondText(
-        Json.encodeToString(problem),
-        ContentType.Application.ProblemJson,
-        HttpStatusCode.fromValue(problem.status),
-    )
+    private fun wholeSeconds(pause: Duration): Long = (pause + 999.milliseconds).inWholeSeconds.coerceAtLeast(1)
+
+    private companion object {
+        const val EVENT_STREAM = "text/event-stream"
+        const val SERVER_ERRORS = 500
+
+        /** Kind under which requests are counted that name no known one. */
+        val NO_KIND = RequestKind("none")
+
+        /** Time after the deadline for which a streamed answer is still written to a slow reader. */
+        val SLOW_READER_GRACE = 5.seconds
+    }
 }
--- /dev/null
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
@@ -0,0 +1,112 @@
+package org.bilberryhead.entry
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.server.application.Application
+import io.ktor.server.application.install
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.http.HttpRequestLifecycle
+import io.ktor.server.netty.Netty
+import io.ktor.server.routing.routing
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.retry.RetryBudget
+import org.bilberryhead.core.routing.LeastInFlightSelector
+import org.bilberryhead.daemon.newMeterRegistry
+import org.bilberryhead.daemon.operationsRoutes
+import org.bilberryhead.platform.HttpPlatform
+import org.bilberryhead.platform.TableLog
+import kotlin.random.Random
+import kotlin.time.Clock
+
+private val log = KotlinLogging.logger("entry")
+
+/** Wires the parts of an entry together and runs them. */
+class EntryDaemon(private val settings: EntrySettings, clock: Clock) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val tableLog = TableLog(HttpPlatform(settings.platformUrl))
+    private val control = ControlPlane(settings, tableLog, clock, scope)
+    private val selector = LeastInFlightSelector(control.directory, Random.Default)
+    private val tokens = Tokens(settings.clientAccounts, settings.operators)
+    private val tracker = RequestTracker()
+    private val registry = newMeterRegistry()
+    private val metrics = EntryMetrics(registry)
+    private val claims = NoClaimStore
+    private val callers = CallerRoutes(
+        reader = CallerRequestReader({ control.tables }, tokens, settings.maximumBodyBytes),
+        keys = KeyResolver(selector, claims, clock, scope),
+        outcomes = OutcomeLookup(control.directory, claims),
+        runner = RequestRunner(control.directory, selector, clock, RetryBudget(), metrics),
+        tracker = tracker,
+        metrics = metrics,
+        clock = clock,
+    )
+    private val server = embeddedServer(Netty, settings.listen.port, settings.listen.host) { module() }
+
+    init {
+        control.selector = selector
+        showGauges()
+    }
+
+    /** Begins to serve. */
+    fun start() {
+        control.start()
+        server.start()
+        log.info { "entry: ${settings.id} is serving on ${settings.listen}" }
+    }
+
+    /**
+     * Shuts down without cutting off a request: first the readiness check fails, then new requests are refused, then
+     * the requests in flight end.
+     */
+    suspend fun drain() {
+        log.info { "entry: draining with ${tracker.inFlight} requests in flight" }
+        tracker.startDraining()
+        delay(settings.drainDelay)
+        tracker.close()
+        withTimeoutOrNull(settings.drainLimit) { tracker.awaitIdle() }
+            ?: log.warn { "entry: ${tracker.inFlight} requests are cut off at the drain limit" }
+        server.stop(STOP_GRACE_MILLIS, STOP_LIMIT_MILLIS)
+        log.info { "entry: stopped" }
+    }
+
+    private fun Application.module() {
+        install(HttpRequestLifecycle) { cancelCallOnClose = true }
+        routing {
+            operationsRoutes(registry) { whyNotReady() }
+            callers.install(this)
+            OperatorRoutes(control, tableLog, tokens).install(this)
+        }
+    }
+
+    private fun whyNotReady(): String? = when {
+        tracker.isDraining -> "shutting down"
+        control.tables.version == TableVersion.NONE -> "no tables yet"
+        else -> null
+    }
+
+    private fun showGauges() {
+        metrics.gauge("bilberry.requests.in.flight", "Requests in flight") { tracker.inFlight }
+        metrics.gauge("bilberry.table.version", "Version of the tables in force") { control.tables.version.value }
+        metrics.gauge("bilberry.store.reachable", "1 when the table service answers") {
+            if (control.isStoreReachable) 1 else 0
+        }
+        metrics.gauge("bilberry.sidecars.serving", "Sidecars that are connected and take work") {
+            control.directory.all.count { it.servingIncarnation != null }
+        }
+        metrics.gauge("bilberry.sidecars.leaving", "Sidecars that are connected and leaving") {
+            control.directory.all.count { it.isLeaving }
+        }
+        metrics.gauge("bilberry.sidecars.known", "Sidecars of all endpoints in the tables") {
+            control.directory.all.size
+        }
+    }
+
+    private companion object {
+        const val STOP_GRACE_MILLIS = 100L
+        const val STOP_LIMIT_MILLIS = 2_000L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/EntryMetrics.kt
@@ -0,0 +1,79 @@
+package org.bilberryhead.entry
+
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.Timer
+import org.bilberryhead.core.common.RequestKind
+import org.bilberryhead.core.common.StageName
+import kotlin.time.Duration
+import kotlin.time.toJavaDuration
+
+/** How a request ended, as far as attainment cares. */
+enum class RequestResult {
+    /** Answered completely within the deadline. */
+    IN_TIME,
+
+    /** Answered completely after the deadline. */
+    LATE,
+
+    /** Refused: nothing took effect. */
+    NOT_RUN,
+
+    /** Not answered; it may have taken effect. */
+    UNKNOWN,
+
+    /** Turned away for a fault of the request itself. */
+    REJECTED,
+
+    /** The caller went away before the answer. */
+    CALLER_GONE,
+}
+
+/** Counts what an entry does. Attainment of a kind is its requests with result `in_time` over all of its requests. */
+class EntryMetrics(private val registry: MeterRegistry) {
+    /** Counts a request of [kind] that ended with [result] after [elapsed]. */
+    fun countRequest(kind: RequestKind, result: RequestResult, elapsed: Duration) {
+        Timer.builder("bilberry.requests")
+            .description("Requests by kind and result, and the time that they took")
+            .tag("kind", kind.value)
+            .tag("result", result.name.lowercase())
+            .register(registry)
+            .record(elapsed.toJavaDuration())
+    }
+
+    /** Counts a refusal. */
+    fun countRefusal(problem: Problem) = count(
+        "bilberry.refusals",
+        "Refusals by reason and outcome",
+        "reason" to problem.reason,
+        "outcome" to problem.outcome,
+    )
+
+    /** Counts the first attempt of a stage. */
+    fun countFirstAttempt(stage: StageName) = countAttempt(stage, "first")
+
+    /** Counts an attempt that follows a failed one. */
+    fun countRetry(stage: StageName) = countAttempt(stage, "retry")
+
+    /** Counts an attempt that was started because another is late. */
+    fun countHedge(stage: StageName) = countAttempt(stage, "hedge")
+
+    /** Shows what [read] returns as the gauge [name]. */
+    fun gauge(name: String, description: String, read: () -> Number) {
+        Gauge.builder(name, read).description(description).register(registry)
+    }
+
+    private fun countAttempt(stage: StageName, cause: String) = count(
+        "bilberry.attempts",
+        "Attempts sent by stage and cause: first, retry or hedge",
+        "stage" to stage.value,
+        "cause" to cause,
+    )
+
+    private fun count(name: String, description: String, vararg tags: Pair<String, String>) {
+        val builder = Counter.builder(name).description(description)
+        tags.forEach { (key, value) -> builder.tag(key, value) }
+        builder.register(registry).increment()
+    }
+}
--- a/entry/src/main/kotlin/org/bilberryhead/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/EntrySettings.kt
@@ -24,6 +24,8 @@
  * @property clientAccounts who may send requests
  * @property operators who may read and change the tables
  * @property pollInterval how often the table service is asked for changes
+ * @property drainDelay time from the failing readiness check to the first refused request, for the balancer to notice
+ * @property drainLimit longest time that a graceful shutdown may take, from the end of [drainDelay] on
  * @property maximumBodyBytes largest request body, in bytes
  */
 @Serializable
@@ -37,11 +39,15 @@
     val clientAccounts: List<AccountToken> = emptyList(),
     val operators: List<OperatorToken> = emptyList(),
     @Serializable(with = DurationTextSerializer::class) val pollInterval: Duration = 500.milliseconds,
+    @Serializable(with = DurationTextSerializer::class) val drainDelay: Duration = 2.seconds,
     @Serializable(with = DurationTextSerializer::class) val drainLimit: Duration = 60.seconds,
     val maximumBodyBytes: Long = 1_048_576,
 ) : CheckedSettings {
     override fun check(): List<SettingsError> = buildList {
         if (!platformUrl.startsWith("http")) add(SettingsError("platformUrl", "'$platformUrl' is not an HTTP address"))
+        if (drainDelay.isNegative()) add(SettingsError("drainDelay", "$drainDelay is negative"))
+        if (!drainLimit.isPositive()) add(SettingsError("drainLimit", "$drainLimit is not positive"))
+        if (maximumBodyBytes < 1) add(SettingsError("maximumBodyBytes", "$maximumBodyBytes is less than 1"))
         if (pollInterval < 50.milliseconds) add(SettingsError("pollInterval", "$pollInterval is less than 50ms"))
         clientAccounts.forEachIndexed { index, account -> checkDigest("clientAccounts[$index]", account.tokenSha256) }
         operators.forEachIndexed { index, operator -> checkDigest("operators[$index]", operator.tokenSha256) }
--- /dev/null
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/KeyResolver.kt
@@ -0,0 +1,146 @@
+package org.bilberryhead.entry
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.onFailure
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.bilberryhead.core.common.AttemptId
+import org.bilberryhead.core.common.IdempotencyKey
+import org.bilberryhead.core.common.Payload
+import org.bilberryhead.core.common.RequestId
+import org.bilberryhead.core.execution.Ticket
+import org.bilberryhead.core.message.AttemptLocation
+import org.bilberryhead.core.pipeline.RequestOutcome
+import org.bilberryhead.core.routing.EndpointSelector
+import org.bilberryhead.core.routing.Selection
+import org.bilberryhead.core.routing.SelectionRequest
+import org.bilberryhead.core.tables.Pool
+import org.bilberryhead.platform.Claim
+import org.bilberryhead.platform.ClaimKey
+import org.bilberryhead.platform.ClaimOutcome
+import org.bilberryhead.platform.ClaimStore
+import org.bilberryhead.platform.StoreError
+import java.security.MessageDigest
+import java.util.UUID
+import kotlin.time.Clock
+
+private val log = KotlinLogging.logger("keys")
+
+/** Finds the one place where a non-idempotent request with a key runs, whichever entry it is submitted to. */
+internal class KeyResolver(
+    private val selector: EndpointSelector,
+    private val claims: ClaimStore,
+    private val clock: Clock,
+    private val scope: CoroutineScope,
+) {
+    /** Returns a new place for a request of the kind that [head] names. No store is needed for it. */
+    fun newLocation(head: RequestHead): Result<AttemptLocation, Rejection> {
+        val pool = poolOf(head).getOrElse { return Err(it) }
+        val id = UUID.randomUUID().toString()
+        val selection = SelectionRequest(RequestId(id), pool, head.timeout, head.route.objective)
+        return when (val chosen = selector.choose(selection, clock.now())) {
+            is Selection.Chosen ->
+                Ok(AttemptLocation(chosen.candidate.endpoint, chosen.candidate.incarnation, AttemptId(id)))
+            is Selection.NoneAvailable -> Err(
+                Rejection(RejectionReason.NO_ENDPOINT, chosen.why, chosen.retryAfter ?: DEFAULT_RETRY_AFTER),
+            )
+        }
+    }
+
+    /** Returns the place that stands under [key], which is a ticket or a key of the caller's own. */
+    suspend fun resolve(head: RequestHead, key: IdempotencyKey, body: Payload): Result<AttemptLocation, Rejection> =
+        if (Ticket.isTicket(key.value)) readTicket(head, key) else claim(head, key, body)
+
+    /**
+     * Begins to record that the request under [key] was answered. A store that is down does no harm, since the ledger
+     * knows it too. Other outcomes are not recorded: a later submission under the key may change them.
+     */
+    fun recordAnswer(head: RequestHead, key: IdempotencyKey, outcome: RequestOutcome) {
+        if (outcome !is RequestOutcome.Answered || Ticket.isTicket(key.value)) return
+        scope.launch {
+            claims.recordOutcome(ClaimKey(head.account, key), ClaimOutcome.ANSWERED)
+                .onFailure { log.debug { "keys: an outcome was not recorded: ${it.detail}" } }
+        }
+    }
+
+    private fun readTicket(head: RequestHead, key: IdempotencyKey): Result<AttemptLocation, Rejection> {
+        val location = Ticket.decode(key.value).getOrElse {
+            return Err(Rejection(RejectionReason.BAD_KEY, "$KEY_HEADER begins like a ticket and is none"))
+        }
+        val pool = poolOf(head).getOrElse { return Err(it) }
+        if (pool.endpoints.none { it.id == location.endpoint }) {
+            val detail = "the ticket names an endpoint that is not in the pool of this route"
+            return Err(Rejection(RejectionReason.TICKET_MISPLACED, detail))
+        }
+        return Ok(location)
+    }
+
+    private suspend fun claim(
+        head: RequestHead,
+        key: IdempotencyKey,
+        body: Payload,
+    ): Result<AttemptLocation, Rejection> {
+        val proposal = newLocation(head).getOrElse { return findStanding(head, key, body, it) }
+        val claimed = withTimeoutOrNull(head.timeout) {
+            claims.claim(ClaimKey(head.account, key), Claim(proposal, fingerprint(head, body)))
+        }
+        return standing(claimed ?: Err(StoreError.OutcomeUnknown("no answer in time")), head, body).flatMap { found ->
+            if (found == null) Err(unavailable("the claim is gone")) else Ok(found)
+        }
+    }
+
+    /** Without an endpoint to propose, an earlier claim may still name one that holds the answer. */
+    private suspend fun findStanding(
+        head: RequestHead,
+        key: IdempotencyKey,
+        body: Payload,
+        rejection: Rejection,
+    ): Result<AttemptLocation, Rejection> {
+        val found = withTimeoutOrNull(head.timeout) { claims.find(ClaimKey(head.account, key)) }
+        return standing(found ?: Err(StoreError.OutcomeUnknown("no answer in time")), head, body)
+            .flatMap { if (it == null) Err(rejection) else Ok(it) }
+    }
+
+    private fun standing(
+        result: Result<Claim?, StoreError>,
+        head: RequestHead,
+        body: Payload,
+    ): Result<AttemptLocation?, Rejection> {
+        val claim = result.getOrElse { return Err(unavailable(it.detail)) } ?: return Ok(null)
+        if (claim.fingerprint != fingerprint(head, body)) {
+            return Err(Rejection(RejectionReason.KEY_REUSED, "the key was used with another kind or body"))
+        }
+        return Ok(claim.location)
+    }
+
+    private fun unavailable(detail: String): Rejection {
+        log.info { "keys: the table service can not tell what stands under a key: $detail" }
+        return Rejection(
+            RejectionReason.STORE_UNAVAILABLE,
+            "the table service can not tell what stands under the key",
+            DEFAULT_RETRY_AFTER,
+        )
+    }
+
+    private fun poolOf(head: RequestHead): Result<Pool, Rejection> {
+        val stage = head.route.stages.find { !it.idempotent }
+            ?: return Err(Rejection(RejectionReason.TICKET_NOT_NEEDED, "requests of this kind may simply be repeated"))
+        val pool = head.tables.poolOf(stage)
+            ?: return Err(Rejection(RejectionReason.NO_ENDPOINT, "the pool of the route is gone", DEFAULT_RETRY_AFTER))
+        return Ok(pool)
+    }
+
+    private fun fingerprint(head: RequestHead, body: Payload): String {
+        val digest = MessageDigest.getInstance("SHA-256")
+        digest.update(head.route.kind.value.encodeToByteArray())
+        digest.update(0)
+        digest.update(body.bytes)
+        return digest.digest().toHexString()
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/OutcomeLookup.kt
@@ -0,0 +1,83 @@
+package org.bilberryhead.entry
+
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.bilberryhead.core.common.ClientAccount
+import org.bilberryhead.core.common.IdempotencyKey
+import org.bilberryhead.core.execution.Ticket
+import org.bilberryhead.core.message.AttemptLocation
+import org.bilberryhead.core.message.AttemptOutcome
+import org.bilberryhead.core.message.OutcomeReport
+import org.bilberryhead.platform.ClaimKey
+import org.bilberryhead.platform.ClaimOutcome
+import org.bilberryhead.platform.ClaimStore
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** What became of the request under a key. */
+@Serializable
+enum class KeyOutcome {
+    /** The endpoint answered; submitting the request again under the key gives the answer. */
+    @SerialName("answered")
+    ANSWERED,
+
+    /** The request waits or runs. */
+    @SerialName("running")
+    RUNNING,
+
+    /** Nothing took effect so far; a submission that is under way may still run. */
+    @SerialName("not_run_yet")
+    NOT_RUN_YET,
+
+    /** Nobody can tell now whether it ran. */
+    @SerialName("unknown")
+    UNKNOWN,
+}
+
+/** Tells what became of a key without running anything and without keeping a later submission from running. */
+internal class OutcomeLookup(
+    private val links: LinkSource,
+    private val claims: ClaimStore,
+    private val timeout: Duration = 1.seconds,
+) {
+    /** Returns the outcome of what [account] submitted under [key]. */
+    suspend fun find(account: ClientAccount, key: IdempotencyKey): KeyOutcome {
+        if (!Ticket.isTicket(key.value)) return findClaim(ClaimKey(account, key))
+        val location = Ticket.decode(key.value).getOrElse { return KeyOutcome.UNKNOWN }
+        return follow(location)
+    }
+
+    private suspend fun findClaim(key: ClaimKey): KeyOutcome {
+        val found = withTimeoutOrNull(timeout) { claims.find(key) } ?: return KeyOutcome.UNKNOWN
+        val claim = found.getOrElse { return KeyOutcome.UNKNOWN } ?: return KeyOutcome.NOT_RUN_YET
+        return if (claim.outcome == ClaimOutcome.ANSWERED) KeyOutcome.ANSWERED else follow(claim.location)
+    }
+
+    private suspend fun follow(first: AttemptLocation): KeyOutcome {
+        var location = first
+        repeat(MAXIMUM_MOVES) {
+            val report = ask(location) ?: return KeyOutcome.UNKNOWN
+            location = report.movedTo ?: return outcomeOf(report.outcome)
+        }
+        return KeyOutcome.UNKNOWN
+    }
+
+    private fun outcomeOf(outcome: AttemptOutcome): KeyOutcome = when (outcome) {
+        AttemptOutcome.NEVER_SEEN, AttemptOutcome.NOT_RUN -> KeyOutcome.NOT_RUN_YET
+        AttemptOutcome.RUNNING -> KeyOutcome.RUNNING
+        AttemptOutcome.ANSWERED -> KeyOutcome.ANSWERED
+        AttemptOutcome.FAILED, AttemptOutcome.FORGOTTEN -> KeyOutcome.UNKNOWN
+    }
+
+    private suspend fun ask(location: AttemptLocation): OutcomeReport? {
+        val link = links.link(location.endpoint) ?: return null
+        return withTimeoutOrNull(timeout) { link.askOutcome(location) }
+    }
+
+    private companion object {
+        /** Moves of one request that are followed before giving up. */
+        const val MAXIMUM_MOVES = 8
+    }
+}
--- a/entry/src/main/kotlin/org/bilberryhead/entry/RequestRunner.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/RequestRunner.kt
@@ -1,14 +1,16 @@
 package org.bilberryhead.entry
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.bilberryhead.core.common.Payload
+import org.bilberryhead.core.common.StageName
 import org.bilberryhead.core.message.AttemptMessage
+import org.bilberryhead.core.message.Dispatch
 import org.bilberryhead.core.pipeline.AdmittedRequest
 import org.bilberryhead.core.pipeline.RequestAction
 import org.bilberryhead.core.pipeline.RequestEvent
@@ -26,22 +28,29 @@
 
 /** Runs each request's [RequestExecution] in a coroutine of its own. */
 class RequestRunner(
-    private val directory: SidecarDirectory,
+    private val links: LinkSource,
     private val selector: EndpointSelector,
     private val clock: Clock,
     private val budget: RetryBudget,
+    private val metrics: EntryMetrics,
 ) {
-    /** Runs [request] to its end; parts of a streamed answer go to [deliver]. */
+    /**
+     * Runs [request] to its end; parts of a streamed answer go to [deliver], which must return at once. When the
+     * caller's coroutine is cancelled, work that has not begun is cancelled too.
+     */
     suspend fun run(
         request: AdmittedRequest,
         route: Route,
         tables: Tables,
-        deliver: suspend (Payload) -> Unit,
+        deliver: (RequestAction.Deliver) -> Unit,
     ): RequestOutcome = coroutineScope {
         val execution = RequestExecution(request, route, tables, selector, budget)
         val running = RunningRequest(this, execution, request, deliver)
         try {
             running.runToEnd()
+        } catch (cancellation: CancellationException) {
+            running.abandon()
+            throw cancellation
         } finally {
             running.close()
         }
@@ -51,46 +60,64 @@
         private val scope: CoroutineScope,
         private val execution: RequestExecution,
         private val request: AdmittedRequest,
-        private val deliver: suspend (Payload) -> Unit,
+        private val deliver: (RequestAction.Deliver) -> Unit,
     ) {
         private val events = Channel<RequestEvent>(Channel.UNLIMITED)
+        private val subscriber = AttemptSubscriber { events.trySend(it) }
         private val timers = HashMap<RequestTimer, Job>()
-        private val sent = LinkedHashMap<SidecarLink, MutableSet<AttemptMessage>>()
+        private val sent = LinkedHashMap<AttemptLink, MutableSet<AttemptMessage>>()
+        private val dispatchedStages = HashSet<StageName>()
 
         suspend fun runToEnd(): RequestOutcome {
             events.send(RequestEvent.Started)
             for (event in events) {
                 for (action in execution.handle(event, clock.now())) {
                     if (action is RequestAction.Complete) return action.outcome
-                    perform(action)
+                    perform(action, event)
                 }
             }
             error("request ${request.id} ended without an outcome")
         }
 
+        fun abandon() {
+            execution.handle(RequestEvent.CallerGone, clock.now()).forEach { perform(it, RequestEvent.CallerGone) }
+        }
+
         fun close() {
             timers.values.forEach { it.cancel() }
-            sent.forEach { (link, messages) -> messages.forEach { link.forget(it.attempt) } }
+            sent.forEach { (link, messages) -> messages.forEach { link.forget(it.attempt, subscriber) } }
         }
 
-        private suspend fun perform(action: RequestAction) {
+        private fun perform(action: RequestAction, cause: RequestEvent) {
             when (action) {
-                is RequestAction.Send -> send(action)
+                is RequestAction.Send -> send(action, cause)
                 is RequestAction.SetTimer -> setTimer(action)
-                is RequestAction.Deliver -> deliver(action.payload)
+                is RequestAction.Deliver -> deliver(action)
                 is RequestAction.Log -> logDecision(action.decision)
                 is RequestAction.Complete -> Unit
             }
         }
 
-        private fun send(action: RequestAction.Send) {
-            val link = directory.link(action.endpoint)
+        private fun send(action: RequestAction.Send, cause: RequestEvent) {
+            val message = action.message
+            if (message is Dispatch) countDispatch(message, cause)
+            val link = links.link(action.endpoint)
             if (link == null) {
-                events.trySend(RequestEvent.NotWritten(action.message.attempt))
+                events.trySend(RequestEvent.NotWritten(message.attempt))
                 return
             }
-            sent.getOrPut(link) { mutableSetOf() } += action.message
-            link.send(action.incarnation, action.message) { events.trySend(it) }
+            sent.getOrPut(link) { mutableSetOf() } += message
+            link.send(action.incarnation, message, subscriber)
+        }
+
+        private fun countDispatch(dispatch: Dispatch, cause: RequestEvent) {
+            val isFirst = dispatchedStages.add(dispatch.stage)
+            val isHedge = cause == RequestEvent.TimerFired(RequestTimer.HEDGE)
+            when {
+                isFirst -> metrics.countFirstAttempt(dispatch.stage)
+                isHedge -> metrics.countHedge(dispatch.stage)
+                else -> metrics.countRetry(dispatch.stage)
+            }
         }
 
         private fun setTimer(action: RequestAction.SetTimer) {
--- a/entry/src/main/kotlin/org/bilberryhead/entry/SidecarDirectory.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/SidecarDirectory.kt
@@ -15,7 +15,8 @@
     private val owner: LinkOwner,
     private val selectors: SelectorManager,
     private val scope: CoroutineScope,
-) : CandidateSource {
+) : CandidateSource,
+    LinkSource {
     private val links = ConcurrentHashMap<EndpointId, SidecarLink>()
 
     /** All links, for status. */
@@ -28,8 +29,7 @@
         wanted.values.filter { !links.containsKey(it.id) }.forEach { add(it) }
     }
 
-    /** Returns the link to [endpoint], or null when it is not in the tables. */
-    fun link(endpoint: EndpointId): SidecarLink? = links[endpoint]
+    override fun link(endpoint: EndpointId): SidecarLink? = links[endpoint]
 
     override fun candidates(pool: Pool): List<Candidate> = pool.endpoints.mapNotNull { endpoint ->
         links[endpoint.id]?.servingIncarnation?.let { Candidate(endpoint.id, it, endpoint.dataCentre) }
--- a/entry/src/main/kotlin/org/bilberryhead/entry/SidecarLink.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/SidecarLink.kt
@@ -2,10 +2,15 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import org.bilberryhead.core.common.AttemptId
+import org.bilberryhead.core.common.EndpointId
 import org.bilberryhead.core.common.Incarnation
+import org.bilberryhead.core.message.AskOutcome
+import org.bilberryhead.core.message.AttemptLocation
 import org.bilberryhead.core.message.AttemptMessage
+import org.bilberryhead.core.message.AttemptOutcome
 import org.bilberryhead.core.message.Dispatch
 import org.bilberryhead.core.message.FetchChanges
 import org.bilberryhead.core.message.Frame
@@ -14,6 +19,7 @@
 import org.bilberryhead.core.message.Leaving
 import org.bilberryhead.core.message.LoadReport
 import org.bilberryhead.core.message.Message
+import org.bilberryhead.core.message.OutcomeReport
 import org.bilberryhead.core.message.Refused
 import org.bilberryhead.core.message.Welcome
 import org.bilberryhead.core.pipeline.RequestEvent
@@ -40,17 +46,43 @@
     fun loadReported(endpoint: Endpoint, load: LoadReport)
 }
 
+/** Takes what happens to the attempts of one request. */
+fun interface AttemptSubscriber {
+    /** Takes [event]; must return at once. */
+    fun deliver(event: RequestEvent)
+}
+
+/** Carries messages about attempts to one sidecar. Safe for use by several threads. */
+interface AttemptLink {
+    /** Sends [message] to the run [incarnation] of the sidecar; [subscriber] takes what happens to the attempt. */
+    fun send(incarnation: Incarnation, message: AttemptMessage, subscriber: AttemptSubscriber)
+
+    /** Delivers nothing more for [attempt] to [subscriber]. */
+    fun forget(attempt: AttemptId, subscriber: AttemptSubscriber)
+
+    /** Waits for what the sidecar knows of the attempt at [location]. */
+    suspend fun askOutcome(location: AttemptLocation): OutcomeReport
+}
+
+/** Finds the link to the sidecar of an endpoint. */
+fun interface LinkSource {
+    /** Returns the link to [endpoint], or null when it is not in the tables. */
+    fun link(endpoint: EndpointId): AttemptLink?
+}
+
 /** The connection to one sidecar, and the attempts that wait for its answers. Safe for use by several threads. */
 class SidecarLink(
     val endpoint: Endpoint,
     private val owner: LinkOwner,
     selectors: SelectorManager,
     scope: CoroutineScope,
-) : ClientHandler {
-    private class OpenAttempt(val incarnation: Incarnation, val deliver: (RequestEvent) -> Unit)
+) : ClientHandler,
+    AttemptLink {
+    private data class OpenAttempt(val incarnation: Incarnation, val subscriber: AttemptSubscriber)
 
     private val client = MessageClient(endpoint.sidecar, this, selectors, scope)
-    private val openAttempts = ConcurrentHashMap<AttemptId, OpenAttempt>()
+    private val openAttempts = ConcurrentHashMap<AttemptId, Set<OpenAttempt>>()
+    private val questions = ConcurrentHashMap<AttemptLocation, CompletableDeferred<OutcomeReport>>()
 
     @Volatile
     private var connected: Incarnation? = null
@@ -70,21 +102,37 @@
     /** Closes the connection. */
     fun stop() = client.stop()
 
-    /** Sends [message] to the run [incarnation] of the sidecar; [deliver] takes what happens to the attempt. */
-    fun send(incarnation: Incarnation, message: AttemptMessage, deliver: (RequestEvent) -> Unit) {
-        openAttempts.putIfAbsent(message.attempt, OpenAttempt(incarnation, deliver))
+    override fun send(incarnation: Incarnation, message: AttemptMessage, subscriber: AttemptSubscriber) {
+        val open = OpenAttempt(incarnation, subscriber)
+        openAttempts.compute(message.attempt) { _, others -> others.orEmpty() + open }
         val current = connected
         val isWritten = current == incarnation && client.trySend(message)
         when {
             isWritten -> Unit
-            message is Dispatch -> deliver(RequestEvent.NotWritten(message.attempt))
-            current != null && current != incarnation -> deliver(RequestEvent.IncarnationGone(message.attempt))
+            message is Dispatch -> subscriber.deliver(RequestEvent.NotWritten(message.attempt))
+            current != null && current != incarnation ->
+                subscriber.deliver(RequestEvent.IncarnationGone(message.attempt))
         }
     }
 
-    /** Forgets [attempt]; nothing more is delivered for it. */
-    fun forget(attempt: AttemptId) {
-        openAttempts.remove(attempt)
+    override fun forget(attempt: AttemptId, subscriber: AttemptSubscriber) {
+        openAttempts.computeIfPresent(attempt) { _, open ->
+            open.filterTo(mutableSetOf()) { it.subscriber !== subscriber }.ifEmpty { null }
+        }
+    }
+
+    override suspend fun askOutcome(location: AttemptLocation): OutcomeReport {
+        val current = connected
+        if (current != null && current != location.incarnation) {
+            return OutcomeReport(location.attempt, AttemptOutcome.FORGOTTEN)
+        }
+        val answer = questions.computeIfAbsent(location) { CompletableDeferred() }
+        client.trySend(AskOutcome(location.attempt, location.incarnation))
+        try {
+            return answer.await()
+        } finally {
+            questions.remove(location, answer)
+        }
     }
 
     override fun hello(): Hello = owner.hello()
@@ -96,11 +144,9 @@
         leaving = welcome.leaving
         connected = welcome.incarnation
         welcome.load?.let { owner.loadReported(endpoint, it) }
-        openAttempts.forEach { (attempt, open) ->
+        deliverToAll { attempt, open ->
             val isSameRun = open.incarnation == welcome.incarnation
-            open.deliver(
-                if (isSameRun) RequestEvent.ConnectionRestored(attempt) else RequestEvent.IncarnationGone(attempt),
-            )
+            if (isSameRun) RequestEvent.ConnectionRestored(attempt) else RequestEvent.IncarnationGone(attempt)
         }
     }
 
@@ -108,13 +154,14 @@
         when (message) {
             is AttemptMessage -> {
                 loadOf(message)?.let { owner.loadReported(endpoint, it) }
-                openAttempts[message.attempt]?.deliver?.invoke(RequestEvent.MessageArrived(message))
+                openAttempts[message.attempt]?.forEach { it.subscriber.deliver(RequestEvent.MessageArrived(message)) }
             }
             is Heartbeat -> message.load?.let { owner.loadReported(endpoint, it) }
             is Leaving -> {
                 leaving = true
                 log.info { "entry: sidecar of ${endpoint.id} is leaving" }
             }
+            is OutcomeReport -> answerQuestion(message)
             is FetchChanges -> owner.answer(message)?.let { client.trySend(it) }
             else -> Unit
         }
@@ -122,7 +169,18 @@
 
     override suspend fun lost(error: ProtocolError) {
         connected = null
-        openAttempts.forEach { (attempt, open) -> open.deliver(RequestEvent.ConnectionLost(attempt)) }
+        deliverToAll { attempt, _ -> RequestEvent.ConnectionLost(attempt) }
+    }
+
+    private fun deliverToAll(event: (AttemptId, OpenAttempt) -> RequestEvent) {
+        openAttempts.forEach { (attempt, all) ->
+            all.forEach { it.subscriber.deliver(event(attempt, it)) }
+        }
+    }
+
+    private fun answerQuestion(report: OutcomeReport) {
+        val asked = questions.filterKeys { it.attempt == report.attempt && it.incarnation == connected }
+        asked.values.forEach { it.complete(report) }
     }
 
     private fun loadOf(message: AttemptMessage): LoadReport? = when (message) {
--- /dev/null
+++ b/entry/src/test/kotlin/org/bilberryhead/entry/CallerRoutesTest.kt
@@ -0,0 +1,398 @@
+package org.bilberryhead.entry
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.maps.shouldBeEmpty
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldNotContain
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.header
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpMethod
+import io.ktor.http.content.OutgoingContent
+import io.ktor.http.contentType
+import io.ktor.utils.io.ByteReadChannel
+import kotlinx.serialization.json.Json
+import org.bilberryhead.core.common.AttemptId
+import org.bilberryhead.core.common.EndpointId
+import org.bilberryhead.core.common.IdempotencyKey
+import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.execution.Ticket
+import org.bilberryhead.core.message.AttemptLocation
+import org.bilberryhead.core.message.AttemptOutcome
+import org.bilberryhead.core.message.Failed
+import org.bilberryhead.core.message.OutcomeReport
+import org.bilberryhead.core.message.RefusalReason
+import org.bilberryhead.core.message.Refused
+import org.bilberryhead.core.tables.Tables
+import org.bilberryhead.platform.ClaimKey
+import org.bilberryhead.platform.ClaimOutcome
+import org.bilberryhead.platform.StoreError
+import java.util.Base64
+
+/** A call that must be turned away. */
+private class BadCall(
+    val what: String,
+    val status: Int,
+    val reason: String,
+    val path: String = "/v1/requests/plan",
+    val configure: HttpRequestBuilder.() -> Unit = { jsonBody("{}") },
+)
+
+private fun HttpRequestBuilder.jsonBody(text: String) {
+    contentType(ContentType.Application.Json)
+    setBody(text)
+}
+
+private class ChunkedContent(private val bytes: ByteArray) : OutgoingContent.ReadChannelContent() {
+    override fun readFrom(): ByteReadChannel = ByteReadChannel(bytes)
+}
+
+private val foreignTicket =
+    Ticket.encode(AttemptLocation(EndpointId("generate-0"), TEST_INCARNATION, AttemptId("forged")))
+
+private val badCalls = listOf(
+    BadCall("without a token", 401, "unauthorized") {
+        headers.remove("Authorization")
+        jsonBody("{}")
+    },
+    BadCall("with an unknown token", 401, "unauthorized") {
+        headers["Authorization"] = "Bearer wrong"
+        jsonBody("{}")
+    },
+    BadCall("of an unknown kind", 404, "unknown_kind", path = "/v1/requests/nothing"),
+    BadCall("with an unreadable deadline", 400, "bad_deadline") {
+        header(TIMEOUT_HEADER, "soon")
+        jsonBody("{}")
+    },
+    BadCall("with a negative deadline", 400, "bad_deadline") {
+        header(TIMEOUT_HEADER, "-1s")
+        jsonBody("{}")
+    },
+    BadCall("with a deadline past the route's maximum", 400, "bad_deadline") {
+        header(TIMEOUT_HEADER, "31s")
+        jsonBody("{}")
+    },
+    BadCall("without a body", 400, "malformed_body") { },
+    BadCall("with JSON that is cut off", 400, "malformed_body") { jsonBody("""{"lake":"Donk""") },
+    BadCall("with an unquoted word", 400, "malformed_body") { jsonBody("""{"lake":Donk}""") },
+    BadCall("with a number that is none", 400, "malformed_body") { jsonBody("[01]") },
+    BadCall("with bytes that are not UTF-8", 400, "malformed_body") {
+        contentType(ContentType.Application.Json)
+        setBody(byteArrayOf(0x22, 0xff.toByte(), 0x22))
+    },
+    BadCall("with a body that is announced as too large", 413, "body_too_large") {
+        jsonBody("\"" + "x".repeat(MAXIMUM_TEST_BODY.toInt()) + "\"")
+    },
+    BadCall("with chunks that add up to too much", 413, "body_too_large") {
+        contentType(ContentType.Application.Json)
+        setBody(ChunkedContent("\"${"x".repeat(MAXIMUM_TEST_BODY.toInt())}\"".encodeToByteArray()))
+    },
+    BadCall("with another media type", 415, "unsupported_media_type") {
+        contentType(ContentType.Text.Plain)
+        setBody("{}")
+    },
+    BadCall("with a key that has a space", 400, "bad_key", path = "/v1/requests/refill") {
+        header(KEY_HEADER, "two words")
+        jsonBody("{}")
+    },
+    BadCall("with a text that only begins like a ticket", 400, "bad_key", path = "/v1/requests/refill") {
+        header(KEY_HEADER, "bt1.???")
+        jsonBody("{}")
+    },
+    BadCall("with a ticket for an endpoint of another pool", 422, "ticket_misplaced", "/v1/requests/refill") {
+        header(KEY_HEADER, foreignTicket)
+        jsonBody("{}")
+    },
+    BadCall("for a ticket that is not needed", 422, "ticket_not_needed", path = "/v1/tickets/plan"),
+)
+
+class CallerRoutesTest :
+    DescribeSpec({
+        describe("a request that can not be served") {
+            for (bad in badCalls) {
+                it("gets ${bad.status} ${bad.reason} and reaches no endpoint: ${bad.what}") {
+                    val callers = CallerInterface()
+
+                    callers.exchange(bad.path, configure = bad.configure) { response ->
+                        val problem = problemOf(response)
+                        problem.status shouldBe bad.status
+                        problem.reason shouldBe bad.reason
+                        response.headers[REQUEST_ID_HEADER] shouldBe problem.requestId
+                    }
+                    callers.links.sent.shouldBeEmpty()
+                }
+            }
+
+            it("is told that nothing ran and when to come back while there are no tables") {
+                val callers = CallerInterface(tables = Tables(TableVersion.NONE))
+
+                callers.exchange(configure = { jsonBody("{}") }) { response ->
+                    val problem = problemOf(response)
+                    problem.status shouldBe 503
+                    problem.outcome shouldBe OUTCOME_NOT_RUN
+                    response.headers[HttpHeaders.RetryAfter] shouldBe "1"
+                }
+            }
+
+            it("is told that nothing ran and when to come back while the entry drains") {
+                val callers = CallerInterface()
+                callers.tracker.close()
+
+                callers.exchange(configure = { jsonBody("{}") }) { response ->
+                    val problem = problemOf(response)
+                    problem.status shouldBe 503
+                    problem.reason shouldBe "draining"
+                    problem.outcome shouldBe OUTCOME_NOT_RUN
+                    response.headers[HttpHeaders.RetryAfter] shouldBe "1"
+                }
+                callers.links.sent.shouldBeEmpty()
+            }
+
+            it("is not told that nothing ran when an earlier submission of its key may have run") {
+                val callers = CallerInterface()
+                callers.tracker.close()
+
+                callers.exchange("/v1/requests/refill", configure = {
+                    header(KEY_HEADER, "order-17")
+                    jsonBody("{}")
+                }) { response -> problemOf(response).outcome shouldBe OUTCOME_UNKNOWN }
+            }
+        }
+
+        describe("a request that a sidecar answers") {
+            it("gets the whole answer") {
+                val callers = CallerInterface(FakeLinks { FakeLinks.answer(it, "{\"lake\":", "\"Donk\"}") })
+
+                callers.exchange(configure = { jsonBody("{}") }) { response ->
+                    response.status.value shouldBe 200
+                    response.bodyAsText() shouldBe "{\"lake\":\"Donk\"}"
+                }
+                callers.registry.find("bilberry.requests").tag("result", "in_time").timer().shouldNotBeNull()
+            }
+
+            it("is told to come back when no sidecar would run it") {
+                val callers =
+                    CallerInterface(FakeLinks { listOf(Refused(it.attempt, RefusalReason.QUEUE_FULL, 2_500)) })
+
+                callers.exchange(configure = { jsonBody("{}") }) { response ->
+                    problemOf(response).outcome shouldBe OUTCOME_NOT_RUN
+                    response.headers.contains(HttpHeaders.RetryAfter) shouldBe true
+                }
+            }
+
+            it("is told that it may have taken effect and not to repeat it when the endpoint failed") {
+                val callers = CallerInterface(FakeLinks { listOf(Failed(it.attempt, "status 500")) })
+
+                callers.exchange("/v1/requests/refill", configure = { jsonBody("{}") }) { response ->
+                    val problem = problemOf(response)
+                    problem.outcome shouldBe OUTCOME_UNKNOWN
+                    problem.repeatable shouldBe false
+                    response.headers.contains(HttpHeaders.RetryAfter) shouldBe false
+                }
+            }
+        }
+
+        describe("a streamed answer") {
+            it("arrives as numbered parts and an explicit end") {
+                val callers = CallerInterface(FakeLinks { FakeLinks.answer(it, "first\n", "second") })
+
+                callers.exchange("/v1/requests/advice", configure = { jsonBody("{}") }) { response ->
+                    response.headers[HttpHeaders.ContentType] shouldContain "text/event-stream"
+                    val id = response.headers[REQUEST_ID_HEADER]
+                    response.bodyAsText() shouldBe
+                        "event: part\ndata: {\"number\":0,\"text\":\"first\\n\"}\n\n" +
+                        "event: part\ndata: {\"number\":1,\"text\":\"second\"}\n\n" +
+                        "event: end\ndata: {\"requestId\":\"$id\",\"parts\":2}\n\n"
+                }
+            }
+
+            it("keeps characters whole that are cut between parts") {
+                val bytes = "é".encodeToByteArray()
+                val parts = listOf(bytes.copyOf(1), bytes.copyOfRange(1, 2))
+                val callers = CallerInterface(FakeLinks { FakeLinks.answerBytes(it, parts) })
+
+                callers.exchange("/v1/requests/advice", configure = { jsonBody("{}") }) { response ->
+                    response.bodyAsText() shouldContain "{\"number\":0,\"text\":\"é\"}"
+                }
+            }
+
+            it("carries bytes that are not text unchanged") {
+                val part = byteArrayOf(-1, -2)
+                val callers = CallerInterface(FakeLinks { FakeLinks.answerBytes(it, listOf(part)) })
+
+                callers.exchange("/v1/requests/advice", configure = { jsonBody("{}") }) { response ->
+                    response.bodyAsText() shouldContain "\"base64\":\"${Base64.getEncoder().encodeToString(part)}\""
+                }
+            }
+
+            it("ends with an error and no end event when it can not be completed") {
+                val callers = CallerInterface(
+                    FakeLinks { listOf(FakeLinks.answer(it, "a", "b").first(), Failed(it.attempt, "cut off")) },
+                )
+
+                callers.exchange("/v1/requests/advice", configure = { jsonBody("{}") }) { response ->
+                    val body = response.bodyAsText()
+                    body shouldContain "event: part"
+                    body shouldContain "event: error"
+                    body shouldContain "\"outcome\":\"unknown\""
+                    body shouldNotContain "event: end"
+                }
+            }
+
+            it("that is refused before its first part is an ordinary problem response") {
+                val callers = CallerInterface(FakeLinks { listOf(Refused(it.attempt, RefusalReason.QUEUE_FULL)) })
+
+                callers.exchange("/v1/requests/advice", configure = { jsonBody("{}") }) { response ->
+                    problemOf(response).outcome shouldBe OUTCOME_NOT_RUN
+                }
+            }
+
+            it("comes whole when the caller accepts JSON only") {
+                val callers = CallerInterface(FakeLinks { FakeLinks.answer(it, "{", "}") })
+
+                callers.exchange("/v1/requests/advice", configure = {
+                    header(HttpHeaders.Accept, "application/json")
+                    jsonBody("{}")
+                }) { response -> response.bodyAsText() shouldBe "{}" }
+            }
+        }
+
+        describe("a request with a key") {
+            it("runs where its ticket says, without the store") {
+                val callers = CallerInterface()
+                callers.claims.error = StoreError.Refused("down")
+                var ticket = ""
+
+                callers.exchange("/v1/tickets/refill") { response ->
+                    response.status.value shouldBe 201
+                    ticket = Json.decodeFromString<TicketAnswer>(response.bodyAsText()).ticket
+                }
+                repeat(2) {
+                    callers.exchange("/v1/requests/refill", configure = {
+                        header(KEY_HEADER, ticket)
+                        jsonBody("{}")
+                    }) { response -> response.status.value shouldBe 200 }
+                }
+
+                callers.links.dispatches.map { it.attempt }.distinct() shouldHaveSize 1
+                callers.links.dispatches.map { Ticket.encode(locationOf(callers, it.attempt)) }.distinct() shouldBe
+                    listOf(ticket)
+            }
+
+            it("runs under one attempt however often its own key is submitted") {
+                val callers = CallerInterface()
+
+                repeat(2) {
+                    callers.exchange("/v1/requests/refill", configure = {
+                        header(KEY_HEADER, "order-17")
+                        jsonBody("{\"bin\":4}")
+                    }) { response -> response.status.value shouldBe 200 }
+                }
+
+                callers.links.dispatches.map { it.attempt }.distinct() shouldHaveSize 1
+                callers.claims.claims[ClaimKey(TEST_ACCOUNT, IdempotencyKey("order-17"))]?.outcome shouldBe
+                    ClaimOutcome.ANSWERED
+            }
+
+            it("is turned away when the key was used with another body") {
+                val callers = CallerInterface()
+                for ((body, status) in listOf("{\"bin\":4}" to 200, "{\"bin\":5}" to 422)) {
+                    callers.exchange("/v1/requests/refill", configure = {
+                        header(KEY_HEADER, "order-17")
+                        jsonBody(body)
+                    }) { response -> response.status.value shouldBe status }
+                }
+
+                callers.links.dispatches shouldHaveSize 1
+            }
+
+            it("is not dispatched while the store is down, and may be sent again") {
+                val callers = CallerInterface()
+                callers.claims.error = StoreError.OutcomeUnknown("lost")
+
+                callers.exchange("/v1/requests/refill", configure = {
+                    header(KEY_HEADER, "order-17")
+                    jsonBody("{}")
+                }) { response ->
+                    val problem = problemOf(response)
+                    problem.status shouldBe 503
+                    problem.reason shouldBe "store_unavailable"
+                    problem.repeatable shouldBe true
+                    response.headers[HttpHeaders.RetryAfter] shouldBe "1"
+                }
+                callers.links.sent.shouldBeEmpty()
+            }
+
+            it("needs no claim on an idempotent route") {
+                val callers = CallerInterface()
+                callers.claims.error = StoreError.Refused("down")
+
+                callers.exchange(configure = {
+                    header(KEY_HEADER, "lookup-1")
+                    jsonBody("{}")
+                }) { response -> response.status.value shouldBe 200 }
+                callers.claims.claims.shouldBeEmpty()
+            }
+        }
+
+        describe("the outcome of a key") {
+            val location = AttemptLocation(EndpointId("record-0"), TEST_INCARNATION, AttemptId("t"))
+            val moved = AttemptLocation(EndpointId("record-1"), TEST_INCARNATION, AttemptId("u"))
+            val reports = listOf(
+                AttemptOutcome.NEVER_SEEN to "not_run_yet",
+                AttemptOutcome.NOT_RUN to "not_run_yet",
+                AttemptOutcome.RUNNING to "running",
+                AttemptOutcome.ANSWERED to "answered",
+                AttemptOutcome.FAILED to "unknown",
+                AttemptOutcome.FORGOTTEN to "unknown",
+            )
+            for ((known, told) in reports) {
+                it("is $told when the sidecar says $known, and nothing is dispatched") {
+                    val callers = CallerInterface()
+                    callers.links.outcomes[location] = OutcomeReport(location.attempt, known)
+
+                    callers.exchange("/v1/outcomes/${Ticket.encode(location)}", HttpMethod.Get) { response ->
+                        response.bodyAsText() shouldBe "{\"outcome\":\"$told\"}"
+                    }
+                    callers.links.sent.shouldBeEmpty()
+                }
+            }
+
+            it("is looked up where the attempt was moved") {
+                val callers = CallerInterface()
+                callers.links.outcomes[location] = OutcomeReport(location.attempt, AttemptOutcome.NOT_RUN, moved)
+                callers.links.outcomes[moved] = OutcomeReport(moved.attempt, AttemptOutcome.ANSWERED)
+
+                callers.exchange("/v1/outcomes/${Ticket.encode(location)}", HttpMethod.Get) { response ->
+                    response.bodyAsText() shouldBe "{\"outcome\":\"answered\"}"
+                }
+            }
+
+            it("is unknown while the store can not tell what stands under the key") {
+                val callers = CallerInterface()
+                callers.claims.error = StoreError.Refused("down")
+
+                callers.exchange("/v1/outcomes/order-17", HttpMethod.Get) { response ->
+                    response.bodyAsText() shouldBe "{\"outcome\":\"unknown\"}"
+                }
+            }
+        }
+    })
+
+private suspend fun problemOf(response: HttpResponse): Problem {
+    response.headers[HttpHeaders.ContentType] shouldContain "application/problem+json"
+    return Json.decodeFromString<Problem>(response.bodyAsText())
+}
+
+private fun locationOf(callers: CallerInterface, attempt: AttemptId): AttemptLocation {
+    val (endpoint, message) = callers.links.sent.first { it.second.attempt == attempt }
+    return AttemptLocation(endpoint, TEST_INCARNATION, message.attempt)
+}
