Serve the operators' interface and spread table changes between processes

Cause: an entry learned of a change by polling only, answered a sidecar by blocking the control thread, and the operators' paths were two thin stubs. Change: TablePropagation decides in core who is caught up by whom; PeerLinks connects entries; a change is accepted once another live process holds it. OperatorRoutes serves every path of OperatorPaths. Membership and the subset of endpoints of an entry are pure functions of tables, VM list and connections. Conclusion: the operators' interface can be written against.

--- a/core/src/main/kotlin/org/bilberryhead/core/message/Messages.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/message/Messages.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.bilberryhead.core.common.AttemptId
+import org.bilberryhead.core.common.ChangeId
 import org.bilberryhead.core.common.ClientAccount
 import org.bilberryhead.core.common.DaemonId
 import org.bilberryhead.core.common.DataCentre
@@ -200,7 +201,11 @@
 @SerialName("changes")
 data class Changes(val changes: List<TableChange>) : Message
 
-/** The whole tables, sent when the receiver is too far behind for single changes. */
+/**
+ * The whole tables, sent when the receiver is too far behind for single changes.
+ *
+ * @property change the change that made the version, if the sender knows it
+ */
 @Serializable
 @SerialName("snapshot")
-data class Snapshot(val tables: Tables) : Message
+data class Snapshot(val tables: Tables, val change: ChangeId? = null) : Message
--- /dev/null
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/ChangeProposals.kt
@@ -0,0 +1,64 @@
+package org.bilberryhead.entry
+
+import com.github.michaelbull.result.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.bilberryhead.core.tables.TableChange
+import org.bilberryhead.core.tables.TableProblem
+import org.bilberryhead.core.tables.TableValidator
+import org.bilberryhead.core.tables.Tables
+import org.bilberryhead.operator.ChangeAnswer
+import org.bilberryhead.platform.ChangeOutcome
+import org.bilberryhead.platform.ChangeRecord
+import org.bilberryhead.platform.TableLog
+
+private val log = KotlinLogging.logger("control")
+
+/** Takes operators' changes: checks them, commits them to the log and puts them in force. */
+class ChangeProposals(private val control: ControlPlane, private val tableLog: TableLog) {
+    /** Proposes [change] and returns what became of it. A change that is in the log already counts as accepted. */
+    suspend fun propose(change: TableChange): ChangeAnswer {
+        if (change.baseVersion > control.tables.version) control.refresh()
+        val tables = control.tables
+        if (change.baseVersion > tables.version) return answerUnknownBase(change)
+        if (change.baseVersion == tables.version) {
+            val problems = problemsOf(change, tables)
+            if (problems.isNotEmpty()) return ChangeAnswer.Invalid(problems)
+        }
+        return answer(change, tableLog.commit(change))
+    }
+
+    private fun problemsOf(change: TableChange, tables: Tables): List<TableProblem> {
+        val changed = change.applyTo(tables)
+        val problems = TableValidator.check(changed.routes.values, changed.pools.values)
+        return if (change.isEmpty) problems + TableProblem(emptyList(), "the change alters no row") else problems
+    }
+
+    private suspend fun answer(change: TableChange, outcome: ChangeOutcome): ChangeAnswer {
+        log.info {
+            "control: change ${change.id} by ${change.author} on version ${change.baseVersion}: ${name(outcome)}"
+        }
+        return when (outcome) {
+            is ChangeOutcome.Committed -> ChangeAnswer.Accepted(outcome.change.version, control.accept(outcome.change))
+            is ChangeOutcome.LostRace -> ChangeAnswer.LostRace(change, outcome.winner)
+            is ChangeOutcome.NotCommitted -> ChangeAnswer.NotCommitted(outcome.detail)
+            is ChangeOutcome.Unknown -> ChangeAnswer.Unknown(outcome.detail)
+        }
+    }
+
+    /** The change was made against tables that this entry does not hold, so it can not be checked here. */
+    private suspend fun answerUnknownBase(change: TableChange): ChangeAnswer {
+        val detail = "the change is for version ${change.baseVersion}, this entry holds ${control.tables.version}"
+        val record = tableLog.find(change.id).getOrElse { return ChangeAnswer.Unknown("$detail; ${it.detail}") }
+        return when (record) {
+            is ChangeRecord.InLog -> ChangeAnswer.Accepted(record.version, control.holders(record.version))
+            ChangeRecord.Sealed, ChangeRecord.Absent -> ChangeAnswer.NotCommitted(detail)
+        }
+    }
+
+    private fun name(outcome: ChangeOutcome): String = when (outcome) {
+        is ChangeOutcome.Committed -> "committed as version ${outcome.change.version}"
+        is ChangeOutcome.LostRace -> "lost to change ${outcome.winner?.id}"
+        is ChangeOutcome.NotCommitted -> "not committed, ${outcome.detail}"
+        is ChangeOutcome.Unknown -> "outcome unknown, ${outcome.detail}"
+    }
+}
--- a/entry/src/main/kotlin/org/bilberryhead/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/ControlPlane.kt
@@ -4,44 +4,83 @@
 import com.github.michaelbull.result.onSuccess
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.newSingleThreadContext
-import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
-import org.bilberryhead.core.message.FetchChanges
+import org.bilberryhead.core.common.DaemonId
+import org.bilberryhead.core.common.EndpointId
+import org.bilberryhead.core.common.Incarnation
+import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.common.VmId
+import org.bilberryhead.core.membership.EndpointSubset
+import org.bilberryhead.core.membership.ListedState
 import org.bilberryhead.core.message.Heartbeat
 import org.bilberryhead.core.message.Hello
 import org.bilberryhead.core.message.LoadReport
 import org.bilberryhead.core.message.Message
-import org.bilberryhead.core.propagation.TableReplica
+import org.bilberryhead.core.message.Welcome
+import org.bilberryhead.core.propagation.LinkId
+import org.bilberryhead.core.propagation.PropagationAction
+import org.bilberryhead.core.propagation.PropagationEvent
+import org.bilberryhead.core.propagation.PropagationTimings
+import org.bilberryhead.core.propagation.TablePropagation
 import org.bilberryhead.core.routing.EndpointSelector
 import org.bilberryhead.core.tables.Endpoint
 import org.bilberryhead.core.tables.TableChange
 import org.bilberryhead.core.tables.Tables
 import org.bilberryhead.platform.TableLog
-import org.bilberryhead.platform.readAllChanges
+import org.bilberryhead.platform.TableLogReader
+import org.bilberryhead.platform.TableSnapshots
+import org.bilberryhead.platform.VmList
+import org.bilberryhead.platform.VmState
 import org.bilberryhead.protocol.MessageCodec
+import java.util.UUID
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.random.Random
 import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 private val log = KotlinLogging.logger("control")
 
-/** Owns the tables of an entry on one control thread, and publishes immutable snapshots of them. */
+/**
+ * Owns the tables and the membership of an entry on one control thread, and publishes immutable snapshots of them.
+ *
+ * @param snapshots where whole tables are kept for processes that start; null for none
+ * @param vmList the platform's list of VMs; null when it is not followed
+ */
 @OptIn(ExperimentalCoroutinesApi::class)
 class ControlPlane(
-    private val settings: EntrySettings,
-    private val tableLog: TableLog,
-    private val clock: Clock,
+    internal val settings: EntrySettings,
+    tableLog: TableLog,
+    internal val clock: Clock,
     private val scope: CoroutineScope,
-) : LinkOwner {
+    private val snapshots: TableSnapshots? = null,
+    private val vmList: VmList? = null,
+    random: Random = Random.Default,
+    timings: PropagationTimings = propagationTimings(settings),
+) : LinkOwner,
+    TableExchange {
     private val control = newSingleThreadContext("control")
-    private val replica = TableReplica()
+    private val propagation = TablePropagation(random, timings)
+    private val reader = TableLogReader(tableLog, snapshots)
+    private val selectors = SelectorManager(Dispatchers.IO)
+    private val senders = HashMap<LinkId, (Message) -> Boolean>()
+    private val sidecars = ConcurrentHashMap<LinkId, DaemonId>()
+    private val loads = ConcurrentHashMap<EndpointId, LoadReport>()
+    private val acceptances = HashMap<TableVersion, MutableList<CompletableDeferred<Int>>>()
+    private val peers = PeerLinks(settings, Incarnation(UUID.randomUUID().toString()), this, selectors, scope)
+    private var wake: Job? = null
 
-    /** Links to the sidecars of all endpoints. */
-    val directory = SidecarDirectory(this, SelectorManager(Dispatchers.IO), scope)
+    /** Links to the sidecars of the endpoints that this entry connects to. */
+    val directory = SidecarDirectory(this, selectors, scope, subsetOf(settings))
 
     /** The selector that learns from load reports; set once while the entry is wired. */
     lateinit var selector: EndpointSelector
@@ -56,46 +95,170 @@
     var isStoreReachable: Boolean = false
         private set
 
-    /** Begins to follow the table log. */
-    fun start() {
-        scope.launch { pollLoop() }
+    /** When this entry last began to read the log and found nothing that it lacks. */
+    @Volatile
+    var currentAt: Instant = clock.now()
+        private set
+
+    override val shownVersion: TableVersion get() = tables.version
+
+    /** Begins to follow the table log, the peers and the VM list. */
+    suspend fun start() {
+        peers.start()
+        handle(PropagationEvent.Woken)
+        scope.launch { membershipLoop() }
     }
 
-    /** Takes [changes] that another process or this one's operator made. */
-    suspend fun take(changes: List<TableChange>) = withContext(control) {
-        if (replica.applyChanges(changes)) publish()
+    /** Closes the connections to other processes. */
+    fun stop() = peers.stop()
+
+    /**
+     * Puts [change], which is confirmed to be in the log, in force and waits until another process holds it, if there
+     * is one. Returns the number of holders.
+     */
+    suspend fun accept(change: TableChange): Int {
+        val held = CompletableDeferred<Int>()
+        withContext(control) { acceptances.getOrPut(change.version) { mutableListOf() } += held }
+        handle(PropagationEvent.Committed(change))
+        return held.await()
+    }
+
+    /** Reads the log now, whatever the time of the next poll. */
+    suspend fun refresh() = readLog(tables.version)
+
+    /** Returns the number of other live processes known to hold [version]. */
+    suspend fun holders(version: TableVersion): Int = withContext(control) { propagation.holders(version) }
+
+    /** Returns what this entry sees of the system. */
+    suspend fun view(): ControlView = withContext(control) {
+        ControlView(
+            peers = peers.status(propagation::versionOf),
+            sidecarVersions = directory.all.associate { link ->
+                link.endpoint.id to sidecars[idOf(link)]?.let(propagation::versionOf)
+            },
+            loads = loads.toMap(),
+        )
     }
 
     override fun hello() = Hello(MessageCodec.PROTOCOL_VERSION, settings.id, tables.version)
 
     override fun heartbeat() = Heartbeat(tables.version)
 
-    override fun answer(fetch: FetchChanges): Message? = runBlocking(control) { replica.answer(fetch) }
-
-    override fun loadReported(endpoint: Endpoint, load: LoadReport) =
+    override fun loadReported(endpoint: Endpoint, load: LoadReport) {
+        loads[endpoint.id] = load
         selector.recordLoad(endpoint.id, load, clock.now())
+    }
 
-    private suspend fun pollLoop() {
-        while (true) {
-            poll()
-            delay(settings.pollInterval)
+    override suspend fun opened(link: SidecarLink, welcome: Welcome) {
+        sidecars[idOf(link)] = welcome.sender
+        linkOpened(idOf(link), welcome.sender, welcome.tableVersion, link::post)
+    }
+
+    override suspend fun versionShown(link: SidecarLink, version: TableVersion) =
+        tablesMessage(link, Heartbeat(version))
+
+    override suspend fun tablesMessage(link: SidecarLink, message: Message) {
+        val daemon = sidecars[idOf(link)] ?: return
+        tableEvent(idOf(link), daemon, message)?.let { exchange(it) }
+    }
+
+    override suspend fun lost(link: SidecarLink) {
+        sidecars.remove(idOf(link))
+        exchange(PropagationEvent.LinkClosed(idOf(link)))
+    }
+
+    override suspend fun linkOpened(
+        link: LinkId,
+        daemon: DaemonId,
+        version: TableVersion,
+        send: (Message) -> Boolean,
+    ) {
+        withContext(control) { senders[link] = send }
+        handle(PropagationEvent.VersionShown(link, daemon, version))
+    }
+
+    override suspend fun exchange(event: PropagationEvent) {
+        handle(event)
+        if (event is PropagationEvent.LinkClosed) withContext(control) { senders.remove(event.link) }
+    }
+
+    private suspend fun handle(event: PropagationEvent) = withContext(control) {
+        propagation.handle(event, clock.now()).forEach(::perform)
+    }
+
+    private fun perform(action: PropagationAction) {
+        when (action) {
+            is PropagationAction.ReadLog -> scope.launch { readLog(action.after) }
+            is PropagationAction.WakeAt -> wakeAt(action.at)
+            is PropagationAction.Send -> senders[action.link]?.invoke(action.message)
+            is PropagationAction.PutInForce -> putInForce(action.tables)
+            is PropagationAction.Accept -> acceptances.remove(action.version)?.forEach { it.complete(action.holders) }
+            is PropagationAction.StoreSnapshot -> scope.launch { snapshots?.write(action.snapshot) }
+            is PropagationAction.ReportBreach -> log.error { "control: invariant broken: ${action.detail}" }
         }
     }
 
-    private suspend fun poll() {
-        readAllChanges(tableLog, tables.version)
-            .onSuccess {
+    private fun wakeAt(at: Instant) {
+        wake?.cancel()
+        wake = scope.launch {
+            delay(at - clock.now())
+            handle(PropagationEvent.Woken)
+        }
+    }
+
+    private suspend fun readLog(after: TableVersion) {
+        val startedAt = clock.now()
+        reader.read(after)
+            .onSuccess { page ->
                 isStoreReachable = true
-                take(it)
-            }.onFailure {
-                if (isStoreReachable) log.warn { "control: table service: ${it.detail}" }
+                handle(PropagationEvent.LogRead(after, page))
+                if (tables.version >= page.head) currentAt = startedAt
+            }.onFailure { error ->
+                if (isStoreReachable) log.warn { "control: table service: ${error.detail}" }
                 isStoreReachable = false
+                handle(PropagationEvent.LogFailed(error.detail))
             }
     }
 
-    private fun publish() {
-        tables = replica.tables
-        directory.update(tables)
-        log.info { "control: tables are at version ${tables.version}" }
+    private fun putInForce(newer: Tables) {
+        tables = newer
+        directory.update(newer)
+        log.info { "control: tables are at version ${newer.version}" }
+    }
+
+    private suspend fun membershipLoop() {
+        while (true) {
+            withContext(control) { directory.closeIdle() }
+            readVmList()
+            delay(MEMBERSHIP_INTERVAL)
+        }
+    }
+
+    private suspend fun readVmList() {
+        val listing = vmList ?: return
+        listing.list()
+            .onSuccess { list ->
+                val states = list.associate { VmId(it.vm) to listedState(it.state) }
+                withContext(control) { directory.update(states) }
+            }.onFailure { log.debug { "control: VM list: ${it.detail}" } }
+    }
+
+    private fun idOf(link: SidecarLink) = LinkId("sidecar of ${link.endpoint.id} at ${link.endpoint.sidecar}")
+
+    private companion object {
+        /** How often the VM list is read and unused links are closed. */
+        val MEMBERSHIP_INTERVAL: Duration = 1.seconds
+
+        fun listedState(state: VmState): ListedState = when (state) {
+            VmState.LIVE -> ListedState.LIVE
+            VmState.LEAVING -> ListedState.LEAVING
+        }
+
+        fun propagationTimings(settings: EntrySettings) = PropagationTimings(pollInterval = settings.pollInterval)
+
+        fun subsetOf(settings: EntrySettings): EndpointSubset {
+            val self = settings.peerListen.toString()
+            return EndpointSubset(self, settings.peers.map { it.toString() }.toSet() + self)
+        }
     }
 }
--- /dev/null
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/ControlView.kt
@@ -0,0 +1,13 @@
+package org.bilberryhead.entry
+
+import org.bilberryhead.core.common.EndpointId
+import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.message.LoadReport
+import org.bilberryhead.operator.PeerStatus
+
+/** What the control thread knows of other processes at one moment. */
+data class ControlView(
+    val peers: List<PeerStatus>,
+    val sidecarVersions: Map<EndpointId, TableVersion?>,
+    val loads: Map<EndpointId, LoadReport>,
+)
--- a/entry/src/main/kotlin/org/bilberryhead/entry/Main.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/Main.kt
@@ -17,6 +17,7 @@
 import org.bilberryhead.daemon.operationsRoutes
 import org.bilberryhead.platform.HttpPlatform
 import org.bilberryhead.platform.TableLog
+import org.bilberryhead.platform.TableSnapshots
 import kotlin.random.Random
 
 /** The command `bilberry-entry`. */
@@ -24,9 +25,10 @@
     override suspend fun serve(settings: EntrySettings) {
         val signal = TerminationSignal(settings.drainLimit)
         val clock = MonotonicClock()
-        val tableLog = TableLog(HttpPlatform(settings.platformUrl))
+        val platform = HttpPlatform(settings.platformUrl)
+        val tableLog = TableLog(platform)
         val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-        val control = ControlPlane(settings, tableLog, clock, scope)
+        val control = ControlPlane(settings, tableLog, clock, scope, TableSnapshots(platform), platform)
         val selector = LeastInFlightSelector(control.directory, Random.Default)
         control.selector = selector
         val tokens = Tokens(settings.clientAccounts, settings.operators)
--- a/entry/src/main/kotlin/org/bilberryhead/entry/OperatorRoutes.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/OperatorRoutes.kt
@@ -1,5 +1,6 @@
 package org.bilberryhead.entry
 
+import com.github.michaelbull.result.getOrElse
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
@@ -9,45 +10,101 @@
 import io.ktor.server.routing.RoutingContext
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.bilberryhead.core.common.ChangeId
+import org.bilberryhead.core.common.RequestKind
 import org.bilberryhead.core.tables.TableChange
-import org.bilberryhead.platform.ChangeOutcome
+import org.bilberryhead.operator.ChangeAnswer
+import org.bilberryhead.operator.OperatorPaths
+import org.bilberryhead.platform.ChangeRecord
 import org.bilberryhead.platform.TableLog
 
-/** The interface for operators. */
-class OperatorRoutes(private val control: ControlPlane, private val tableLog: TableLog, private val tokens: Tokens) {
+/** The interface for operators, as [OperatorPaths] describes it. */
+class OperatorRoutes(
+    private val control: ControlPlane,
+    private val tableLog: TableLog,
+    private val tokens: Tokens,
+    activity: EntryActivity = EntryActivity.None,
+) {
+    private val proposals = ChangeProposals(control, tableLog)
+    private val view = OperatorView(control, activity)
     private val json = Json { encodeDefaults = true }
 
     /** Adds the routes. */
     fun install(route: Route) = with(route) {
-        get("/v1/operator/tables") {
-            if (operator() == null) return@get
-            call.respondText(json.encodeToString(control.tables), ContentType.Application.Json)
+        get(OperatorPaths.TABLES) { asOperator { respond(json.encodeToString(control.tables)) } }
+        get(OperatorPaths.HISTORY) { asOperator { history() } }
+        get(OperatorPaths.STATUS) { asOperator { respond(json.encodeToString(view.status())) } }
+        get(OperatorPaths.EXPLAIN) { asOperator { explain() } }
+        get(OperatorPaths.CHANGE) { asOperator { find(ChangeId(call.parameters["id"].orEmpty())) } }
+        post(OperatorPaths.CHANGES) { asOperator { author -> propose(author) } }
+    }
+
+    private suspend fun RoutingContext.history() {
+        val limit = call.request.queryParameters["limit"]?.toIntOrNull() ?: DEFAULT_HISTORY
+        if (limit !in 1..MAXIMUM_HISTORY) {
+            return reject("limit must be from 1 to $MAXIMUM_HISTORY", HttpStatusCode.BadRequest)
         }
-        post("/v1/operator/changes") {
-            val author = operator() ?: return@post
-            apply(json.decodeFromString<TableChange>(call.receiveText()).copy(author = author))
+        val changes = tableLog.newest(limit).getOrElse {
+            return reject("table service: ${it.detail}", HttpStatusCode.ServiceUnavailable)
+        }
+        respond(json.encodeToString(changes))
+    }
+
+    private suspend fun RoutingContext.explain() {
+        val kind = RequestKind(call.parameters["kind"].orEmpty())
+        val explanation = view.explain(kind)
+            ?: return reject("no route answers requests of kind '$kind'", HttpStatusCode.NotFound)
+        respond(json.encodeToString(explanation))
+    }
+
+    private suspend fun RoutingContext.find(id: ChangeId) {
+        val record = tableLog.find(id).getOrElse { return respond(ChangeAnswer.Unknown("table service: ${it.detail}")) }
+        respond(
+            when (record) {
+                is ChangeRecord.InLog -> ChangeAnswer.Accepted(record.version, control.holders(record.version))
+                ChangeRecord.Sealed -> ChangeAnswer.NotCommitted("the change was given up after its answer was lost")
+                ChangeRecord.Absent -> ChangeAnswer.Unknown("no change with this id is in the log so far")
+            },
+        )
+    }
+
+    private suspend fun RoutingContext.propose(author: String) {
+        val change = try {
+            json.decodeFromString<TableChange>(call.receiveText()).copy(author = author)
+        } catch (failure: SerializationException) {
+            return reject("not a change of the tables: ${failure.message}", HttpStatusCode.BadRequest)
         }
+        respond(proposals.propose(change))
     }
 
-    private suspend fun RoutingContext.apply(change: TableChange) {
-        when (val outcome = tableLog.commit(change)) {
-            is ChangeOutcome.Committed -> {
-                control.take(listOf(change))
-                call.respondText("accepted as version ${outcome.version}\n")
-            }
-            is ChangeOutcome.LostRace ->
-                call.respondText("another change came first: ${outcome.winner?.id}\n", status = HttpStatusCode.Conflict)
-            is ChangeOutcome.NotCommitted ->
-                call.respondText("not committed: ${outcome.detail}\n", status = HttpStatusCode.ServiceUnavailable)
-            is ChangeOutcome.Unknown ->
-                call.respondText("outcome unknown: ${outcome.detail}\n", status = HttpStatusCode.GatewayTimeout)
+    private suspend fun RoutingContext.respond(answer: ChangeAnswer) {
+        val status = when (answer) {
+            is ChangeAnswer.Accepted -> HttpStatusCode.OK
+            is ChangeAnswer.LostRace -> HttpStatusCode.Conflict
+            is ChangeAnswer.Invalid -> HttpStatusCode.UnprocessableEntity
+            is ChangeAnswer.NotCommitted -> HttpStatusCode.ServiceUnavailable
+            is ChangeAnswer.Unknown -> HttpStatusCode.GatewayTimeout
         }
+        call.respondText(json.encodeToString(answer), ContentType.Application.Json, status)
     }
 
-    private suspend fun RoutingContext.operator(): String? {
+    private suspend fun RoutingContext.respond(text: String) = call.respondText(text, ContentType.Application.Json)
+
+    private suspend fun RoutingContext.reject(text: String, status: HttpStatusCode) =
+        call.respondText("$text\n", status = status)
+
+    private suspend fun RoutingContext.asOperator(answer: suspend (String) -> Unit) {
         val name = tokens.operator(call.request.headers[HttpHeaders.Authorization])
-        if (name == null) call.respondText("an operator's token is needed\n", status = HttpStatusCode.Unauthorized)
-        return name
+        if (name == null) reject("an operator's token is needed", HttpStatusCode.Unauthorized) else answer(name)
+    }
+
+    private companion object {
+        /** Changes that the history shows when the operator names no number. */
+        const val DEFAULT_HISTORY = 20
+
+        /** Most changes that one answer shows. */
+        const val MAXIMUM_HISTORY = 1_000
     }
 }
--- /dev/null
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/PeerLinks.kt
@@ -0,0 +1,141 @@
+package org.bilberryhead.entry
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineScope
+import org.bilberryhead.core.common.DaemonId
+import org.bilberryhead.core.common.Incarnation
+import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.message.Changes
+import org.bilberryhead.core.message.FetchChanges
+import org.bilberryhead.core.message.Heartbeat
+import org.bilberryhead.core.message.Hello
+import org.bilberryhead.core.message.Message
+import org.bilberryhead.core.message.Snapshot
+import org.bilberryhead.core.message.Welcome
+import org.bilberryhead.core.propagation.LinkId
+import org.bilberryhead.core.propagation.PropagationEvent
+import org.bilberryhead.operator.PeerStatus
+import org.bilberryhead.protocol.ClientHandler
+import org.bilberryhead.protocol.ConnectionHandler
+import org.bilberryhead.protocol.MessageClient
+import org.bilberryhead.protocol.MessageCodec
+import org.bilberryhead.protocol.MessageServer
+import org.bilberryhead.protocol.ProtocolError
+import java.util.concurrent.ConcurrentHashMap
+
+private val log = KotlinLogging.logger("control")
+
+/** What connections between processes need of the control plane. */
+interface TableExchange {
+    /** The tables' version to show. */
+    val shownVersion: TableVersion
+
+    /** A connection is open; [send] queues a message on it. */
+    suspend fun linkOpened(link: LinkId, daemon: DaemonId, version: TableVersion, send: (Message) -> Boolean)
+
+    /** [event] happened on a connection. */
+    suspend fun exchange(event: PropagationEvent)
+}
+
+/** Returns the event that [message], received on [link] from [daemon], stands for; null when it is not about tables. */
+internal fun tableEvent(link: LinkId, daemon: DaemonId, message: Message): PropagationEvent? = when (message) {
+    is Heartbeat -> PropagationEvent.VersionShown(link, daemon, message.tableVersion)
+    is FetchChanges -> PropagationEvent.FetchArrived(link, message.after)
+    is Changes -> PropagationEvent.ChangesArrived(link, message.changes)
+    is Snapshot -> PropagationEvent.SnapshotArrived(link, message)
+    else -> null
+}
+
+/** The connections between this entry and the others: one to each peer of the settings, and those that peers open. */
+class PeerLinks(
+    private val settings: EntrySettings,
+    private val incarnation: Incarnation,
+    private val exchange: TableExchange,
+    selectors: SelectorManager,
+    scope: CoroutineScope,
+) {
+    private val outgoing = settings.peers.map { OutgoingLink(it, selectors, scope) }
+    private val server = MessageServer(settings.peerListen, IncomingLinks(), scope)
+
+    /** Returns what is known of each peer; [versionOf] gives the version that a daemon last showed. */
+    fun status(versionOf: (DaemonId) -> TableVersion?): List<PeerStatus> = outgoing.map { link ->
+        val daemon = link.daemon
+        PeerStatus(link.address.toString(), daemon, link.isOpen, daemon?.let(versionOf))
+    }
+
+    /** Listens for peers and begins to connect to them. */
+    suspend fun start() {
+        server.start()
+        outgoing.forEach { it.client.start() }
+    }
+
+    /** Closes all connections. */
+    fun stop() {
+        outgoing.forEach { it.client.stop() }
+        server.stop()
+    }
+
+    private fun hello() = Hello(MessageCodec.PROTOCOL_VERSION, settings.id, exchange.shownVersion)
+
+    private inner class OutgoingLink(val address: SocketAddress, selectors: SelectorManager, scope: CoroutineScope) :
+        ClientHandler {
+        private val link = LinkId("to $address")
+        val client = MessageClient(address, this, selectors, scope)
+
+        @Volatile
+        var daemon: DaemonId? = null
+
+        @Volatile
+        var isOpen = false
+
+        override fun hello(): Hello = this@PeerLinks.hello()
+
+        override fun heartbeat() = Heartbeat(exchange.shownVersion)
+
+        override suspend fun opened(welcome: Welcome) {
+            log.info { "control: connected to peer ${welcome.sender} at $address" }
+            daemon = welcome.sender
+            isOpen = true
+            exchange.linkOpened(link, welcome.sender, welcome.tableVersion, client::trySend)
+        }
+
+        override suspend fun received(message: Message) {
+            val sender = daemon ?: return
+            tableEvent(link, sender, message)?.let { exchange.exchange(it) }
+        }
+
+        override suspend fun lost(error: ProtocolError) {
+            isOpen = false
+            exchange.exchange(PropagationEvent.LinkClosed(link))
+        }
+    }
+
+    private inner class IncomingLinks : ConnectionHandler {
+        private val daemons = ConcurrentHashMap<Long, DaemonId>()
+
+        override fun welcome(hello: Hello) =
+            Welcome(settings.id, incarnation, exchange.shownVersion, dataCentre = settings.dataCentre)
+
+        override fun heartbeat() = Heartbeat(exchange.shownVersion)
+
+        override suspend fun opened(connection: Long, hello: Hello, send: (Message) -> Boolean) {
+            log.info { "control: peer ${hello.sender} connected" }
+            daemons[connection] = hello.sender
+            exchange.linkOpened(link(connection), hello.sender, hello.tableVersion, send)
+        }
+
+        override suspend fun received(connection: Long, message: Message) {
+            val sender = daemons[connection] ?: return
+            tableEvent(link(connection), sender, message)?.let { exchange.exchange(it) }
+        }
+
+        override suspend fun closed(connection: Long) {
+            daemons.remove(connection)
+            exchange.exchange(PropagationEvent.LinkClosed(link(connection)))
+        }
+
+        private fun link(connection: Long) = LinkId("from $connection")
+    }
+}
--- a/entry/src/main/kotlin/org/bilberryhead/entry/SidecarDirectory.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/SidecarDirectory.kt
@@ -1,8 +1,16 @@
 package org.bilberryhead.entry
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineScope
 import org.bilberryhead.core.common.EndpointId
+import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.common.VmId
+import org.bilberryhead.core.membership.ConnectionState
+import org.bilberryhead.core.membership.Eligibility
+import org.bilberryhead.core.membership.EndpointSubset
+import org.bilberryhead.core.membership.ListedState
+import org.bilberryhead.core.membership.Membership
 import org.bilberryhead.core.routing.Candidate
 import org.bilberryhead.core.routing.CandidateSource
 import org.bilberryhead.core.tables.Endpoint
@@ -10,29 +18,71 @@
 import org.bilberryhead.core.tables.Tables
 import java.util.concurrent.ConcurrentHashMap
 
-/** Keeps one link to the sidecar of every endpoint in the tables. */
+private val log = KotlinLogging.logger("membership")
+
+/**
+ * Keeps one link to the sidecar of every endpoint that this entry is to connect to. Changed by the control thread,
+ * read by traffic.
+ */
 class SidecarDirectory(
     private val owner: LinkOwner,
     private val selectors: SelectorManager,
     private val scope: CoroutineScope,
+    private val subset: EndpointSubset? = null,
 ) : CandidateSource {
     private val links = ConcurrentHashMap<EndpointId, SidecarLink>()
+    private val retired = ConcurrentHashMap.newKeySet<SidecarLink>()
+    private var tables = Tables()
+    private var listed = emptyMap<VmId, ListedState>()
+
+    @Volatile
+    private var membership = Membership()
 
     /** All links, for status. */
     val all: Collection<SidecarLink> get() = links.values
 
-    /** Opens links to endpoints that are new in [tables] and closes those of endpoints that are gone. */
+    /** Opens links to endpoints that are new in [tables] and retires those of endpoints that are gone. */
     fun update(tables: Tables) {
-        val wanted = tables.pools.values.flatMap { it.endpoints }.associateBy { it.id }
-        links.values.filter { wanted[it.endpoint.id] != it.endpoint }.forEach { remove(it) }
+        this.tables = tables
+        membership = Membership(tables, listed)
+        val wanted = tables.pools.values.flatMap { subset?.choose(it) ?: it.endpoints }.associateBy { it.id }
+        links.values.filter { wanted[it.endpoint.id] != it.endpoint }.forEach { retire(it) }
         wanted.values.filter { !links.containsKey(it.id) }.forEach { add(it) }
+        closeIdle()
+    }
+
+    /** Takes what the platform's VM list shows. */
+    fun update(listed: Map<VmId, ListedState>) {
+        if (listed == this.listed) return
+        this.listed = listed
+        membership = Membership(tables, listed)
+        log.info { "membership: VM list shows ${listed.values.count { it == ListedState.LEAVING }} leaving VMs" }
     }
 
-    /** Returns the link to [endpoint], or null when it is not in the tables. */
-    fun link(endpoint: EndpointId): SidecarLink? = links[endpoint]
+    /** Closes links to endpoints that left the tables once no attempt waits on them. */
+    fun closeIdle() {
+        for (link in retired.filter { it.isIdle }) {
+            retired.remove(link)
+            link.stop()
+        }
+    }
+
+    /** Returns the link to [endpoint], or null when it has none. An endpoint that left the tables keeps it a while. */
+    fun link(endpoint: EndpointId): SidecarLink? = links[endpoint] ?: retired.find { it.endpoint.id == endpoint }
+
+    /** Returns whether [endpoint] may get new work as a member of [pool], or why not. */
+    fun eligibility(endpoint: EndpointId, pool: PoolName): Eligibility =
+        membership.eligibility(endpoint, pool, links[endpoint]?.connection ?: ConnectionState.NONE)
 
-    override fun candidates(pool: Pool): List<Candidate> = pool.endpoints.mapNotNull { endpoint ->
-        links[endpoint.id]?.servingIncarnation?.let { Candidate(endpoint.id, it, endpoint.dataCentre) }
+    override fun candidates(pool: Pool): List<Candidate> {
+        val current = membership
+        return pool.endpoints.mapNotNull { endpoint ->
+            val link = links[endpoint.id] ?: return@mapNotNull null
+            val incarnation = link.servingIncarnation ?: return@mapNotNull null
+            val eligibility = current.eligibility(endpoint.id, pool.name, ConnectionState.SERVING)
+            if (eligibility != Eligibility.ELIGIBLE) return@mapNotNull null
+            Candidate(endpoint.id, incarnation, endpoint.dataCentre)
+        }
     }
 
     private fun add(endpoint: Endpoint) {
@@ -41,8 +91,9 @@
         link.start()
     }
 
-    private fun remove(link: SidecarLink) {
+    private fun retire(link: SidecarLink) {
         links.remove(link.endpoint.id)
-        link.stop()
+        retired.add(link)
+        log.info { "membership: endpoint ${link.endpoint.id} gets no new work, it left the tables" }
     }
 }
--- a/entry/src/main/kotlin/org/bilberryhead/entry/SidecarLink.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/SidecarLink.kt
@@ -5,9 +5,10 @@
 import kotlinx.coroutines.CoroutineScope
 import org.bilberryhead.core.common.AttemptId
 import org.bilberryhead.core.common.Incarnation
+import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.membership.ConnectionState
 import org.bilberryhead.core.message.AttemptMessage
 import org.bilberryhead.core.message.Dispatch
-import org.bilberryhead.core.message.FetchChanges
 import org.bilberryhead.core.message.Frame
 import org.bilberryhead.core.message.Heartbeat
 import org.bilberryhead.core.message.Hello
@@ -33,8 +34,17 @@
     /** Returns the heartbeat to send now. */
     fun heartbeat(): Heartbeat
 
-    /** Returns the answer to a sidecar that is behind with the tables. */
-    fun answer(fetch: FetchChanges): Message?
+    /** The sidecar behind [link] has answered the hello. */
+    suspend fun opened(link: SidecarLink, welcome: Welcome)
+
+    /** The sidecar behind [link] showed which tables it holds. */
+    suspend fun versionShown(link: SidecarLink, version: TableVersion)
+
+    /** A message about the tables arrived on [link]. */
+    suspend fun tablesMessage(link: SidecarLink, message: Message)
+
+    /** The connection of [link] is lost. */
+    suspend fun lost(link: SidecarLink)
 
     /** The sidecar of [endpoint] reported its load. */
     fun loadReported(endpoint: Endpoint, load: LoadReport)
@@ -61,6 +71,17 @@
     /** The run of the sidecar that takes work now, or null. */
     val servingIncarnation: Incarnation? get() = connected.takeUnless { leaving }
 
+    /** Whether no attempt waits for an answer on this link. */
+    val isIdle: Boolean get() = openAttempts.isEmpty()
+
+    /** What this link shows of its sidecar. */
+    val connection: ConnectionState
+        get() = when {
+            connected == null -> ConnectionState.NONE
+            leaving -> ConnectionState.LEAVING
+            else -> ConnectionState.SERVING
+        }
+
     /** Whether the sidecar is connected and leaving. */
     val isLeaving: Boolean get() = leaving
 
@@ -82,6 +103,9 @@
         }
     }
 
+    /** Queues [message] about the tables; it may be lost. */
+    fun post(message: Message): Boolean = client.trySend(message)
+
     /** Forgets [attempt]; nothing more is delivered for it. */
     fun forget(attempt: AttemptId) {
         openAttempts.remove(attempt)
@@ -96,6 +120,7 @@
         leaving = welcome.leaving
         connected = welcome.incarnation
         welcome.load?.let { owner.loadReported(endpoint, it) }
+        owner.opened(this, welcome)
         openAttempts.forEach { (attempt, open) ->
             val isSameRun = open.incarnation == welcome.incarnation
             open.deliver(
@@ -110,18 +135,21 @@
                 loadOf(message)?.let { owner.loadReported(endpoint, it) }
                 openAttempts[message.attempt]?.deliver?.invoke(RequestEvent.MessageArrived(message))
             }
-            is Heartbeat -> message.load?.let { owner.loadReported(endpoint, it) }
+            is Heartbeat -> {
+                message.load?.let { owner.loadReported(endpoint, it) }
+                owner.versionShown(this, message.tableVersion)
+            }
             is Leaving -> {
                 leaving = true
                 log.info { "entry: sidecar of ${endpoint.id} is leaving" }
             }
-            is FetchChanges -> owner.answer(message)?.let { client.trySend(it) }
-            else -> Unit
+            else -> owner.tablesMessage(this, message)
         }
     }
 
     override suspend fun lost(error: ProtocolError) {
         connected = null
+        owner.lost(this)
         openAttempts.forEach { (attempt, open) -> open.deliver(RequestEvent.ConnectionLost(attempt)) }
     }
 
--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarDaemon.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarDaemon.kt
@@ -28,6 +28,7 @@
 import org.bilberryhead.core.message.Message
 import org.bilberryhead.core.message.Snapshot
 import org.bilberryhead.core.message.Welcome
+import org.bilberryhead.core.propagation.MergeResult
 import org.bilberryhead.core.propagation.TableReplica
 import org.bilberryhead.protocol.ConnectionHandler
 import org.bilberryhead.protocol.MessageServer
@@ -135,8 +136,8 @@
             when (message) {
                 is AttemptMessage -> handle(GateEvent.MessageArrived(id, message))
                 is Heartbeat -> catchUp(id, message.tableVersion)
-                is Changes -> withContext(control) { if (replica.applyChanges(message.changes)) tablesChanged() }
-                is Snapshot -> withContext(control) { if (replica.applySnapshot(message.tables)) tablesChanged() }
+                is Changes -> withContext(control) { tablesOffered(id, replica.merge(message.changes)) }
+                is Snapshot -> withContext(control) { tablesOffered(id, replica.merge(message)) }
                 is FetchChanges -> withContext(control) { replica.answer(message)?.let { senders[id]?.invoke(it) } }
                 else -> log.warn { "sidecar: unexpected ${message::class.simpleName} on connection $connection" }
             }
@@ -152,6 +153,12 @@
         if (theirs > replica.version) senders[connection]?.invoke(FetchChanges(replica.version))
     }
 
+    private fun tablesOffered(connection: ConnectionId, result: MergeResult) {
+        result.breaches.forEach { log.error { "sidecar: refused to replace a table change: $it" } }
+        if (result.grew) tablesChanged()
+        senders[connection]?.invoke(Heartbeat(replica.version, status.load))
+    }
+
     private fun tablesChanged() {
         tableVersion = replica.version
         val pool = replica.tables.pools.values.find { pool -> pool.endpoints.any { it.id == settings.endpoint } }
