--- a/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
@@ -19,6 +19,7 @@
 import org.bilberryhead.daemon.operationsRoutes
 import org.bilberryhead.platform.HttpPlatform
 import org.bilberryhead.platform.TableLog
+import org.bilberryhead.platform.TableSnapshots
 import kotlin.random.Random
 import kotlin.time.Clock
 
@@ -27,8 +28,9 @@
 /** Wires the parts of an entry together and runs them. */
 class EntryDaemon(private val settings: EntrySettings, clock: Clock) {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val tableLog = TableLog(HttpPlatform(settings.platformUrl))
-    private val control = ControlPlane(settings, tableLog, clock, scope)
+    private val platform = HttpPlatform(settings.platformUrl)
+    private val tableLog = TableLog(platform)
+    private val control = ControlPlane(settings, tableLog, clock, scope, TableSnapshots(platform), platform)
     private val selector = LeastInFlightSelector(control.directory, Random.Default)
     private val tokens = Tokens(settings.clientAccounts, settings.operators)
     private val tracker = RequestTracker()
@@ -52,7 +54,7 @@
     }
 
     /** Begins to serve. */
-    fun start() {
+    suspend fun start() {
         control.start()
         server.start()
         log.info { "entry: ${settings.id} is serving on ${settings.listen}" }
