--- a/cli/src/main/kotlin/org/bilberryhead/cli/Main.kt
+++ b/cli/src/main/kotlin/org/bilberryhead/cli/Main.kt
@@ -1,24 +1,34 @@
 package org.bilberryhead.cli
 
-import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.completion.CompletionCommand
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
-import com.github.ajalt.clikt.parameters.options.option
-import com.github.ajalt.clikt.parameters.options.required
+import org.bilberryhead.cli.commands.ApplyCommand
+import org.bilberryhead.cli.commands.BilberryCommand
+import org.bilberryhead.cli.commands.CheckCommand
+import org.bilberryhead.cli.commands.DiffCommand
+import org.bilberryhead.cli.commands.EditCommand
+import org.bilberryhead.cli.commands.ExplainCommand
+import org.bilberryhead.cli.commands.HistoryCommand
+import org.bilberryhead.cli.commands.ShowCommand
+import org.bilberryhead.cli.commands.StatusCommand
+import org.bilberryhead.cli.commands.TablesCommand
+import kotlin.time.Clock
 
-/** The operators' command, `bilberry`. */
-class BilberryCommand : CliktCommand("bilberry") {
-    override fun run() = Unit
-}
-
-/** Shows the tables in force. */
-class ShowCommand : CliktCommand("show") {
-    private val entry by option("--entry", help = "Address of an entry, such as http://127.0.0.1:8080.").required()
-
-    override fun run() {
-        echo("tables at $entry")
-    }
-}
+/** Returns the operators' command with all its subcommands. */
+internal fun bilberryCommand(clock: Clock = Clock.System): BilberryCommand = BilberryCommand().subcommands(
+    TablesCommand().subcommands(
+        ShowCommand(),
+        CheckCommand(),
+        ApplyCommand(clock),
+        EditCommand(clock),
+        HistoryCommand(),
+        DiffCommand(),
+    ),
+    StatusCommand(),
+    ExplainCommand(),
+    CompletionCommand(name = "completion", help = "Print a completion script for bash, zsh or fish."),
+)
 
 /** Runs the operators' command. */
-fun main(arguments: Array<String>) = BilberryCommand().subcommands(ShowCommand()).main(arguments)
+fun main(arguments: Array<String>) = bilberryCommand().main(arguments)
--- /dev/null
+++ b/cli/src/main/kotlin/org/bilberryhead/cli/TableDiff.kt
@@ -0,0 +1,71 @@
+package org.bilberryhead.cli
+
+import kotlinx.serialization.KSerializer
+import org.bilberryhead.cli.file.PoolRow
+import org.bilberryhead.cli.file.RouteRow
+import org.bilberryhead.cli.file.TablesFile
+import org.bilberryhead.cli.file.TablesFileReader
+
+/** Shows how two sets of tables differ, row by row and line by line. */
+internal object TableDiff {
+    /** Returns the lines that turn [from] into [to]; empty when they are equal. */
+    fun lines(from: TablesFile, to: TablesFile): List<String> =
+        tableLines("route", from.routes, to.routes, RouteRow.serializer()) +
+            tableLines("pool", from.pools, to.pools, PoolRow.serializer())
+
+    private fun <T> tableLines(
+        table: String,
+        from: Map<String, T>,
+        to: Map<String, T>,
+        serializer: KSerializer<T>,
+    ): List<String> = (from.keys + to.keys).sorted().flatMap { name ->
+        val old = from[name]
+        val new = to[name]
+        when {
+            old == new -> emptyList()
+            old == null -> listOf("+ $table $name") + rowLines(new, serializer).map { "    + $it" }
+            new == null -> listOf("- $table $name")
+            else -> listOf("~ $table $name") + changedLines(rowLines(old, serializer), rowLines(new, serializer))
+        }
+    }
+
+    private fun <T> rowLines(row: T?, serializer: KSerializer<T>): List<String> =
+        row?.let { TablesFileReader.writeRow(serializer, it).lines() }.orEmpty()
+
+    private fun changedLines(old: List<String>, new: List<String>): List<String> {
+        val common = commonLengths(old, new)
+        val result = mutableListOf<String>()
+        var oldIndex = 0
+        var newIndex = 0
+        while (oldIndex < old.size || newIndex < new.size) {
+            val canTakeOld = oldIndex < old.size
+            val canTakeNew = newIndex < new.size
+            if (canTakeOld && canTakeNew && old[oldIndex] == new[newIndex]) {
+                oldIndex++
+                newIndex++
+            } else if (canTakeOld &&
+                (!canTakeNew || common[oldIndex + 1][newIndex] >= common[oldIndex][newIndex + 1])
+            ) {
+                result += "    - ${old[oldIndex++]}"
+            } else {
+                result += "    + ${new[newIndex++]}"
+            }
+        }
+        return result
+    }
+
+    /** Length of the longest common subsequence of the lines from each pair of positions on. */
+    private fun commonLengths(old: List<String>, new: List<String>): Array<IntArray> {
+        val lengths = Array(old.size + 1) { IntArray(new.size + 1) }
+        for (oldIndex in old.indices.reversed()) {
+            for (newIndex in new.indices.reversed()) {
+                lengths[oldIndex][newIndex] = if (old[oldIndex] == new[newIndex]) {
+                    lengths[oldIndex + 1][newIndex + 1] + 1
+                } else {
+                    maxOf(lengths[oldIndex + 1][newIndex], lengths[oldIndex][newIndex + 1])
+                }
+            }
+        }
+        return lengths
+    }
+}
--- /dev/null
+++ b/cli/src/main/kotlin/org/bilberryhead/cli/client/ChangeSubmission.kt
@@ -0,0 +1,63 @@
+package org.bilberryhead.cli.client
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import kotlinx.coroutines.delay
+import org.bilberryhead.core.common.ChangeId
+import org.bilberryhead.core.tables.TableChange
+import org.bilberryhead.operator.ChangeAnswer
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The calls that proposing a change needs. */
+interface ChangeCalls {
+    /** Proposes [change], once. */
+    suspend fun propose(change: TableChange): Result<ChangeAnswer, CallError>
+
+    /** Returns what became of the change [id]. */
+    suspend fun outcome(id: ChangeId): Result<ChangeAnswer, CallError>
+}
+
+/**
+ * Proposes a change once and, when its answer is lost or unknown, asks for the change's id until the outcome is known
+ * or [limit] has passed.
+ */
+class ChangeSubmission(
+    private val calls: ChangeCalls,
+    private val clock: Clock,
+    private val limit: Duration = DEFAULT_LIMIT,
+    private val interval: Duration = DEFAULT_INTERVAL,
+) {
+    /** Returns what became of [change]; an error only when it provably was not sent or was rejected. */
+    suspend fun submit(change: TableChange, asking: (String) -> Unit): Result<ChangeAnswer, CallError> {
+        val first = calls.propose(change)
+        val reason = first.fold(
+            success = { (it as? ChangeAnswer.Unknown)?.detail },
+            failure = { (it as? CallError.AnswerLost)?.detail },
+        ) ?: return first
+        asking(reason)
+        return findOut(change.id, reason)
+    }
+
+    private suspend fun findOut(id: ChangeId, reason: String): Result<ChangeAnswer, CallError> {
+        val giveUpAt = clock.now() + limit
+        while (true) {
+            val answer = calls.outcome(id)
+            val isFinal = answer.fold(
+                success = { it !is ChangeAnswer.Unknown },
+                failure = { it is CallError.NotAuthorized },
+            )
+            if (isFinal) return answer
+            if (clock.now() >= giveUpAt) return Ok(ChangeAnswer.Unknown(reason))
+            delay(interval)
+        }
+    }
+
+    private companion object {
+        val DEFAULT_LIMIT = 20.seconds
+        val DEFAULT_INTERVAL = 500.milliseconds
+    }
+}
--- /dev/null
+++ b/cli/src/main/kotlin/org/bilberryhead/cli/client/OperatorClient.kt
@@ -0,0 +1,179 @@
+package org.bilberryhead.cli.client
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.okhttp.OkHttp
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.bearerAuth
+import io.ktor.client.request.parameter
+import io.ktor.client.request.request
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.HttpMethod
+import io.ktor.http.HttpStatusCode
+import io.ktor.http.contentType
+import io.ktor.http.encodeURLPathPart
+import io.ktor.http.isSuccess
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.bilberryhead.core.common.ChangeId
+import org.bilberryhead.core.common.RequestKind
+import org.bilberryhead.core.tables.TableChange
+import org.bilberryhead.core.tables.Tables
+import org.bilberryhead.operator.ChangeAnswer
+import org.bilberryhead.operator.EntryStatus
+import org.bilberryhead.operator.Explanation
+import org.bilberryhead.operator.OperatorPaths
+import java.io.IOException
+import java.net.ConnectException
+
+/**
+ * Calls the operators' interface of the entries. A read goes to the next entry when one does not answer; a change goes
+ * to the next entry only when no connection was made, so that it is never sent twice.
+ */
+class OperatorClient(private val entries: List<String>, private val token: String) :
+    ChangeCalls,
+    AutoCloseable {
+    private val json = Json { ignoreUnknownKeys = true }
+    private val client = HttpClient(OkHttp) {
+        expectSuccess = false
+        install(HttpTimeout) {
+            connectTimeoutMillis = CONNECT_TIMEOUT_MILLIS
+            requestTimeoutMillis = REQUEST_TIMEOUT_MILLIS
+            socketTimeoutMillis = REQUEST_TIMEOUT_MILLIS
+        }
+        engine { config { retryOnConnectionFailure(false) } }
+    }
+
+    /** Returns the tables in force. */
+    suspend fun tables(): Result<Tables, CallError> = read(OperatorPaths.TABLES)
+
+    /** Returns the newest [limit] changes, newest first. */
+    suspend fun history(limit: Int): Result<List<TableChange>, CallError> =
+        read(OperatorPaths.HISTORY) { parameter("limit", limit) }
+
+    /** Returns where a request of [kind] would go now. */
+    suspend fun explain(kind: RequestKind): Result<Explanation, CallError> =
+        read(OperatorPaths.EXPLAIN.replace("{kind}", kind.value.encodeURLPathPart()))
+
+    /** Returns what each entry sees; entries that do not answer have their error. */
+    suspend fun statuses(): List<EntryAnswer> =
+        entries.map { entry -> EntryAnswer(entry, decode(call(entry, HttpMethod.Get, OperatorPaths.STATUS))) }
+
+    /** Proposes [change], once. */
+    override suspend fun propose(change: TableChange): Result<ChangeAnswer, CallError> {
+        val unreachable = mutableListOf<String>()
+        for (entry in entries) {
+            val answer = call(entry, HttpMethod.Post, OperatorPaths.CHANGES) {
+                contentType(ContentType.Application.Json)
+                setBody(json.encodeToString(change))
+            }
+            val error = answer.getError()
+            if (error !is CallError.NoEntryReachable) return decodeChange(answer)
+            unreachable += error.detail
+        }
+        return Err(CallError.NoEntryReachable(unreachable.joinToString("; ")))
+    }
+
+    /** Returns what became of the change [id], from the first entry that knows. */
+    override suspend fun outcome(id: ChangeId): Result<ChangeAnswer, CallError> {
+        val path = OperatorPaths.CHANGE.replace("{id}", id.value.encodeURLPathPart())
+        var last: Result<ChangeAnswer, CallError> = Err(CallError.NoEntryReachable("no entry is named"))
+        for (entry in entries) {
+            last = decodeChange(call(entry, HttpMethod.Get, path))
+            if (last.fold(success = { it !is ChangeAnswer.Unknown }, failure = { false })) return last
+        }
+        return last
+    }
+
+    override fun close() = client.close()
+
+    private suspend inline fun <reified T> read(
+        path: String,
+        noinline configure: HttpRequestBuilder.() -> Unit = {},
+    ): Result<T, CallError> {
+        val unreachable = mutableListOf<String>()
+        for (entry in entries) {
+            val answer = decode<T>(call(entry, HttpMethod.Get, path, configure))
+            val error = answer.getError()
+            if (error !is CallError.NoEntryReachable && error !is CallError.AnswerLost) return answer
+            unreachable += error.detail
+        }
+        return Err(CallError.NoEntryReachable(unreachable.joinToString("; ")))
+    }
+
+    private suspend fun call(
+        entry: String,
+        method: HttpMethod,
+        path: String,
+        configure: HttpRequestBuilder.() -> Unit = {},
+    ): Result<EntryResponse, CallError> = try {
+        val response = client.request(entry.trimEnd('/') + path) {
+            this.method = method
+            bearerAuth(token)
+            configure()
+        }
+        classify(entry, EntryResponse(response.status, response.bodyAsText()))
+    } catch (failure: ConnectException) {
+        Err(CallError.NoEntryReachable("$entry: ${failure.message}"))
+    } catch (failure: IOException) {
+        Err(CallError.AnswerLost("$entry: ${failure.message}"))
+    }
+
+    private fun classify(entry: String, response: EntryResponse): Result<EntryResponse, CallError> {
+        val detail = "$entry answered ${response.status.value}: ${response.body.trim()}"
+        return when (response.status) {
+            HttpStatusCode.Unauthorized, HttpStatusCode.Forbidden -> Err(CallError.NotAuthorized(detail))
+            HttpStatusCode.NotFound -> Err(CallError.NotFound(detail))
+            else -> Ok(response)
+        }
+    }
+
+    private inline fun <reified T> decode(answer: Result<EntryResponse, CallError>): Result<T, CallError> {
+        val response = answer.getOrElse { return Err(it) }
+        if (!response.status.isSuccess()) {
+            return Err(CallError.Rejected("answered ${response.status.value}: ${response.body.trim()}"))
+        }
+        return parse<T>(response).let { parsed ->
+            if (parsed == null) Err(CallError.Rejected("the answer can not be read")) else Ok(parsed)
+        }
+    }
+
+    /** A change's answer has a body of its own whatever its status; without one its outcome is not known. */
+    private fun decodeChange(answer: Result<EntryResponse, CallError>): Result<ChangeAnswer, CallError> {
+        val response = answer.getOrElse { return Err(it) }
+        val parsed = parse<ChangeAnswer>(response)
+        return when {
+            parsed != null -> Ok(parsed)
+            response.status == HttpStatusCode.BadRequest -> Err(CallError.Rejected(response.body.trim()))
+            else -> Err(CallError.AnswerLost("answered ${response.status.value}: ${response.body.trim()}"))
+        }
+    }
+
+    private inline fun <reified T> parse(response: EntryResponse): T? = try {
+        json.decodeFromString<T>(response.body)
+    } catch (_: SerializationException) {
+        null
+    }
+
+    private class EntryResponse(val status: HttpStatusCode, val body: String)
+
+    private companion object {
+        /** Time to wait for a connection, in milliseconds. */
+        const val CONNECT_TIMEOUT_MILLIS = 2_000L
+
+        /** Time to wait for an answer, in milliseconds. */
+        const val REQUEST_TIMEOUT_MILLIS = 15_000L
+    }
+}
+
+/** What one entry answered. */
+data class EntryAnswer(val entry: String, val status: Result<EntryStatus, CallError>)
--- /dev/null
+++ b/cli/src/main/kotlin/org/bilberryhead/cli/commands/BilberryCommand.kt
@@ -0,0 +1,55 @@
+package org.bilberryhead.cli.commands
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.UsageError
+import com.github.ajalt.clikt.core.obj
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.multiple
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.enum
+import com.github.ajalt.clikt.parameters.types.path
+import org.bilberryhead.cli.ExitCode
+import org.bilberryhead.cli.client.OperatorClient
+import java.nio.file.Path
+import kotlin.io.path.readText
+
+/** How results are printed. */
+enum class OutputFormat { TEXT, JSON }
+
+/** The operators' command, `bilberry`. */
+class BilberryCommand : CliktCommand("bilberry") {
+    private val entries by option("--entry", envvar = "BILBERRY_ENTRY", help = "Address of an entry. May be repeated.")
+        .multiple()
+    private val tokenFile by option("--token-file", help = "File with the operator's token.")
+        .path(mustExist = true, canBeDir = false, mustBeReadable = true)
+    private val token by option(envvar = "BILBERRY_TOKEN", names = arrayOf("--token"), hidden = true)
+    private val output by option("--output", help = "Form of the output.").enum<OutputFormat> { it.name.lowercase() }
+        .default(OutputFormat.TEXT)
+
+    override fun help(context: Context): String = "Shows and changes the tables of a bilberryhead system."
+
+    override fun helpEpilog(context: Context): String = "Exit status: " + ExitCode.entries.joinToString {
+        "${it.code} ${it.name.lowercase().replace('_', ' ')}"
+    }
+
+    override fun run() {
+        currentContext.obj = Session(entries, tokenFile, token, output)
+    }
+}
+
+/** What the global options say. */
+class Session(
+    private val entries: List<String>,
+    private val tokenFile: Path?,
+    private val token: String?,
+    val output: OutputFormat,
+) {
+    /** Returns a client of the named entries; fails when an option that it needs is missing. */
+    fun connect(): OperatorClient {
+        if (entries.isEmpty()) throw UsageError("name an entry with --entry or BILBERRY_ENTRY")
+        val text = tokenFile?.readText() ?: token
+        if (text.isNullOrBlank()) throw UsageError("give a token with --token-file or BILBERRY_TOKEN")
+        return OperatorClient(entries, text.trim())
+    }
+}
--- /dev/null
+++ b/cli/src/main/kotlin/org/bilberryhead/cli/commands/ChangeCommands.kt
@@ -0,0 +1,153 @@
+package org.bilberryhead.cli.commands
+
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.path
+import com.github.michaelbull.result.fold
+import org.bilberryhead.cli.ExitCode
+import org.bilberryhead.cli.TableDiff
+import org.bilberryhead.cli.client.ChangeSubmission
+import org.bilberryhead.cli.client.OperatorClient
+import org.bilberryhead.cli.file.TablesFile
+import org.bilberryhead.cli.file.TablesFileReader
+import org.bilberryhead.core.common.ChangeId
+import org.bilberryhead.core.tables.TableChange
+import org.bilberryhead.core.tables.Tables
+import org.bilberryhead.operator.ChangeAnswer
+import java.io.IOException
+import java.nio.file.Path
+import java.util.UUID
+import kotlin.io.path.createTempFile
+import kotlin.io.path.deleteIfExists
+import kotlin.io.path.writeText
+import kotlin.time.Clock
+
+/** A command that proposes a change. */
+abstract class ChangeCommand(name: String, private val clock: Clock) : SessionCommand(name) {
+    /** Whether to propose without asking. */
+    protected val isConfirmed by option("--yes", help = "Do not ask before the change is sent.").flag()
+
+    private val summary by option("--summary", help = "What the change is for, kept in the history.").default("")
+
+    /** Shows how [wanted] differs from [current], asks, proposes the change and tells what became of it. */
+    protected suspend fun propose(client: OperatorClient, current: Tables, wanted: TablesFile) {
+        val change = TableChange.between(
+            from = current,
+            routes = wanted.coreRoutes(),
+            pools = wanted.corePools(),
+            id = ChangeId(UUID.randomUUID().toString()),
+            author = "",
+            madeAt = clock.now(),
+            summary = summary,
+        )
+        if (change.isEmpty) {
+            echo("no difference from version ${current.version}", err = session.output == OutputFormat.JSON)
+            return
+        }
+        TableDiff.lines(TablesFile.of(current), wanted).forEach { echo(it, err = session.output == OutputFormat.JSON) }
+        if (!isConfirmed && !ask("Apply to version ${current.version}?")) {
+            echo("nothing was sent", err = true)
+            exit(ExitCode.NOT_COMMITTED)
+        }
+        val answer = ChangeSubmission(client, clock).submit(change) { reason ->
+            echo("the answer was lost or unknown ($reason); asking for change ${change.id}", err = true)
+        }.orExit()
+        show(ChangeAnswer.serializer(), answer) { describeAnswer(change, answer) }
+        exit(exitCodeOf(answer))
+    }
+
+    /** Asks the operator [question]; anything but yes is no. */
+    protected fun ask(question: String): Boolean {
+        echo("$question [y/N] ", trailingNewline = false, err = true)
+        return readlnOrNull().orEmpty().trim().lowercase() in setOf("y", "yes")
+    }
+
+    private fun describeAnswer(change: TableChange, answer: ChangeAnswer) = when (answer) {
+        is ChangeAnswer.Accepted ->
+            echo("accepted as version ${answer.version}; other live processes that hold it: ${answer.holders}")
+        is ChangeAnswer.LostRace -> {
+            echo("another change came first; nothing was changed", err = true)
+            echo("  yours:     ${describe(answer.proposed)}", err = true)
+            echo("  the other: ${answer.winner?.let(::describe) ?: "not known"}", err = true)
+        }
+        is ChangeAnswer.Invalid -> {
+            echo("the tables would not be valid; nothing was changed", err = true)
+            answer.problems.forEach { echo("  $it", err = true) }
+        }
+        is ChangeAnswer.NotCommitted ->
+            echo("change ${change.id} was not committed and will not be: ${answer.detail}", err = true)
+        is ChangeAnswer.Unknown -> echo(
+            "change ${change.id} may be committed: ${answer.detail}; look for its id in `bilberry tables history`",
+            err = true,
+        )
+    }
+
+    private fun exitCodeOf(answer: ChangeAnswer): ExitCode = when (answer) {
+        is ChangeAnswer.Accepted -> ExitCode.DONE
+        is ChangeAnswer.LostRace -> ExitCode.LOST_RACE
+        is ChangeAnswer.Invalid -> ExitCode.INVALID_TABLES
+        is ChangeAnswer.NotCommitted -> ExitCode.NOT_COMMITTED
+        is ChangeAnswer.Unknown -> ExitCode.OUTCOME_UNKNOWN
+    }
+}
+
+/** Puts the tables of a file in force. */
+class ApplyCommand(clock: Clock) : ChangeCommand("apply", clock) {
+    private val file by argument("FILE").path(mustExist = true, canBeDir = false)
+
+    override fun help(context: Context): String = "Show the difference and put the tables of a file in force."
+
+    override fun run() {
+        val wanted = readTables(file)
+        withClient { client -> propose(client, client.tables().orExit(), wanted) }
+    }
+}
+
+/** Opens the tables in force in the operator's editor and puts the result in force. */
+class EditCommand(clock: Clock) : ChangeCommand("edit", clock) {
+    private val editor by option("--editor", envvar = "EDITOR", help = "Command of the editor.").default("vi")
+
+    override fun help(context: Context): String = "Edit the tables in force in an editor."
+
+    override fun run() = withClient { client ->
+        val current = client.tables().orExit()
+        val file = createTempFile("bilberry-tables-", ".yaml")
+        try {
+            file.writeText("# version ${current.version}\n" + TablesFileReader.write(TablesFile.of(current)))
+            propose(client, current, editUntilValid(file))
+        } finally {
+            file.deleteIfExists()
+        }
+    }
+
+    private fun editUntilValid(file: Path): TablesFile {
+        while (true) {
+            openEditor(file)
+            val tables = TablesFileReader.read(contentOf(file)).fold(
+                success = { it },
+                failure = { problems ->
+                    showProblems(file, problems)
+                    null
+                },
+            )
+            if (tables != null) return tables
+            if (!ask("Edit again?")) exit(ExitCode.INVALID_TABLES)
+        }
+    }
+
+    private fun openEditor(file: Path) {
+        val status = try {
+            ProcessBuilder("sh", "-c", "$editor \"\$1\"", "sh", file.toString()).inheritIO().start().waitFor()
+        } catch (failure: IOException) {
+            echo("error: can not start the editor: ${failure.message}", err = true)
+            exit(ExitCode.USAGE)
+        }
+        if (status != 0) {
+            echo("error: the editor ended with status $status; nothing was sent", err = true)
+            exit(ExitCode.USAGE)
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/kotlin/org/bilberryhead/cli/commands/SessionCommand.kt
@@ -0,0 +1,80 @@
+package org.bilberryhead.cli.commands
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.core.requireObject
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.onFailure
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.Json
+import org.bilberryhead.cli.ExitCode
+import org.bilberryhead.cli.client.CallError
+import org.bilberryhead.cli.client.OperatorClient
+import org.bilberryhead.cli.file.FileProblem
+import org.bilberryhead.cli.file.TablesFile
+import org.bilberryhead.cli.file.TablesFileReader
+import java.io.IOException
+import java.nio.file.Path
+import kotlin.io.path.readText
+
+/** A subcommand that uses the global options. */
+abstract class SessionCommand(name: String) : CliktCommand(name) {
+    private val json = Json {
+        encodeDefaults = true
+        prettyPrint = true
+    }
+
+    /** What the global options say. */
+    protected val session by requireObject<Session>()
+
+    /** Runs [work] with a client of the entries. */
+    protected fun <T> withClient(work: suspend (OperatorClient) -> T): T =
+        session.connect().use { client -> runBlocking { work(client) } }
+
+    /** Returns the value, or ends the command with the error's exit status. */
+    protected fun <T> Result<T, CallError>.orExit(): T = getOrElse { error ->
+        echo("error: ${error.detail}", err = true)
+        exit(exitCodeOf(error))
+    }
+
+    /** Prints [value] as JSON, or what [text] prints. */
+    protected fun <T> show(serializer: KSerializer<T>, value: T, text: () -> Unit) {
+        when (session.output) {
+            OutputFormat.JSON -> echo(json.encodeToString(serializer, value))
+            OutputFormat.TEXT -> text()
+        }
+    }
+
+    /** Returns the tables in [file], or prints every fault and ends the command. */
+    protected fun readTables(file: Path): TablesFile = TablesFileReader.read(contentOf(file))
+        .onFailure { showProblems(file, it) }
+        .getOrElse { exit(ExitCode.INVALID_TABLES) }
+
+    /** Prints the faults of [file]. */
+    protected fun showProblems(file: Path, problems: List<FileProblem>) {
+        show(ListSerializer(FileProblem.serializer()), problems) {
+            problems.forEach { echo("$file: $it", err = true) }
+        }
+    }
+
+    /** Returns the text of [file], or ends the command. */
+    protected fun contentOf(file: Path): String = try {
+        file.readText()
+    } catch (failure: IOException) {
+        echo("error: can not read $file: ${failure.message}", err = true)
+        exit(ExitCode.USAGE)
+    }
+
+    /** Ends the command. */
+    protected fun exit(code: ExitCode): Nothing = throw ProgramResult(code.code)
+
+    private fun exitCodeOf(error: CallError): ExitCode = when (error) {
+        is CallError.NoEntryReachable -> ExitCode.NO_ENTRY_REACHABLE
+        is CallError.NotAuthorized -> ExitCode.NOT_AUTHORIZED
+        is CallError.NotFound, is CallError.Rejected -> ExitCode.USAGE
+        is CallError.AnswerLost -> ExitCode.OUTCOME_UNKNOWN
+    }
+}
--- /dev/null
+++ b/cli/src/main/kotlin/org/bilberryhead/cli/commands/TablesCommands.kt
@@ -0,0 +1,98 @@
+package org.bilberryhead.cli.commands
+
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.NoOpCliktCommand
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.int
+import com.github.ajalt.clikt.parameters.types.path
+import com.github.ajalt.clikt.parameters.types.restrictTo
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.builtins.serializer
+import org.bilberryhead.cli.TableDiff
+import org.bilberryhead.cli.file.FileProblem
+import org.bilberryhead.cli.file.TablesFile
+import org.bilberryhead.cli.file.TablesFileReader
+import org.bilberryhead.core.tables.TableChange
+import org.bilberryhead.core.tables.Tables
+
+private const val DEFAULT_HISTORY_LENGTH = 20
+
+/** Groups the commands about tables. */
+class TablesCommand : NoOpCliktCommand("tables") {
+    override fun help(context: Context): String = "Show, check and change the routes and pools tables."
+}
+
+/** Shows the tables in force, in the form of a tables file. */
+class ShowCommand : SessionCommand("show") {
+    override fun help(context: Context): String = "Print the tables in force."
+
+    override fun run() {
+        val tables = withClient { it.tables() }.orExit()
+        show(Tables.serializer(), tables) {
+            echo("# version ${tables.version}")
+            echo(TablesFileReader.write(TablesFile.of(tables)), trailingNewline = false)
+        }
+    }
+}
+
+/** Finds every fault of a tables file, without any entry. */
+class CheckCommand : SessionCommand("check") {
+    private val file by argument("FILE").path(mustExist = true, canBeDir = false)
+
+    override fun help(context: Context): String = "List every fault of a tables file."
+
+    override fun run() {
+        val tables = readTables(file)
+        show(ListSerializer(FileProblem.serializer()), emptyList()) {
+            echo("$file: no fault found in ${tables.routes.size} routes and ${tables.pools.size} pools")
+        }
+    }
+}
+
+/** Shows how a tables file differs from the tables in force. */
+class DiffCommand : SessionCommand("diff") {
+    private val file by argument("FILE").path(mustExist = true, canBeDir = false)
+
+    override fun help(context: Context): String = "Show how a tables file differs from the tables in force."
+
+    override fun run() {
+        val wanted = readTables(file)
+        val current = withClient { it.tables() }.orExit()
+        val lines = TableDiff.lines(TablesFile.of(current), wanted)
+        show(ListSerializer(String.serializer()), lines) {
+            if (lines.isEmpty()) echo("no difference from version ${current.version}")
+            lines.forEach { echo(it) }
+        }
+    }
+}
+
+/** Lists the newest changes. */
+class HistoryCommand : SessionCommand("history") {
+    private val limit by option("--limit", help = "Number of changes to list.").int().restrictTo(min = 1)
+        .default(DEFAULT_HISTORY_LENGTH)
+
+    override fun help(context: Context): String = "List the newest changes, newest first."
+
+    override fun run() {
+        val changes = withClient { it.history(limit) }.orExit()
+        show(ListSerializer(TableChange.serializer()), changes) {
+            if (changes.isEmpty()) echo("no change yet")
+            changes.forEach { echo(describe(it)) }
+        }
+    }
+}
+
+/** Returns one line about [change]. */
+internal fun describe(change: TableChange): String {
+    val rows = buildList {
+        addAll(change.putRoutes.map { "put route ${it.kind}" })
+        addAll(change.deleteRoutes.map { "delete route $it" })
+        addAll(change.putPools.map { "put pool ${it.name}" })
+        addAll(change.deletePools.map { "delete pool $it" })
+    }
+    val summary = if (change.summary.isBlank()) "" else " \"${change.summary}\""
+    return "version ${change.version} by ${change.author.ifBlank { "you" }} at ${change.madeAt}, " +
+        "change ${change.id}$summary: ${rows.joinToString()}"
+}
--- /dev/null
+++ b/cli/src/test/kotlin/org/bilberryhead/cli/ChangeSubmissionTest.kt
@@ -0,0 +1,83 @@
+package org.bilberryhead.cli
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import org.bilberryhead.cli.client.CallError
+import org.bilberryhead.cli.client.ChangeCalls
+import org.bilberryhead.cli.client.ChangeSubmission
+import org.bilberryhead.core.common.ChangeId
+import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.tables.TableChange
+import org.bilberryhead.core.testing.TestClock
+import org.bilberryhead.operator.ChangeAnswer
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+private class FakeCalls(
+    private val proposed: Result<ChangeAnswer, CallError>,
+    private val outcomes: List<Result<ChangeAnswer, CallError>>,
+    private val clock: TestClock,
+) : ChangeCalls {
+    val calls = mutableListOf<String>()
+    private var asked = 0
+
+    override suspend fun propose(change: TableChange) = proposed.also { calls += "propose" }
+
+    override suspend fun outcome(id: ChangeId): Result<ChangeAnswer, CallError> {
+        clock.advance(1.seconds)
+        calls += "ask ${id.value}"
+        return outcomes[asked++.coerceAtMost(outcomes.lastIndex)]
+    }
+}
+
+class ChangeSubmissionTest :
+    DescribeSpec({
+        val accepted: ChangeAnswer = ChangeAnswer.Accepted(TableVersion(2), holders = 1)
+        val change = TableChange(ChangeId("c1"), TableVersion(1), author = "", madeAt = TestClock.START)
+        val lost = CallError.AnswerLost("reset")
+
+        suspend fun submit(calls: FakeCalls, clock: TestClock) =
+            ChangeSubmission(calls, clock, limit = 3.seconds, interval = Duration.ZERO).submit(change) { }
+
+        describe("a proposed change") {
+            it("is told at once when its answer arrives") {
+                val clock = TestClock()
+                val calls = FakeCalls(Ok(accepted), emptyList(), clock)
+
+                submit(calls, clock) shouldBe Ok(accepted)
+
+                calls.calls shouldContainExactly listOf("propose")
+            }
+
+            it("is proposed once and then asked for by its id when its answer is lost") {
+                val clock = TestClock()
+                val calls = FakeCalls(Err(lost), listOf(Err(lost), Ok(accepted)), clock)
+
+                submit(calls, clock) shouldBe Ok(accepted)
+
+                calls.calls shouldContainExactly listOf("propose", "ask c1", "ask c1")
+            }
+
+            it("stays unknown when no entry can tell within the limit") {
+                val clock = TestClock()
+                val unknown = ChangeAnswer.Unknown("store down")
+                val calls = FakeCalls(Ok(unknown), listOf(Ok(unknown)), clock)
+
+                submit(calls, clock) shouldBe Ok(unknown)
+            }
+
+            it("is an error without asking when no connection was made") {
+                val clock = TestClock()
+                val unreachable = CallError.NoEntryReachable("refused")
+                val calls = FakeCalls(Err(unreachable), emptyList(), clock)
+
+                submit(calls, clock) shouldBe Err(unreachable)
+
+                calls.calls shouldContainExactly listOf("propose")
+            }
+        }
+    })
