Switch every fault of the platform and the endpoints over HTTP

Cause: the stand-ins lacked a lagging VM list, silence before an effect, late and reordered answers, bursts, streamed answers, engine orders, limits per endpoint, and anything between two processes that could cut or hold bytes.

Change: those faults; a writes-only switch for the services; engine orders with fencing numbers that are checked or ignored; a TCP relay that passes, cuts, holds one way, delays, or loses track of open connections for good; recorded effects can be cleared.

--- a/standin/src/main/kotlin/org/bilberryhead/standin/EndpointStandin.kt
+++ b/standin/src/main/kotlin/org/bilberryhead/standin/EndpointStandin.kt
@@ -8,11 +8,14 @@
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.Route
 import io.ktor.server.routing.RoutingContext
+import io.ktor.server.routing.delete
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import io.ktor.utils.io.writeStringUtf8
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
@@ -22,15 +25,17 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** One effect that an endpoint had, as the stand-in recorded it. */
 @Serializable
 data class RecordedEffect(val request: String, val attempt: String, val stage: String, val endpoint: String)
 
 /** Plays every endpoint; each call's effect is recorded with its request id. */
-class EndpointStandin(private val serviceTime: Duration, endpoints: List<StandinEndpoint>) {
+class EndpointStandin(private val settings: StandinSettings) {
     private val json = Json
-    private val speeds = endpoints.associate { it.id to it.speed }
+    private val configured = settings.endpoints.associateBy { it.id }
+    private val limits = ConcurrentHashMap<String, Semaphore>()
     private val faults = ConcurrentHashMap<String, FaultSwitch<EndpointFault>>()
     private val effects = ConcurrentLinkedQueue<RecordedEffect>()
 
@@ -43,29 +48,59 @@
             call.respondText("set\n")
         }
         get("/effects") { call.respondText(json.encodeToString(effects.toList()), ContentType.Application.Json) }
+        delete("/effects") {
+            effects.clear()
+            call.respondText("cleared\n")
+        }
     }
 
     private suspend fun RoutingContext.serve() {
         val endpoint = name("endpoint")
-        val fault = faultsOf(endpoint).next()
+        val hit = faultsOf(endpoint).next()
         val input = call.receiveText()
-        if (fault.kind == EndpointFaultKind.FAIL_BEFORE_EFFECT) return fail()
-        if (fault.kind == EndpointFaultKind.REFUSE) return refuse()
-        val factor = if (fault.kind == EndpointFaultKind.STRAGGLE) fault.factor else 1.0
-        delay(serviceTime * factor / (speeds[endpoint] ?: 1.0))
-        val effect = RecordedEffect(
-            request = call.request.headers["X-Request-Id"].orEmpty(),
-            attempt = call.request.headers["X-Attempt-Id"].orEmpty(),
-            stage = name("stage"),
-            endpoint = endpoint,
-        )
-        effects += effect
-        val answer = answer(effect, input)
-        when (fault.kind) {
-            EndpointFaultKind.FAIL_AFTER_EFFECT -> fail()
-            EndpointFaultKind.SILENT -> awaitCancellation()
-            EndpointFaultKind.CUT -> cutOff(answer)
-            else -> call.respondText(answer, ContentType.Application.Json)
+        when (hit.fault.kind) {
+            EndpointFaultKind.FAIL_BEFORE_EFFECT -> return fail()
+            EndpointFaultKind.REFUSE -> return refuse()
+            EndpointFaultKind.SILENT_BEFORE_EFFECT -> awaitCancellation()
+            else -> Unit
+        }
+        val effect = effectOf(endpoint)
+        limitOf(endpoint).withPermit {
+            delay(serviceTime(endpoint, hit))
+            effects += effect
+        }
+        respond(hit.fault, answer(effect, input))
+    }
+
+    private suspend fun RoutingContext.respond(fault: EndpointFault, answer: String) = when (fault.kind) {
+        EndpointFaultKind.FAIL_AFTER_EFFECT -> fail()
+        EndpointFaultKind.SILENT -> awaitCancellation()
+        EndpointFaultKind.CUT -> cutOff(answer)
+        EndpointFaultKind.LATE_ANSWER -> {
+            delay(fault.delayMillis)
+            call.respondText(answer, ContentType.Application.Json)
+        }
+        else -> if (isStreamed()) stream(answer) else call.respondText(answer, ContentType.Application.Json)
+    }
+
+    private fun RoutingContext.effectOf(endpoint: String) = RecordedEffect(
+        request = call.request.headers["X-Request-Id"].orEmpty(),
+        attempt = call.request.headers["X-Attempt-Id"].orEmpty(),
+        stage = name("stage"),
+        endpoint = endpoint,
+    )
+
+    private fun RoutingContext.isStreamed() =
+        call.request.headers["X-Streamed"] == "true" || name("stage") in settings.streamedStages
+
+    private fun serviceTime(endpoint: String, hit: FaultHit<EndpointFault>): Duration {
+        val usual = settings.serviceTime / (configured[endpoint]?.speed ?: 1.0)
+        val extra = hit.fault.delayMillis.milliseconds
+        return when (hit.fault.kind) {
+            EndpointFaultKind.STRAGGLE -> usual * hit.fault.factor
+            EndpointFaultKind.BURST -> usual + extra
+            EndpointFaultKind.REORDER -> if (hit.number % 2 == 0L) usual + extra else usual
+            else -> usual
         }
     }
 
@@ -77,12 +112,27 @@
         call.respondText("not run\n", status = HttpStatusCode.ServiceUnavailable)
     }
 
-    private suspend fun RoutingContext.cutOff(answer: String) =
-        call.respondBytesWriter(ContentType.Application.Json, contentLength = answer.length.toLong()) {
+    private suspend fun RoutingContext.stream(answer: String) = call.respondBytesWriter(ContentType.Application.Json) {
+        for (part in partsOf(answer)) {
+            writeStringUtf8(part)
+            flush()
+            delay(settings.partDelay)
+        }
+    }
+
+    private suspend fun RoutingContext.cutOff(answer: String) {
+        val length = if (isStreamed()) null else answer.length.toLong()
+        call.respondBytesWriter(ContentType.Application.Json, contentLength = length) {
             writeStringUtf8(answer.take(answer.length / 2))
             flush()
             throw IOException("cut off on purpose")
         }
+    }
+
+    private fun partsOf(answer: String): List<String> {
+        val partLength = (answer.length + settings.parts - 1) / settings.parts
+        return answer.chunked(partLength.coerceAtLeast(1))
+    }
 
     private fun answer(effect: RecordedEffect, input: String): String {
         val previous = json.parseToJsonElement(input.ifBlank { "{}" })
@@ -95,8 +145,12 @@
         return json.encodeToString(answered)
     }
 
+    private fun limitOf(endpoint: String) = limits.computeIfAbsent(endpoint) {
+        Semaphore(configured[endpoint]?.concurrency ?: settings.concurrency)
+    }
+
     private fun faultsOf(endpoint: String) =
         faults.computeIfAbsent(endpoint) { FaultSwitch(EndpointFault(EndpointFaultKind.NONE)) }
 }
 
-private fun RoutingContext.name(parameter: String): String = call.parameters[parameter].orEmpty()
+internal fun RoutingContext.name(parameter: String): String = call.parameters[parameter].orEmpty()
--- a/standin/src/main/kotlin/org/bilberryhead/standin/Main.kt
+++ b/standin/src/main/kotlin/org/bilberryhead/standin/Main.kt
@@ -12,12 +12,17 @@
 class StandinCommand : DaemonCommand<StandinSettings>("bilberry-standin", StandinSettings.serializer()) {
     override suspend fun serve(settings: StandinSettings) {
         val platform = PlatformStandin()
-        val endpoints = EndpointStandin(settings.serviceTime, settings.endpoints)
+        val endpoints = EndpointStandin(settings)
+        val engines = EngineStandin(settings.endpoints)
+        val relays = RelayStandin(settings.relays)
+        relays.start()
         val server = embeddedServer(Netty, settings.listen.port, settings.listen.host) {
             routing {
                 get("/health/ready") { call.respondText("ready\n") }
                 platform.install(this)
                 endpoints.install(this)
+                engines.install(this)
+                relays.install(this)
             }
         }
         server.start(wait = true)
--- a/standin/src/main/kotlin/org/bilberryhead/standin/PlatformStandin.kt
+++ b/standin/src/main/kotlin/org/bilberryhead/standin/PlatformStandin.kt
@@ -8,6 +8,7 @@
 import io.ktor.server.response.respondBytes
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.Route
+import io.ktor.server.routing.RoutingContext
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import io.ktor.server.routing.put
@@ -15,11 +16,11 @@
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.Json
 import org.bilberryhead.platform.Condition
-import org.bilberryhead.platform.ListedVm
 import org.bilberryhead.platform.StoredRow
 import org.bilberryhead.platform.Transaction
 import java.util.TreeMap
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Plays the table service, the object store and the VM list, in memory. */
 class PlatformStandin {
@@ -30,16 +31,16 @@
         FaultSwitch(PlatformFault(service, PlatformFaultKind.NONE))
     }
 
-    @Volatile
-    private var vms = emptyList<ListedVm>()
+    private val vms = LaggingVmList()
 
     /** Adds the routes of the platform and of its faults. */
     fun install(route: Route) = with(route) {
         tableRoutes()
         objectRoutes()
-        get("/vms") { underFault(PlatformService.VMS) { Answer.text(json.encodeToString(vms)) } }
+        get("/vms") { underFault(PlatformService.VMS) { Answer.text(json.encodeToString(vms.shown())) } }
         put("/vms") {
-            vms = json.decodeFromString(call.receiveText())
+            val lagMillis = call.parameter("lagMillis").toLongOrNull() ?: 0
+            vms.set(json.decodeFromString(call.receiveText()), lagMillis.milliseconds)
             call.respondText("set\n")
         }
         post("/faults/platform") {
@@ -61,7 +62,7 @@
         }
         post("/tables/transactions") {
             val transaction = json.decodeFromString<Transaction>(call.receiveText())
-            underFault(PlatformService.TABLES) { commit(transaction) }
+            underFault(PlatformService.TABLES, isWrite = true) { commit(transaction) }
         }
     }
 
@@ -73,7 +74,7 @@
         }
         put("/objects/{name...}") {
             val content = call.receive<ByteArray>()
-            underFault(PlatformService.OBJECTS) {
+            underFault(PlatformService.OBJECTS, isWrite = true) {
                 objects[parameters.getAll("name").orEmpty().joinToString("/")] = content
                 Answer.text("stored\n")
             }
@@ -102,15 +103,17 @@
         is Condition.HasVersion -> rows[condition.key]?.version == condition.version
     }
 
-    private suspend fun io.ktor.server.routing.RoutingContext.underFault(
+    private suspend fun RoutingContext.underFault(
         service: PlatformService,
+        isWrite: Boolean = false,
         work: ApplicationCall.() -> Answer,
     ) {
-        val fault = faults.getValue(service).next()
+        val fault = faults.getValue(service).next { isWrite || !it.writesOnly }.fault
         if (fault.kind == PlatformFaultKind.DOWN) {
             call.respondText("down\n", status = HttpStatusCode.ServiceUnavailable)
             return
         }
+        if (fault.kind == PlatformFaultKind.SILENT) awaitCancellation()
         if (fault.kind == PlatformFaultKind.SLOW) delay(fault.delayMillis)
         val answer = call.work()
         if (fault.kind == PlatformFaultKind.LOSE_ANSWERS) awaitCancellation()
