Add the policies under load and an experiment in virtual time

Cause: endpoints were chosen by attempts in flight only, and sidecars took work that could not end in time. Change: PolicySelector with ChoicePolicy, GateAdmission, FairShares, AdmissionControl, DeadlineSplitter, HedgePolicy; bilberry-load policy runs them beside simple baselines.

--- /dev/null
+++ b/core/src/main/kotlin/org/bilberryhead/core/admission/FairShares.kt
@@ -0,0 +1,106 @@
+package org.bilberryhead.core.admission
+
+import org.bilberryhead.core.common.ClientAccount
+import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicLongArray
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.math.max
+import kotlin.math.min
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/**
+ * Tells which client accounts ask for more than their max-min fair share of what can be served. Demand is counted in a
+ * count-min sketch over two windows, so that the memory does not grow with the number of accounts.
+ *
+ * Safe for use by several threads; updates take no locks.
+ *
+ * @param window length of one window
+ */
+class FairShares(private val window: Duration = 1.seconds) {
+    private val state = AtomicReference(Windows(Instant.DISTANT_PAST, Counts(), Counts(), Double.MAX_VALUE))
+
+    /** Counts one unit of demand of [account]. */
+    fun recordDemand(account: ClientAccount, now: Instant) = current(now).newest.add(account)
+
+    /** Counts one unit of demand that could be served without overload. */
+    fun recordGranted(now: Instant) {
+        current(now).newest.granted.incrementAndGet()
+    }
+
+    /** Whether [account] asks for more than its share. */
+    fun isOverShare(account: ClientAccount, now: Instant): Boolean {
+        val windows = current(now)
+        val elapsed = ((now - windows.startedAt) / window).coerceIn(0.0, 1.0)
+        val older = windows.older.of(account)
+        val newest = windows.newest.of(account)
+        val rate = max(older * (1 - elapsed) + newest, newest.toDouble())
+        return rate > max(windows.level * TOLERANCE, 1.0)
+    }
+
+    private fun current(now: Instant): Windows {
+        while (true) {
+            val windows = state.get()
+            val age = now - windows.startedAt
+            if (age < window) return windows
+            val older = if (age < window * 2) windows.newest else Counts()
+            val next = Windows(now, Counts(), older, older.fairLevel())
+            if (state.compareAndSet(windows, next)) return next
+        }
+    }
+
+    /** What was counted in one window. */
+    private class Counts {
+        val granted = AtomicLong()
+        private val cells = AtomicLongArray(ROWS * COLUMNS)
+
+        fun add(account: ClientAccount) {
+            for (row in 0 until ROWS) cells.incrementAndGet(cell(account, row))
+        }
+
+        fun of(account: ClientAccount): Long {
+            var least = Long.MAX_VALUE
+            for (row in 0 until ROWS) least = min(least, cells.get(cell(account, row)))
+            return least
+        }
+
+        /** Returns the level at which the demands, each cut to it, add up to what was granted. */
+        fun fairLevel(): Double {
+            val demands = (0 until COLUMNS).map { cells.get(it) }.filter { it > 0 }.sorted()
+            if (demands.isEmpty()) return Double.MAX_VALUE
+            var left = granted.get().toDouble()
+            if (left >= demands.sum() * FULLY_GRANTED) return demands.last().toDouble()
+            demands.forEachIndexed { index, demand ->
+                val equalPart = left / (demands.size - index)
+                if (demand > equalPart) return equalPart
+                left -= demand
+            }
+            return demands.last().toDouble()
+        }
+
+        private fun cell(account: ClientAccount, row: Int): Int {
+            val mixed = account.value.hashCode() * MULTIPLIERS[row]
+            return row * COLUMNS + (mixed ushr HASH_SHIFT)
+        }
+    }
+
+    private class Windows(val startedAt: Instant, val newest: Counts, val older: Counts, val level: Double)
+
+    private companion object {
+        const val ROWS = 2
+        const val COLUMNS = 1024
+
+        /** Bits of a hash that are dropped, so that it names one of the columns. */
+        const val HASH_SHIFT = 22
+
+        /** Odd factors that give each row its own hash. */
+        val MULTIPLIERS = intArrayOf(-1_640_531_527, -2_048_144_789)
+
+        /** An account may exceed the fair level by this factor before it counts as over its share. */
+        const val TOLERANCE = 1.25
+
+        /** Share of the demand from which all of it counts as granted. */
+        const val FULLY_GRANTED = 0.98
+    }
+}
--- a/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
@@ -1,5 +1,7 @@
 package org.bilberryhead.core.gate
 
+import org.bilberryhead.core.admission.GateAdmission
+import org.bilberryhead.core.admission.GateOccupancy
 import org.bilberryhead.core.common.AttemptId
 import org.bilberryhead.core.common.Incarnation
 import org.bilberryhead.core.common.Payload
@@ -40,13 +42,13 @@
     private val incarnation: Incarnation,
     private var limits: GateLimits = GateLimits(),
     private val ledger: AttemptLedger = AttemptLedger(),
+    private val admission: GateAdmission = GateAdmission(),
 ) {
     private val queue = SidecarQueue(limits.queueCapacity)
     private val running = HashMap<AttemptId, RunningAttempt>()
     private val subscribers = HashMap<AttemptId, ConnectionId>()
     private val connections = LinkedHashSet<ConnectionId>()
     private var state = SidecarChart.chart.initial
-    private var serviceMillis = 0.0
 
     /** Current counts. */
     val status: GateStatus
@@ -113,23 +115,34 @@
             answerKnown(connection, dispatch.attempt, known, resumeAt = 0, actions)
             return
         }
-        val refusal = refusalFor(dispatch)
+        val rank = admission.rankOf(dispatch.clientAccount, now)
+        val refusal = refusalFor(dispatch, rank, now)
         if (refusal != null) {
             refuse(dispatch.attempt, refusal, now, actions)
             return
         }
         ledger.accept(dispatch.attempt, AttemptFingerprint(dispatch.clientAccount, dispatch.payload.hashCode()))
-        queue.add(QueuedAttempt(dispatch, now + dispatch.remainingMillis.milliseconds))
+        queue.add(QueuedAttempt(dispatch, now + dispatch.remainingMillis.milliseconds, rank))
     }
 
-    private fun refusalFor(dispatch: Dispatch): RefusalReason? = when {
+    private fun refusalFor(dispatch: Dispatch, rank: Int, now: Instant): RefusalReason? = when {
         dispatch.incarnation != incarnation -> RefusalReason.WRONG_INCARNATION
         state != SidecarState.SERVING -> RefusalReason.LEAVING
         dispatch.remainingMillis <= 0 -> RefusalReason.DEADLINE_PASSED
-        queue.isFull -> RefusalReason.QUEUE_FULL
-        else -> null
+        else -> refusalByLoad(dispatch, rank, now)
     }
 
+    private fun refusalByLoad(dispatch: Dispatch, rank: Int, now: Instant): RefusalReason? {
+        val remaining = dispatch.remainingMillis.milliseconds
+        val ahead = queue.countAhead(rank, now + remaining)
+        val occupancy = GateOccupancy(ahead, running.size, queue.size, queue.capacity, concurrency)
+        val refusal = admission.refusalFor(rank, remaining, occupancy)
+        admission.recordArrival(dispatch.clientAccount, refusal == null, now)
+        return refusal
+    }
+
+    private val concurrency: Int get() = admission.concurrency(limits.concurrency)
+
     private fun takeQuery(connection: ConnectionId, query: Query, now: Instant, actions: MutableList<GateAction>) {
         if (query.incarnation != incarnation) {
             actions += GateAction.Send(connection, Forgotten(query.attempt))
@@ -230,10 +243,12 @@
     }
 
     private fun startWaiting(now: Instant, actions: MutableList<GateAction>) {
-        for (expired in queue.removeExpired(now)) {
-            refuse(expired.dispatch.attempt, RefusalReason.DEADLINE_PASSED, now, actions)
+        for (hopeless in queue.removeHopeless(now, admission::latestStart)) {
+            val isExpired = hopeless.deadline <= now
+            val reason = if (isExpired) RefusalReason.DEADLINE_PASSED else RefusalReason.DEADLINE_UNREACHABLE
+            refuse(hopeless.dispatch.attempt, reason, now, actions)
         }
-        while (running.size < limits.concurrency) {
+        while (running.size < concurrency) {
             val next = queue.poll() ?: return
             running[next.dispatch.attempt] = RunningAttempt(next.dispatch, now)
             val remaining = (next.deadline - now).inWholeMilliseconds
@@ -256,20 +271,15 @@
         if (connection in connections) actions += GateAction.Send(connection, message)
     }
 
-    private fun recordService(millis: Double) {
-        serviceMillis = if (serviceMillis == 0.0) millis else serviceMillis + SMOOTHING * (millis - serviceMillis)
-    }
+    private fun recordService(millis: Double) = admission.recordService(millis)
 
-    private fun retryAfterMillis(): Long = ((queue.size + 1) * serviceMillis / limits.concurrency).toLong()
+    private fun retryAfterMillis(): Long = ((queue.size + 1) * admission.serviceMillis / concurrency).toLong()
 
-    private fun load() = LoadReport(queue.size, running.size, limits.concurrency, serviceMillis)
+    private fun load() = LoadReport(queue.size, running.size, concurrency, admission.serviceMillis)
 
     private data class RunningAttempt(val dispatch: Dispatch, val startedAt: Instant)
 
     private companion object {
         const val MICROS_PER_MILLI = 1000.0
-
-        /** Weight of the newest service time in the smoothed one. */
-        const val SMOOTHING = 0.2
     }
 }
--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
@@ -1,5 +1,8 @@
 package org.bilberryhead.core.pipeline
 
+import org.bilberryhead.core.admission.Admission
+import org.bilberryhead.core.admission.AdmissionControl
+import org.bilberryhead.core.admission.DeadlineSplitter
 import org.bilberryhead.core.common.AttemptId
 import org.bilberryhead.core.common.ClientAccount
 import org.bilberryhead.core.common.Payload
@@ -18,6 +21,7 @@
 import org.bilberryhead.core.message.Query
 import org.bilberryhead.core.message.Refused
 import org.bilberryhead.core.message.Running
+import org.bilberryhead.core.retry.HedgePolicy
 import org.bilberryhead.core.retry.RetryBudget
 import org.bilberryhead.core.routing.AttemptResult
 import org.bilberryhead.core.routing.EndpointSelector
@@ -51,12 +55,10 @@
  * @property cancelMargin how long before the deadline open attempts are cancelled, so that an answer can still tell
  *   whether they ran
  * @property askInterval how often an unanswered query is repeated
- * @property hedgeAfterShare part of the remaining time after which a hedge starts
  */
 data class ExecutionTimings(
     val cancelMargin: Duration = 100.milliseconds,
     val askInterval: Duration = 200.milliseconds,
-    val hedgeAfterShare: Double = 0.3,
 )
 
 /**
@@ -73,6 +75,7 @@
     private val selector: EndpointSelector,
     private val budget: RetryBudget,
     private val timings: ExecutionTimings = ExecutionTimings(),
+    private val admission: AdmissionControl = AdmissionControl.Open,
 ) {
     private val attempts = LinkedHashMap<AttemptId, AttemptRecord>()
     private val actions = mutableListOf<RequestAction>()
@@ -83,6 +86,7 @@
     private var lastFailure: FailureReason? = null
     private var lastRetryAfter: Duration? = null
     private var isComplete = false
+    private var mayRefuse = true
 
     private val stage: Stage get() = route.stages[stageIndex]
     private val isLastStage: Boolean get() = stageIndex == route.stages.lastIndex
@@ -111,6 +115,7 @@
     }
 
     private fun startStage(now: Instant) {
+        if (stageIndex == 0 && !isAdmitted(now)) return
         budget.recordFirstAttempt()
         val ticket = request.ticket
         if (ticket != null && !stage.idempotent) {
@@ -119,11 +124,28 @@
         }
         dispatchToChosen(now)
         if (stage.hedged && stage.idempotent) {
-            val hedgeAt = now + (request.deadline - now) * timings.hedgeAfterShare
-            actions += RequestAction.SetTimer(RequestTimer.HEDGE, hedgeAt)
+            val delay = HedgePolicy.delay(selector.stageTimes(stage.pool), route.objective, request.deadline - now)
+            actions += RequestAction.SetTimer(RequestTimer.HEDGE, now + delay)
         }
     }
 
+    private fun isAdmitted(now: Instant): Boolean {
+        val remaining = request.deadline - now
+        return when (val admitted = admission.check(request.clientAccount, route, tables, remaining, now)) {
+            is Admission.Admitted -> {
+                mayRefuse = admitted.mayRefuse
+                true
+            }
+            is Admission.Refused -> {
+                end(FailureReason.DEADLINE_UNREACHABLE, admitted.retryAfter, now)
+                false
+            }
+        }
+    }
+
+    private fun stageLimit(now: Instant): Duration =
+        DeadlineSplitter.limit(route.stages.drop(stageIndex), request.deadline - now, selector)
+
     private fun dispatchToChosen(now: Instant) {
         val target = chooseTarget(now) ?: return
         dispatch(target.location, target.why, target.candidates, now)
@@ -160,9 +182,11 @@
     private fun selectionRequest(pool: Pool, now: Instant) = SelectionRequest(
         request = request.id,
         pool = pool,
-        remaining = request.deadline - now,
+        remaining = stageLimit(now),
         objective = route.objective,
         avoid = attempts.values.filter { it.stageIndex == stageIndex }.map { it.location.endpoint }.toSet(),
+        mayProbe = stage.idempotent,
+        mayRefuse = mayRefuse && stageIndex == 0,
     )
 
     private fun dispatch(location: AttemptLocation, why: String, candidates: Int, now: Instant) {
@@ -175,7 +199,7 @@
             kind = route.kind,
             stage = stage.name,
             clientAccount = request.clientAccount,
-            remainingMillis = (request.deadline - now).inWholeMilliseconds,
+            remainingMillis = stageLimit(now).inWholeMilliseconds,
             idempotent = stage.idempotent,
             payload = input,
             streamed = route.streamed && isLastStage,
@@ -307,7 +331,7 @@
 
     private fun hedge(now: Instant) {
         val canHedge = stage.hedged && stage.idempotent && leader == null && openAttempts().size == 1
-        if (canHedge && budget.tryTake()) dispatchToChosen(now)
+        if (canHedge && budget.tryTakeHedge()) dispatchToChosen(now)
     }
 
     private fun askAgain(now: Instant) {
--- a/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointSelector.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointSelector.kt
@@ -3,6 +3,7 @@
 import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.EndpointId
 import org.bilberryhead.core.common.Incarnation
+import org.bilberryhead.core.common.PoolName
 import org.bilberryhead.core.common.RequestId
 import org.bilberryhead.core.message.LoadReport
 import org.bilberryhead.core.tables.Objective
@@ -22,6 +23,9 @@
  *
  * @property avoid endpoints that this stage has tried
  * @property remaining time until the deadline of the stage
+ * @property prefixHash groups requests that share a prompt prefix; 0 when unknown
+ * @property mayProbe whether the work may go to an endpoint that failed before, to see whether it works again
+ * @property mayRefuse whether to choose none when no endpoint is predicted to answer in time
  */
 data class SelectionRequest(
     val request: RequestId,
@@ -30,6 +34,8 @@
     val objective: Objective,
     val avoid: Set<EndpointId> = emptySet(),
     val prefixHash: Int = 0,
+    val mayProbe: Boolean = true,
+    val mayRefuse: Boolean = true,
 )
 
 /** The outcome of a choice, with what a log line needs to explain it. */
@@ -51,6 +57,15 @@
 /** How an attempt ended, as far as the choice of later endpoints cares. */
 enum class AttemptResult { ANSWERED, REFUSED, FAILED, ABANDONED }
 
+/**
+ * How long the endpoints of a pool take from dispatch to answer, as seen from this process.
+ *
+ * @property typical smoothed time
+ * @property late time that 19 in 20 attempts stay below
+ * @property veryLate time that 99 in 100 attempts stay below
+ */
+data class StageTimes(val typical: Duration, val late: Duration, val veryLate: Duration)
+
 /** Chooses endpoints and learns from how they do. Implementations are safe for use by several threads. */
 interface EndpointSelector {
     /** Returns the endpoint that is to run the next attempt of [selection]. */
@@ -64,6 +79,12 @@
 
     /** Records what the sidecar of [endpoint] reported. */
     fun recordLoad(endpoint: EndpointId, load: LoadReport, now: Instant)
+
+    /** Returns how long attempts in [pool] take, or null when that is not known. */
+    fun stageTimes(pool: PoolName): StageTimes? = null
+
+    /** Returns when an attempt in [pool] that is sent now would be answered, or null when that is not known. */
+    fun predict(pool: Pool, now: Instant): Duration? = null
 }
 
 /** Tells which endpoints of a pool can be reached and take work. Safe for use by several threads. */
--- /dev/null
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointState.kt
@@ -0,0 +1,142 @@
+package org.bilberryhead.core.routing
+
+import org.bilberryhead.core.common.AtomicDouble
+import org.bilberryhead.core.message.LoadReport
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.math.exp
+import kotlin.math.max
+import kotlin.math.min
+
+/**
+ * What one process knows of one endpoint. Safe for use by several threads, without locks. Times are milliseconds since
+ * the epoch.
+ *
+ * @property pool the pool that the endpoint belongs to
+ */
+internal class EndpointState(val pool: PoolState, nowMillis: Long) {
+    private val attemptsInFlight = AtomicInteger()
+    private val loadOfOthers = AtomicDouble()
+    private val failures = AtomicInteger()
+    private val ejections = AtomicInteger()
+    private val ejectedUntil = AtomicLong(NOT_EJECTED)
+    private val isProbed = AtomicBoolean()
+
+    @Volatile
+    private var report: LoadReport? = null
+
+    @Volatile
+    private var progressAt = nowMillis
+
+    @Volatile
+    private var warmSince = if (pool.isStarting(nowMillis)) LONG_AGO else nowMillis
+
+    /** Attempts sent from this process that have not ended. */
+    val inFlight: Int get() = attemptsInFlight.get()
+
+    /** Whether the endpoint gets no work but probes. */
+    val isEjected: Boolean get() = ejectedUntil.get() != NOT_EJECTED
+
+    /** Counts an attempt sent to the endpoint. */
+    fun recordDispatch(nowMillis: Long) {
+        if (attemptsInFlight.getAndIncrement() == 0) progressAt = nowMillis
+    }
+
+    /** Counts the end of an attempt. */
+    fun recordEnd(result: AttemptResult, limits: EjectionLimits, nowMillis: Long) {
+        attemptsInFlight.updateAndGet { max(0, it - 1) }
+        when (result) {
+            AttemptResult.ANSWERED -> recordAnswer(nowMillis)
+            AttemptResult.FAILED -> recordFailure(limits, nowMillis)
+            AttemptResult.REFUSED -> if (isIdle()) recordFailure(limits, nowMillis) else isProbed.set(false)
+            AttemptResult.ABANDONED -> isProbed.set(false)
+        }
+    }
+
+    /** Takes what the sidecar reported. The part that other processes sent is smoothed, because reports are late. */
+    fun recordLoad(load: LoadReport) {
+        val others = (load.queued + load.running - inFlight).toDouble()
+        loadOfOthers.update { if (report == null) others else it + OTHERS_SMOOTHING * (others - it) }
+        report = load
+    }
+
+    /** Whether the pause of an ejected endpoint is over and nobody probes it; the caller then sends the probe. */
+    fun tryProbe(nowMillis: Long): Boolean = nowMillis >= ejectedUntil.get() && isProbed.compareAndSet(false, true)
+
+    /** Returns the expected service time in milliseconds, 0 when nothing is known. */
+    fun serviceMillis(nowMillis: Long): Double {
+        val usual = pool.serviceMillis
+        val reported = report?.serviceMillis ?: 0.0
+        if (reported <= 0.0) return usual
+        val idleMillis = max(0L, nowMillis - progressAt)
+        if (inFlight > 0) return max(reported, idleMillis.toDouble())
+        val weight = exp(-idleMillis / FORGET_MILLIS)
+        return weight * reported + (1 - weight) * min(reported, usual)
+    }
+
+    /** Returns how long an attempt that is sent now would take, in milliseconds, without the way there. */
+    fun completionMillis(slowStartMillis: Long, nowMillis: Long): Double {
+        val concurrency = max(1, report?.concurrency ?: pool.concurrency)
+        val service = serviceMillis(nowMillis)
+        val backlog = inFlight + max(0.0, loadOfOthers.get())
+        val before = max(0.0, backlog + 1 - concurrency)
+        val predicted = service + before * service / concurrency
+        return predicted * slowStartFactor(slowStartMillis, nowMillis)
+    }
+
+    private fun slowStartFactor(slowStartMillis: Long, nowMillis: Long): Double {
+        val age = nowMillis - warmSince
+        if (age >= slowStartMillis) return 1.0
+        return 1.0 + COLD_PENALTY * (1.0 - age.toDouble() / slowStartMillis)
+    }
+
+    private fun recordAnswer(nowMillis: Long) {
+        progressAt = nowMillis
+        failures.set(0)
+        isProbed.set(false)
+        if (ejectedUntil.getAndSet(NOT_EJECTED) != NOT_EJECTED) {
+            warmSince = nowMillis
+            pool.countReturn()
+        }
+        ejections.set(0)
+    }
+
+    private fun recordFailure(limits: EjectionLimits, nowMillis: Long) {
+        progressAt = nowMillis
+        isProbed.set(false)
+        if (failures.incrementAndGet() < limits.failures) return
+        val before = ejectedUntil.get()
+        if (before == NOT_EJECTED && !pool.tryCountEjection(limits.largestShare)) return
+        if (nowMillis < before) return
+        val until = nowMillis + pause(limits)
+        val isChanged = ejectedUntil.compareAndSet(before, until)
+        if (isChanged) {
+            ejections.incrementAndGet()
+        } else if (before == NOT_EJECTED) {
+            pool.countReturn()
+        }
+    }
+
+    private fun pause(limits: EjectionLimits): Long {
+        val doublings = min(ejections.get(), MAXIMUM_DOUBLINGS)
+        return min(limits.firstPause.inWholeMilliseconds shl doublings, limits.longestPause.inWholeMilliseconds)
+    }
+
+    private fun isIdle(): Boolean = report.let { it != null && it.queued == 0 && it.running == 0 }
+
+    private companion object {
+        const val NOT_EJECTED = Long.MIN_VALUE
+        const val LONG_AGO = Long.MIN_VALUE / 2
+
+        /** Weight of the newest report in the smoothed load that other processes cause. */
+        const val OTHERS_SMOOTHING = 0.3
+
+        /** Time constant with which an idle endpoint's service time is forgotten, in milliseconds. */
+        const val FORGET_MILLIS = 10_000.0
+
+        /** How much longer an endpoint without warm caches is predicted to take. */
+        const val COLD_PENALTY = 2.0
+        const val MAXIMUM_DOUBLINGS = 10
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/PolicySelector.kt
@@ -0,0 +1,222 @@
+package org.bilberryhead.core.routing
+
+import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.common.EndpointId
+import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.message.LoadReport
+import org.bilberryhead.core.tables.Objective
+import org.bilberryhead.core.tables.Pool
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.math.max
+import kotlin.math.min
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+import kotlin.time.Instant
+
+/**
+ * Chooses endpoints by a [ChoicePolicy] and keeps what this process has learnt of them. Safe for use by several
+ * threads; no operation takes a lock.
+ *
+ * @param dataCentre where this process runs
+ */
+class PolicySelector(
+    private val source: CandidateSource,
+    private val dataCentre: DataCentre,
+    random: Random,
+    private val policy: ChoicePolicy = ChoicePolicy.PredictedCompletion(),
+) : EndpointSelector {
+    private val random = AtomicRandom(random.nextLong())
+    private val turn = AtomicInteger()
+    private val endpoints = ConcurrentHashMap<EndpointId, EndpointState>()
+    private val pools = ConcurrentHashMap<PoolName, PoolState>()
+    private val ejectionLimits = (policy as? ChoicePolicy.PredictedCompletion)?.ejection ?: EjectionLimits()
+
+    override fun choose(selection: SelectionRequest, now: Instant): Selection {
+        val view = view(selection.pool, now)
+        return when (policy) {
+            ChoicePolicy.Random -> simple(selection, view) { random.nextInt(it.size) }
+            ChoicePolicy.RoundRobin -> simple(selection, view) { Math.floorMod(turn.getAndIncrement(), it.size) }
+            ChoicePolicy.LeastInFlight -> simple(selection, view) { fewestInFlight(view, it, it.size) }
+            ChoicePolicy.TwoChoices -> simple(selection, view) { fewestInFlight(view, it, 2) }
+            is ChoicePolicy.PredictedCompletion -> predicted(policy, selection, view)
+        }
+    }
+
+    override fun recordDispatch(endpoint: EndpointId, now: Instant) {
+        endpoints[endpoint]?.recordDispatch(now.toEpochMilliseconds())
+    }
+
+    override fun recordEnd(endpoint: EndpointId, result: AttemptResult, elapsed: Duration, now: Instant) {
+        val state = endpoints[endpoint] ?: return
+        state.recordEnd(result, ejectionLimits, now.toEpochMilliseconds())
+        state.pool.recordEnd(result, elapsed)
+    }
+
+    override fun recordLoad(endpoint: EndpointId, load: LoadReport, now: Instant) {
+        val state = endpoints[endpoint] ?: return
+        state.recordLoad(load)
+        state.pool.recordService(load.serviceMillis)
+    }
+
+    override fun stageTimes(pool: PoolName): StageTimes? = pools[pool]?.times
+
+    override fun predict(pool: Pool, now: Instant): Duration? {
+        if (policy !is ChoicePolicy.PredictedCompletion) return null
+        val view = view(pool, now)
+        if (view.candidates.isEmpty() || view.pool.serviceMillis == 0.0) return null
+        val sampled = sample(policy, view, emptySet())
+        return sampled.minOfOrNull { it.completionMillis }?.milliseconds
+    }
+
+    private fun view(pool: Pool, now: Instant): PoolView {
+        val nowMillis = now.toEpochMilliseconds()
+        val state = pools[pool.name] ?: pools.computeIfAbsent(pool.name) { PoolState(nowMillis) }
+        state.size = pool.endpoints.size
+        state.concurrency = pool.concurrency
+        return PoolView(source.candidates(pool), state, nowMillis)
+    }
+
+    private fun stateOf(view: PoolView, candidate: Candidate): EndpointState = endpoints[candidate.endpoint]
+        ?: endpoints.computeIfAbsent(candidate.endpoint) { EndpointState(view.pool, view.nowMillis) }
+
+    private inline fun simple(
+        selection: SelectionRequest,
+        view: PoolView,
+        index: (List<Candidate>) -> Int,
+    ): Selection {
+        val untried = view.candidates.filter { it.endpoint !in selection.avoid }
+        if (untried.isEmpty()) return nothingLeft(view)
+        val chosen = untried[index(untried)]
+        val inFlight = stateOf(view, chosen).inFlight
+        return Selection.Chosen(chosen, view.candidates.size, "$inFlight attempts in flight")
+    }
+
+    private fun fewestInFlight(view: PoolView, untried: List<Candidate>, sampleSize: Int): Int {
+        val start = random.nextInt(untried.size)
+        val indices = (0 until min(sampleSize, untried.size)).map {
+            if (sampleSize < untried.size) random.nextInt(untried.size) else (start + it) % untried.size
+        }
+        return indices.minBy { stateOf(view, untried[it]).inFlight }
+    }
+
+    private fun predicted(
+        policy: ChoicePolicy.PredictedCompletion,
+        selection: SelectionRequest,
+        view: PoolView,
+    ): Selection {
+        if (view.candidates.isEmpty()) return nothingLeft(view)
+        if (selection.mayProbe) probe(selection, view)?.let { return it }
+        val sampled = sample(policy, view, selection.avoid)
+        val remainingMillis = selection.remaining.toDouble(DurationUnit.MILLISECONDS)
+        val fastest = sampled.minByOrNull { it.completionMillis } ?: return lastResort(selection, view)
+        val excess = fastest.completionMillis - remainingMillis * policy.refuseAt
+        if (selection.mayRefuse && excess > 0) {
+            val why = "predicted ${fastest.completionMillis.toInt()} ms of ${remainingMillis.toInt()} ms left"
+            return Selection.NoneAvailable(view.candidates.size, why, max(excess, MINIMUM_RETRY_MILLIS).milliseconds)
+        }
+        val best = when (selection.objective) {
+            Objective.ATTAINMENT -> fastest
+            Objective.COST -> cheapest(policy, sampled, remainingMillis) ?: fastest
+        }
+        val chosen = withPrefix(policy, selection, view, best) ?: best
+        val why = "predicted ${chosen.completionMillis.toInt()} ms"
+        return Selection.Chosen(chosen.candidate, view.candidates.size, why)
+    }
+
+    /** Returns a few endpoints that are not ejected and not in [avoid], with their predictions. */
+    private fun sample(
+        policy: ChoicePolicy.PredictedCompletion,
+        view: PoolView,
+        avoid: Set<EndpointId>,
+    ): List<Predicted> {
+        val size = view.candidates.size
+        val sampled = ArrayList<Predicted>(policy.sampleSize)
+        val start = random.nextInt(size)
+        val isWhole = size <= policy.sampleSize * 2
+        for (step in 0 until if (isWhole) size else policy.sampleSize) {
+            val candidate = view.candidates[if (isWhole) (start + step) % size else random.nextInt(size)]
+            val state = stateOf(view, candidate)
+            if (state.isEjected || candidate.endpoint in avoid) continue
+            sampled += predict(policy, view, candidate, state)
+        }
+        return sampled
+    }
+
+    private fun predict(
+        policy: ChoicePolicy.PredictedCompletion,
+        view: PoolView,
+        candidate: Candidate,
+        state: EndpointState,
+    ): Predicted {
+        val isAway = candidate.dataCentre != dataCentre
+        val roundTrip = if (isAway) policy.roundTripAway.toDouble(DurationUnit.MILLISECONDS) else 0.0
+        val completion = state.completionMillis(policy.slowStart.inWholeMilliseconds, view.nowMillis)
+        return Predicted(candidate, completion + roundTrip, state.serviceMillis(view.nowMillis))
+    }
+
+    private fun cheapest(
+        policy: ChoicePolicy.PredictedCompletion,
+        sampled: List<Predicted>,
+        remainingMillis: Double,
+    ): Predicted? = sampled.filter { it.completionMillis <= remainingMillis * policy.costHeadroom }
+        .minByOrNull { it.completionMillis + policy.costWeight * it.serviceMillis }
+
+    private fun withPrefix(
+        policy: ChoicePolicy.PredictedCompletion,
+        selection: SelectionRequest,
+        view: PoolView,
+        best: Predicted,
+    ): Predicted? {
+        if (selection.prefixHash == 0) return null
+        val home = view.candidates.maxBy { mix(it.endpoint.hashCode() xor selection.prefixHash) }
+        val state = stateOf(view, home)
+        if (state.isEjected || home.endpoint in selection.avoid) return null
+        val predicted = predict(policy, view, home, state)
+        return predicted.takeIf { it.completionMillis <= best.completionMillis * policy.prefixStretch }
+    }
+
+    private fun probe(selection: SelectionRequest, view: PoolView): Selection? {
+        if (!view.pool.hasEjected) return null
+        val candidate = view.candidates[random.nextInt(view.candidates.size)]
+        val state = stateOf(view, candidate)
+        val isProbe = state.isEjected && candidate.endpoint !in selection.avoid && state.tryProbe(view.nowMillis)
+        return if (isProbe) Selection.Chosen(candidate, view.candidates.size, "probe after failures") else null
+    }
+
+    /** Every endpoint in the sample is ejected or was tried: any other one is better than none. */
+    private fun lastResort(selection: SelectionRequest, view: PoolView): Selection {
+        val untried = view.candidates.filter { it.endpoint !in selection.avoid }
+        if (untried.isEmpty()) return nothingLeft(view)
+        val working = untried.filter { !stateOf(view, it).isEjected }.ifEmpty { untried }
+        val chosen = working[random.nextInt(working.size)]
+        return Selection.Chosen(chosen, view.candidates.size, "the sample held no other endpoint")
+    }
+
+    private fun nothingLeft(view: PoolView) =
+        Selection.NoneAvailable(view.candidates.size, "no endpoint is left to try", NOTHING_LEFT_RETRY)
+
+    private fun mix(hash: Int): Int {
+        val mixed = hash * MIX_FACTOR
+        return mixed xor (mixed ushr MIX_SHIFT)
+    }
+
+    private class PoolView(val candidates: List<Candidate>, val pool: PoolState, val nowMillis: Long)
+
+    private class Predicted(val candidate: Candidate, val completionMillis: Double, val serviceMillis: Double)
+
+    private companion object {
+        /** Odd factor that spreads hashes. */
+        const val MIX_FACTOR = -1_640_531_535
+        const val MIX_SHIFT = 15
+
+        /** Shortest time after which a caller is told to come back, in milliseconds. */
+        const val MINIMUM_RETRY_MILLIS = 100.0
+
+        /** When to come back while no endpoint can be reached. */
+        val NOTHING_LEFT_RETRY = 1.seconds
+    }
+}
--- a/load/src/main/kotlin/org/bilberryhead/load/Main.kt
+++ b/load/src/main/kotlin/org/bilberryhead/load/Main.kt
@@ -2,6 +2,8 @@
 
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+import org.bilberryhead.load.policy.PolicyCommand
 
 /** Load and experiments, `bilberry-load`. */
 class LoadCommand : CliktCommand("bilberry-load") {
@@ -9,4 +11,4 @@
 }
 
 /** Runs the load tool. */
-fun main(arguments: Array<String>) = LoadCommand().main(arguments)
+fun main(arguments: Array<String>) = LoadCommand().subcommands(PolicyCommand()).main(arguments)
--- /dev/null
+++ b/load/src/main/kotlin/org/bilberryhead/load/policy/Deployment.kt
@@ -0,0 +1,93 @@
+package org.bilberryhead.load.policy
+
+import org.bilberryhead.core.common.ClientAccount
+import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.common.EndpointId
+import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.common.RequestKind
+import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.common.StageName
+import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.tables.Endpoint
+import org.bilberryhead.core.tables.Objective
+import org.bilberryhead.core.tables.Pool
+import org.bilberryhead.core.tables.Route
+import org.bilberryhead.core.tables.Stage
+import org.bilberryhead.core.tables.Tables
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * A pool of an experiment.
+ *
+ * @property size number of endpoints
+ * @property serviceTime mean time of one call at speed 1
+ */
+data class PoolPlan(val stage: String, val service: String, val size: Int, val serviceTime: Duration)
+
+/**
+ * What an experiment runs on: one pipeline, its pools and the entries before them.
+ *
+ * @property accountShares part of the requests that each client account sends
+ * @property entryWeights relative part of the requests that each entry gets
+ */
+enum class Deployment(
+    val title: String,
+    val pools: List<PoolPlan>,
+    val dataCentres: List<DataCentre>,
+    val objective: Objective,
+) {
+    GRANITE_HOLLOW(
+        "Granite Hollow",
+        listOf(
+            PoolPlan("encode", "portal", size = 4, 60.milliseconds),
+            PoolPlan("retrieve", "fleet", size = 4, 100.milliseconds),
+            PoolPlan("rerank", "billing", size = 4, 160.milliseconds),
+            PoolPlan("generate", "advisor", size = 13, 800.milliseconds),
+        ),
+        listOf("nashua", "worcester", "portland").map(::DataCentre),
+        Objective.ATTAINMENT,
+    ),
+    VIJVERKRUID(
+        "Vijverkruid",
+        listOf(
+            PoolPlan("encode", "helpers", size = 4, 60.milliseconds),
+            PoolPlan("retrieve", "peilingen", size = 4, 120.milliseconds),
+            PoolPlan("rerank", "schippers", size = 4, 200.milliseconds),
+            PoolPlan("generate", "bilberry-llm", size = 8, 800.milliseconds),
+        ),
+        listOf("gent-zaal1", "gent-zaal2", "brugge-zaal").map(::DataCentre),
+        Objective.COST,
+    ),
+    ;
+
+    val accountShares: List<Double> = listOf(0.4, 0.3, 0.15, 0.1, 0.05)
+
+    /** The tables of the experiment, for a route with [objective]. */
+    fun tables(objective: Objective): Tables {
+        val stages = pools.map { Stage(StageName(it.stage), PoolName(it.service), hedged = true) }
+        val route = Route(KIND, stages, defaultDeadline = DEADLINE, objective = objective)
+        val rows = pools.map { plan -> Pool(PoolName(plan.service), endpoints(plan), CONCURRENCY) }
+        return Tables(TableVersion(1), mapOf(KIND to route), rows.associateBy { it.name })
+    }
+
+    private fun endpoints(plan: PoolPlan): List<Endpoint> = List(plan.size) { index ->
+        val dataCentre = dataCentres[index % dataCentres.size]
+        Endpoint(EndpointId("${plan.service}-$index"), dataCentre, SocketAddress("127.0.0.1", 1))
+    }
+
+    companion object {
+        /** The only kind of request. */
+        val KIND = RequestKind("question")
+
+        /** Time that a caller waits. */
+        val DEADLINE = 4.seconds
+
+        /** Calls that one endpoint works on at the same time. */
+        const val CONCURRENCY = 4
+
+        /** Returns the name of the account with [index]. */
+        fun account(index: Int) = ClientAccount("account-$index")
+    }
+}
--- /dev/null
+++ b/load/src/main/kotlin/org/bilberryhead/load/policy/Scenario.kt
@@ -0,0 +1,71 @@
+package org.bilberryhead.load.policy
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Speeds of back ends that were bought over years. */
+private val MIXED_SPEEDS = listOf(1.0, 2.0, 4.0)
+
+/** What is wrong with one endpoint of the generating pool during a part of an experiment. */
+enum class EndpointCondition { SLOW, FAILS_FAST, DOWN }
+
+/**
+ * One course of load and faults.
+ *
+ * @property speeds relative speeds of the endpoints of each pool, in turn
+ * @property condition what is wrong with the endpoint [EXCEPTIONAL_ENDPOINT] from [conditionFrom] until [conditionUntil]
+ * @property burstFactor factor on the load from [burstFrom] until [burstUntil]
+ * @property floodFactor factor on the load of the account [FLOODING_ACCOUNT] from [burstFrom] on
+ * @property reportLag how late load reports arrive
+ * @property entryWeights relative part of the requests that each entry gets
+ */
+enum class Scenario(
+    val title: String,
+    val speeds: List<Double> = MIXED_SPEEDS,
+    val condition: EndpointCondition? = null,
+    val conditionFrom: Duration = Duration.ZERO,
+    val conditionUntil: Duration = Duration.INFINITE,
+    val burstFactor: Double = 1.0,
+    val burstFrom: Duration = 10.seconds,
+    val burstUntil: Duration = 15.seconds,
+    val floodFactor: Double = 1.0,
+    val reportLag: Duration = Duration.ZERO,
+    val entryWeights: List<Double> = listOf(1.0, 1.0, 1.0, 1.0),
+) {
+    SPEEDS("speeds 1:2:4"),
+    STRAGGLER("one straggler at 10x", condition = EndpointCondition.SLOW),
+    FAILING_FAST("one endpoint fails fast", condition = EndpointCondition.FAILS_FAST, conditionFrom = 6.seconds),
+    DOWN_AND_BACK(
+        "an endpoint fails and returns",
+        condition = EndpointCondition.DOWN,
+        conditionFrom = 10.seconds,
+        conditionUntil = 18.seconds,
+    ),
+    BURST("burst of 5x for 5 s", burstFactor = 5.0),
+    FLOOD("one account floods at 10x", floodFactor = 10.0),
+    LATE_REPORTS("load reports lag 2 s", reportLag = 2.seconds),
+    UNEQUAL_ENTRIES("entries of unequal size", entryWeights = listOf(1.0, 2.0, 4.0, 8.0)),
+    STORE_OUTAGE("store outage throughout"),
+    ;
+
+    companion object {
+        /** Index of the endpoint of the last pool that a condition concerns; it has the middle speed. */
+        const val EXCEPTIONAL_ENDPOINT = 1
+
+        /** Index of the account that floods. */
+        const val FLOODING_ACCOUNT = 1
+
+        /** How much slower the straggler is. */
+        const val STRAGGLER_FACTOR = 10.0
+
+        /** How long requests arrive. */
+        val LENGTH: Duration = 30.seconds
+
+        /** Requests that arrive earlier are not counted. */
+        val WARM_UP: Duration = 4.seconds
+
+        /** Time that an endpoint takes to fail. */
+        val FAILURE_TIME: Duration = 2.milliseconds
+    }
+}
--- /dev/null
+++ b/load/src/main/kotlin/org/bilberryhead/load/policy/SimulatedEndpoint.kt
@@ -0,0 +1,136 @@
+package org.bilberryhead.load.policy
+
+import org.bilberryhead.core.admission.GateAdmission
+import org.bilberryhead.core.admission.GatePolicy
+import org.bilberryhead.core.common.AttemptId
+import org.bilberryhead.core.common.Incarnation
+import org.bilberryhead.core.common.Payload
+import org.bilberryhead.core.gate.ConnectionId
+import org.bilberryhead.core.gate.GateAction
+import org.bilberryhead.core.gate.GateEvent
+import org.bilberryhead.core.gate.GateLimits
+import org.bilberryhead.core.gate.SidecarGate
+import org.bilberryhead.core.message.Dispatch
+import org.bilberryhead.core.message.LoadReport
+import org.bilberryhead.core.message.Message
+import org.bilberryhead.core.tables.Endpoint
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/** What an endpoint tells the experiment. */
+interface EndpointObserver {
+    /** Sends [message] of [endpoint] to the entry with index [entry]. */
+    fun send(endpoint: SimulatedEndpoint, entry: Int, message: Message)
+
+    /** Returns the time that the call behind [dispatch] takes at speed 1. */
+    fun demand(dispatch: Dispatch): Duration
+
+    /** An endpoint worked for [duration] on [dispatch]. */
+    fun worked(endpoint: SimulatedEndpoint, dispatch: Dispatch, duration: Duration)
+}
+
+/**
+ * An endpoint that works on some calls at the same time at a given speed, behind a real [SidecarGate].
+ *
+ * @property isExceptional whether the scenario's condition concerns this endpoint
+ */
+class SimulatedEndpoint(
+    val endpoint: Endpoint,
+    val stageIndex: Int,
+    val isExceptional: Boolean,
+    private val speed: Double,
+    private val gatePolicy: GatePolicy,
+    private val time: VirtualTime,
+    private val entries: Int,
+    private val observer: EndpointObserver,
+) {
+    private class Call(val dispatch: Dispatch, val startedAt: Instant)
+
+    private val calls = HashMap<AttemptId, Call>()
+    private var runs = 0
+    private var gate = newGate()
+
+    /** What is wrong with the endpoint now. */
+    var condition: EndpointCondition? = null
+
+    /** The present run of the sidecar. */
+    var incarnation = Incarnation("${endpoint.id}-run-0")
+        private set
+
+    /** Whether the sidecar can be reached. */
+    val isUp: Boolean get() = condition != EndpointCondition.DOWN
+
+    /** What the sidecar reports. */
+    val load: LoadReport get() = gate.status.load
+
+    /** Opens the connections of all entries. */
+    fun start() {
+        perform(gate.handle(GateEvent.Ready, time.now))
+        for (entry in 0 until entries) perform(gate.handle(GateEvent.ConnectionOpened(connection(entry)), time.now))
+    }
+
+    /** Ends the run of the sidecar; its calls are lost. */
+    fun stop() {
+        condition = EndpointCondition.DOWN
+        calls.clear()
+    }
+
+    /** Begins a new run of the sidecar. */
+    fun restart() {
+        condition = null
+        runs++
+        incarnation = Incarnation("${endpoint.id}-run-$runs")
+        gate = newGate()
+        start()
+    }
+
+    /** Hands [event] to the gate. */
+    fun handle(event: GateEvent) {
+        if (isUp) perform(gate.handle(event, time.now))
+    }
+
+    private fun newGate() = SidecarGate(
+        Incarnation("${endpoint.id}-run-$runs"),
+        GateLimits(Deployment.CONCURRENCY),
+        admission = GateAdmission(gatePolicy),
+    )
+
+    private fun perform(actions: List<GateAction>) {
+        for (action in actions) {
+            when (action) {
+                is GateAction.Send -> observer.send(this, action.connection.value.toInt(), action.message)
+                is GateAction.Run -> run(action.dispatch)
+                is GateAction.CancelRun -> cancel(action.attempt)
+                GateAction.Stop -> Unit
+            }
+        }
+    }
+
+    private fun run(dispatch: Dispatch) {
+        val call = Call(dispatch, time.now)
+        calls[dispatch.attempt] = call
+        if (condition == EndpointCondition.FAILS_FAST) {
+            time.after(Scenario.FAILURE_TIME) {
+                end(call, GateEvent.EndpointFailed(dispatch.attempt, "failed on purpose"))
+            }
+            return
+        }
+        val factor = if (condition == EndpointCondition.SLOW) Scenario.STRAGGLER_FACTOR else 1.0
+        time.after(observer.demand(dispatch) * (factor / speed)) {
+            end(call, GateEvent.EndpointAnswered(dispatch.attempt, Payload.EMPTY, last = true))
+        }
+    }
+
+    private fun end(call: Call, event: GateEvent) {
+        if (!calls.remove(call.dispatch.attempt, call)) return
+        observer.worked(this, call.dispatch, time.now - call.startedAt)
+        handle(event)
+    }
+
+    private fun cancel(attempt: AttemptId) {
+        val call = calls.remove(attempt) ?: return
+        observer.worked(this, call.dispatch, time.now - call.startedAt)
+    }
+
+    private fun connection(entry: Int) = ConnectionId(entry.toLong())
+}
--- /dev/null
+++ b/load/src/main/kotlin/org/bilberryhead/load/policy/SimulatedEntry.kt
@@ -0,0 +1,158 @@
+package org.bilberryhead.load.policy
+
+import org.bilberryhead.core.admission.AdmissionControl
+import org.bilberryhead.core.common.EndpointId
+import org.bilberryhead.core.common.RequestId
+import org.bilberryhead.core.gate.ConnectionId
+import org.bilberryhead.core.gate.GateEvent
+import org.bilberryhead.core.message.AttemptMessage
+import org.bilberryhead.core.message.Dispatch
+import org.bilberryhead.core.message.Frame
+import org.bilberryhead.core.message.LoadReport
+import org.bilberryhead.core.message.Message
+import org.bilberryhead.core.message.Refused
+import org.bilberryhead.core.pipeline.AdmittedRequest
+import org.bilberryhead.core.pipeline.RequestAction
+import org.bilberryhead.core.pipeline.RequestEvent
+import org.bilberryhead.core.pipeline.RequestExecution
+import org.bilberryhead.core.pipeline.RequestOutcome
+import org.bilberryhead.core.pipeline.RequestTimer
+import org.bilberryhead.core.retry.RetryBudget
+import org.bilberryhead.core.routing.Candidate
+import org.bilberryhead.core.routing.PolicySelector
+import org.bilberryhead.core.tables.Pool
+import org.bilberryhead.core.tables.Tables
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
+
+/** An entry that carries requests through real [RequestExecution]s in virtual time. */
+class SimulatedEntry(
+    private val index: Int,
+    deployment: Deployment,
+    contender: Contender,
+    private val tables: Tables,
+    private val endpoints: Map<EndpointId, SimulatedEndpoint>,
+    private val time: VirtualTime,
+    private val reportLag: Duration,
+    random: Random,
+    private val observer: (EndpointId, Dispatch) -> Unit,
+) {
+    private class Running(val execution: RequestExecution, val complete: (RequestOutcome) -> Unit) {
+        val timers = HashMap<RequestTimer, Int>()
+        val sent = LinkedHashMap<RequestAction.Send, Unit>()
+    }
+
+    private val dataCentre = deployment.dataCentres[index % deployment.dataCentres.size]
+    private val selector = PolicySelector(::candidates, dataCentre, random, contender.choice)
+    private val admission: AdmissionControl = contender.admission(selector)
+    private val budget = RetryBudget()
+    private val running = HashMap<RequestId, Running>()
+
+    /** Runs [request]; [complete] takes its outcome. */
+    fun start(request: AdmittedRequest, complete: (RequestOutcome) -> Unit) {
+        val route = tables.routes.getValue(Deployment.KIND)
+        val execution = RequestExecution(request, route, tables, selector, budget, admission = admission)
+        val entry = Running(execution, complete)
+        running[request.id] = entry
+        handle(request.id, entry, RequestEvent.Started)
+    }
+
+    /** Takes [message] from [endpoint]. */
+    fun receive(endpoint: EndpointId, message: Message) {
+        loadOf(message)?.let { reportLater(endpoint, it) }
+        if (message !is AttemptMessage) return
+        val id = RequestId(message.attempt.value.substringBefore(':'))
+        running[id]?.let { handle(id, it, RequestEvent.MessageArrived(message)) }
+    }
+
+    /** Takes the load report of a heartbeat. */
+    fun reportLater(endpoint: EndpointId, load: LoadReport) {
+        if (reportLag == Duration.ZERO) {
+            selector.recordLoad(endpoint, load, time.now)
+        } else {
+            time.after(reportLag) { selector.recordLoad(endpoint, load, time.now) }
+        }
+    }
+
+    /** The connection to [endpoint] is lost. */
+    fun connectionLost(endpoint: EndpointId) = forEachAttemptOn(endpoint) { RequestEvent.ConnectionLost(it.attempt) }
+
+    /** A new run of the sidecar of [endpoint] is connected. */
+    fun incarnationGone(endpoint: EndpointId) = forEachAttemptOn(endpoint) { RequestEvent.IncarnationGone(it.attempt) }
+
+    /** Returns the one-way time to [endpoint]. */
+    fun latency(endpoint: SimulatedEndpoint): Duration =
+        if (endpoint.endpoint.dataCentre == dataCentre) LATENCY_WITHIN else LATENCY_BETWEEN
+
+    private fun forEachAttemptOn(endpoint: EndpointId, event: (Dispatch) -> RequestEvent) {
+        for ((id, entry) in running.toList().sortedBy { it.first.value }) {
+            val sent = entry.sent.keys.filter { it.endpoint == endpoint }.map { it.message }
+            sent.filterIsInstance<Dispatch>().forEach { handle(id, entry, event(it)) }
+        }
+    }
+
+    private fun handle(id: RequestId, entry: Running, event: RequestEvent) {
+        for (action in entry.execution.handle(event, time.now)) perform(id, entry, action)
+    }
+
+    private fun perform(id: RequestId, entry: Running, action: RequestAction) {
+        when (action) {
+            is RequestAction.Send -> send(id, entry, action)
+            is RequestAction.SetTimer -> setTimer(id, entry, action)
+            is RequestAction.Complete -> {
+                running.remove(id)
+                entry.complete(action.outcome)
+            }
+            is RequestAction.Deliver, is RequestAction.Log -> Unit
+        }
+    }
+
+    private fun send(id: RequestId, entry: Running, action: RequestAction.Send) {
+        val target = endpoints.getValue(action.endpoint)
+        val message = action.message
+        if (message is Dispatch) {
+            entry.sent[action] = Unit
+            observer(action.endpoint, message)
+        }
+        val isReachable = target.isUp && target.incarnation == action.incarnation
+        if (!isReachable) {
+            if (message is Dispatch) time.after(Duration.ZERO) { notWritten(id, message) }
+            return
+        }
+        time.after(latency(target)) {
+            if (target.incarnation == action.incarnation) {
+                target.handle(GateEvent.MessageArrived(ConnectionId(index.toLong()), message))
+            }
+        }
+    }
+
+    private fun notWritten(id: RequestId, message: Dispatch) {
+        running[id]?.let { handle(id, it, RequestEvent.NotWritten(message.attempt)) }
+    }
+
+    private fun setTimer(id: RequestId, entry: Running, action: RequestAction.SetTimer) {
+        val generation = (entry.timers[action.timer] ?: 0) + 1
+        entry.timers[action.timer] = generation
+        time.at(action.at) {
+            val isCurrent = running[id] === entry && entry.timers[action.timer] == generation
+            if (isCurrent) handle(id, entry, RequestEvent.TimerFired(action.timer))
+        }
+    }
+
+    private fun candidates(pool: Pool): List<Candidate> = pool.endpoints.mapNotNull { endpoint ->
+        val target = endpoints.getValue(endpoint.id)
+        if (target.isUp) Candidate(endpoint.id, target.incarnation, endpoint.dataCentre) else null
+    }
+
+    private fun loadOf(message: Message): LoadReport? = when (message) {
+        is Frame -> message.load
+        is Refused -> message.load
+        else -> null
+    }
+
+    private companion object {
+        val LATENCY_WITHIN = 250.microseconds
+        val LATENCY_BETWEEN = 1_500.microseconds
+    }
+}
--- /dev/null
+++ b/load/src/main/kotlin/org/bilberryhead/load/policy/VirtualTime.kt
@@ -0,0 +1,45 @@
+package org.bilberryhead.load.policy
+
+import java.util.PriorityQueue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.Instant
+
+/** A clock and the steps that are due, run in order of time; steps due at the same time keep their order. */
+class VirtualTime {
+    private class Step(val atMicros: Long, val number: Long, val run: () -> Unit)
+
+    private val steps = PriorityQueue<Step>(compareBy({ it.atMicros }, { it.number }))
+    private var count = 0L
+    private var micros = 0L
+
+    /** Time since the start. */
+    val elapsed: Duration get() = micros.microseconds
+
+    /** The present instant. */
+    val now: Instant get() = START + elapsed
+
+    /** Runs [step] after [delay]. */
+    fun after(delay: Duration, step: () -> Unit) {
+        val at = micros + maxOf(0L, delay.inWholeMicroseconds)
+        steps += Step(at, count++, step)
+    }
+
+    /** Runs [step] at [instant], or now if that is past. */
+    fun at(instant: Instant, step: () -> Unit) = after(instant - now, step)
+
+    /** Runs all steps that are due before [end]. */
+    fun runUntil(end: Duration) {
+        while (true) {
+            val step = steps.peek() ?: return
+            if (step.atMicros > end.inWholeMicroseconds) return
+            steps.poll()
+            micros = step.atMicros
+            step.run()
+        }
+    }
+
+    private companion object {
+        val START = Instant.fromEpochSeconds(1_800_000_000)
+    }
+}
