--- a/entry/src/main/kotlin/org/bilberryhead/entry/SidecarDirectory.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/SidecarDirectory.kt
@@ -69,7 +69,8 @@
     }
 
     /** Returns the link to [endpoint], or null when it has none. An endpoint that left the tables keeps it a while. */
-    override fun link(endpoint: EndpointId): SidecarLink? = links[endpoint] ?: retired.find { it.endpoint.id == endpoint }
+    override fun link(endpoint: EndpointId): SidecarLink? =
+        links[endpoint] ?: retired.find { it.endpoint.id == endpoint }
 
     /** Returns whether [endpoint] may get new work as a member of [pool], or why not. */
     fun eligibility(endpoint: EndpointId, pool: PoolName): Eligibility =
