End a daemon that can not listen

Cause: a daemon whose address was taken threw in its main thread and lived on with its other threads, connected and taking part without serving. Change: the command reports the fault on standard error and halts with status 3, past the shutdown hook. Conclusion: a system test for it is still to come.

--- a/daemon/src/main/kotlin/org/bilberryhead/daemon/DaemonCommand.kt
+++ b/daemon/src/main/kotlin/org/bilberryhead/daemon/DaemonCommand.kt
@@ -9,10 +9,14 @@
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.KSerializer
+import java.io.IOException
 
 /** Exit status when the settings can not be used. */
 const val EXIT_BAD_SETTINGS = 2
 
+/** Exit status when an address can not be listened on, or another resource can not be had. */
+const val EXIT_CAN_NOT_SERVE = 3
+
 /** The command line that every daemon has: `--settings FILE [--check-settings]`. */
 abstract class DaemonCommand<T : CheckedSettings>(name: String, private val serializer: KSerializer<T>) :
     CliktCommand(name) {
@@ -28,7 +32,16 @@
             echo("settings: no fault found")
             return
         }
+        serveOrExit(settings)
+    }
+
+    /** Ends the process when the daemon can not start, whatever threads it has started by then. */
+    private fun serveOrExit(settings: T) = try {
         runBlocking { serve(settings) }
+    } catch (failure: IOException) {
+        echo("settings: can not serve: ${failure.message}", err = true)
+        // A plain exit would wait for the shutdown hook of a daemon that never began to serve.
+        Runtime.getRuntime().halt(EXIT_CAN_NOT_SERVE)
     }
 
     /** Runs the daemon until it is told to stop. */
