--- a/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
@@ -29,10 +29,17 @@
  *
  * @property concurrency attempts that the endpoint works on at once
  * @property queueCapacity attempts that may wait
- * @property answerLinger how long a leaving sidecar stays after its last attempt has ended, so that an entry whose
- *   connection went silent can still ask for the answer
+ * @property answerLinger how long a leaving sidecar stays after it was asked to leave and after its last attempt has
+ *   ended, so that what is under way is refused truthfully and an entry whose connection went silent can still ask
+ * @property maximumLinger how long a leaving sidecar stays for the deadlines of non-idempotent attempts, whose tickets
+ *   nobody else can answer for
  */
-data class GateLimits(val concurrency: Int = 4, val queueCapacity: Int = 64, val answerLinger: Duration = 3.seconds)
+data class GateLimits(
+    val concurrency: Int = 4,
+    val queueCapacity: Int = 64,
+    val answerLinger: Duration = 3.seconds,
+    val maximumLinger: Duration = 30.seconds,
+)
 
 /**
  * Decides what reaches one endpoint. Every attempt runs at most once, whatever the entries believe: the gate refuses
@@ -49,7 +56,7 @@
     private val running = HashMap<AttemptId, RunningAttempt>()
     private val subscriptions = Subscriptions()
     private var state = SidecarChart.chart.initial
-    private var lastEndedAt: Instant? = null
+    private val linger = LingerTime()
     private var serviceMillis = 0.0
 
     /** Current counts. */
@@ -72,12 +79,20 @@
             is GateEvent.EndpointDidNotRun -> takeNotRun(event, now, actions)
             is GateEvent.EndpointFailed -> takeFailure(event, now, actions)
             GateEvent.Ready -> step(SidecarEvent.READY, actions)
-            GateEvent.Leave -> step(SidecarEvent.LEAVE, actions)
+            GateEvent.Leave -> {
+                linger.leave(now)
+                linger.keepUntil(now + limits.answerLinger)
+                step(SidecarEvent.LEAVE, actions)
+            }
             GateEvent.Tick -> ledger.forgetOld(now)
         }
         startWaiting(now, actions)
-        val hasLingered = lastEndedAt?.let { now - it >= limits.answerLinger } ?: true
-        if (queue.size == 0 && running.isEmpty() && hasLingered) step(SidecarEvent.DRAINED, actions)
+        if (queue.size == 0 &&
+            running.isEmpty() &&
+            !linger.isNeeded(now, limits.maximumLinger)
+        ) {
+            step(SidecarEvent.DRAINED, actions)
+        }
         return actions
     }
 
@@ -124,6 +139,7 @@
             actions += GateAction.Send(connection, Refused(attempt, RefusalReason.ATTEMPT_MISMATCH))
             return
         }
+        if (!dispatch.idempotent) linger.keepUntil(now + dispatch.remainingMillis.milliseconds)
         if (!subscriptions.subscribe(attempt, dispatch.request, connection)) return
         if (known != null) {
             answerKnown(connection, attempt, known, resumeAt = 0, actions)
@@ -246,7 +262,7 @@
         val number = ledger.append(event.attempt, event.payload, event.last, now)
         if (event.last) {
             running.remove(event.attempt)
-            lastEndedAt = now
+            linger.keepUntil(now + limits.answerLinger)
             recordService((now - run.startedAt).inWholeMicroseconds / MICROS_PER_MILLI)
         }
         notifySubscribers(event.attempt, Frame(event.attempt, number, event.payload, event.last, load()), actions)
@@ -270,7 +286,7 @@
 
     private fun endFailed(attempt: AttemptId, detail: String, now: Instant, actions: MutableList<GateAction>) {
         ledger.fail(attempt, detail, now)
-        lastEndedAt = now
+        linger.keepUntil(now + limits.answerLinger)
         notifySubscribers(attempt, Failed(attempt, detail, load()), actions)
         subscriptions.remove(attempt)
     }
@@ -290,7 +306,7 @@
     private fun refuse(attempt: AttemptId, reason: RefusalReason, now: Instant, actions: MutableList<GateAction>) {
         val entry = ledger.bury(attempt, reason, now)
         check(entry is LedgerEntry.Tombstone) { "attempt $attempt has run and can not be refused" }
-        if (reason != RefusalReason.LEAVING) lastEndedAt = now
+        if (reason != RefusalReason.LEAVING) linger.keepUntil(now + limits.answerLinger)
         notifySubscribers(attempt, refusedMessage(attempt, entry), actions)
         subscriptions.remove(attempt)
     }
