--- a/core-testing/src/main/kotlin/org/bilberryhead/core/testing/model/ModelSession.kt
+++ b/core-testing/src/main/kotlin/org/bilberryhead/core/testing/model/ModelSession.kt
@@ -39,6 +39,7 @@
     val random = Random(seed)
     val lines = mutableListOf<String>()
     val effects = mutableListOf<Effect>()
+    val dispatched = mutableSetOf<RequestId>()
     val struck = mutableSetOf<Injection>()
     val executionTimings = ExecutionTimings(cancelMargin = 100.milliseconds, askInterval = 100.milliseconds)
     val tables = testTables(
@@ -65,8 +66,10 @@
     }
 
     /** A message about an attempt left its sender. */
-    fun sent(message: AttemptMessage, place: Place, from: String, to: String) =
+    fun sent(message: AttemptMessage, place: Place, from: String, to: String) {
+        if (message is Dispatch) dispatched += message.request
         arrive(stepOf(message, isArrival = false), place, "$from > $to: ${describe(message)}")
+    }
 
     /** A message about an attempt reached [name]. */
     fun arrived(message: AttemptMessage, place: Place, name: String) =
--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/AttemptRecord.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/AttemptRecord.kt
@@ -27,6 +27,9 @@
     /** Whether the dispatch is the only message sent so far. */
     var isOnlyDispatched = true
 
+    /** Whether the sidecar said that the dispatch never reached it, which tells nothing against the endpoint. */
+    var wasNeverSeen = false
+
     /** Where the attempt is moved or is to be moved. */
     var moveTarget: AttemptLocation? = null
 
--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
@@ -130,19 +130,19 @@
     }
 
     /** Returns null, with the reason in [lastFailure], when no endpoint can be given the stage. */
-    private fun chooseTarget(now: Instant): Target? {
+    private fun chooseTarget(now: Instant): AttemptTarget? {
         val pool = tables.poolOf(stage)
         if (pool == null) {
             lastFailure = FailureReason.CONFIGURATION_MISSING
             return null
         }
         val attempt = AttemptId("${request.id.value}$ATTEMPT_SEPARATOR$stageIndex$ATTEMPT_SEPARATOR${attemptCount++}")
-        val selection = selector.choose(selectionRequest(pool, now), now)
-        return when (selection) {
+        val unseen = attempts.values.filter { it.wasNeverSeen }.map { it.location.endpoint }.toSet()
+        return when (val selection = selector.chooseOrGoBack(selectionRequest(pool, now), unseen, now)) {
             is Selection.Chosen -> {
                 val candidate = selection.candidate
                 val location = AttemptLocation(candidate.endpoint, candidate.incarnation, attempt)
-                Target(location, selection.why, selection.candidates)
+                AttemptTarget(location, selection.why, selection.candidates)
             }
             is Selection.NoneAvailable -> {
                 logDecision(attempt, selection.candidates, null, selection.why)
@@ -206,6 +206,7 @@
     private fun takeRefusal(record: AttemptRecord, refusal: Refused, now: Instant) {
         if (!record.isOpen) return
         lastRefusal = refusal.reason
+        record.wasNeverSeen = refusal.reason == RefusalReason.NEVER_SEEN
         lastFailure = FailureReason.of(refusal.reason)
         lastRetryAfter = refusal.retryAfterMillis?.milliseconds
         step(refusal.attempt, refusalEvent(record, refusal, now), now)
@@ -388,8 +389,6 @@
 
     private fun hasOpenAttempt(): Boolean = openAttempts().isNotEmpty()
 
-    private data class Target(val location: AttemptLocation, val why: String, val candidates: Int)
-
     private companion object {
         /** The cancel margin is at most this part of the time that a request has. */
         const val MARGIN_DIVISOR = 4
