--- a/cli/src/main/kotlin/org/bilberryhead/cli/file/TablesFileReader.kt
+++ b/cli/src/main/kotlin/org/bilberryhead/cli/file/TablesFileReader.kt
@@ -1,5 +1,6 @@
 package org.bilberryhead.cli.file
 
+import com.charleskorn.kaml.SingleLineStringStyle
 import com.charleskorn.kaml.Yaml
 import com.charleskorn.kaml.YamlConfiguration
 import com.charleskorn.kaml.YamlException
@@ -17,7 +18,14 @@
 
 /** Reads and writes tables files in YAML. */
 object TablesFileReader {
-    private val yaml = Yaml(configuration = YamlConfiguration(strictMode = true, encodeDefaults = false))
+    private val yaml =
+        Yaml(
+            configuration = YamlConfiguration(
+                strictMode = true,
+                encodeDefaults = false,
+                singleLineStringStyle = SingleLineStringStyle.PlainExceptAmbiguous,
+            ),
+        )
 
     /** Returns the tables in [text], or every fault that was found. */
     fun read(text: String): Result<TablesFile, List<FileProblem>> {
