--- a/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
@@ -13,22 +13,27 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.execution.RequestIdMint
 import org.bilberryhead.core.retry.RetryBudget
 import org.bilberryhead.core.routing.LeastInFlightSelector
 import org.bilberryhead.daemon.newMeterRegistry
 import org.bilberryhead.daemon.operationsRoutes
 import org.bilberryhead.platform.HttpPlatform
 import org.bilberryhead.platform.TableLog
+import org.bilberryhead.platform.TableSnapshots
+import java.util.UUID
 import kotlin.random.Random
 import kotlin.time.Clock
 
 private val log = KotlinLogging.logger("entry")
 
 /** Wires the parts of an entry together and runs them. */
-class EntryDaemon(private val settings: EntrySettings, clock: Clock) {
+class EntryDaemon(private val settings: EntrySettings, private val clock: Clock) {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val tableLog = TableLog(HttpPlatform(settings.platformUrl))
-    private val control = ControlPlane(settings, tableLog, clock, scope)
+    private val run = UUID.randomUUID().toString()
+    private val platform = HttpPlatform(settings.platformUrl)
+    private val tableLog = TableLog(platform)
+    private val control = ControlPlane(settings, tableLog, clock, scope, TableSnapshots(platform), platform)
     private val selector = LeastInFlightSelector(control.directory, Random.Default)
     private val tokens = Tokens(settings.clientAccounts, settings.operators)
     private val tracker = RequestTracker()
@@ -37,12 +42,13 @@
     private val claims = NoClaimStore
     private val callers = CallerRoutes(
         reader = CallerRequestReader({ control.tables }, tokens, settings.maximumBodyBytes),
-        keys = KeyResolver(selector, claims, clock, scope),
+        keys = KeyResolver(selector, claims, clock, scope, RequestIdMint("$run-tickets")),
         outcomes = OutcomeLookup(control.directory, claims),
         runner = RequestRunner(control.directory, selector, clock, RetryBudget(), metrics),
         tracker = tracker,
         metrics = metrics,
         clock = clock,
+        mint = RequestIdMint(run),
     )
     private val server = embeddedServer(Netty, settings.listen.port, settings.listen.host) { module() }
 
@@ -52,7 +58,7 @@
     }
 
     /** Begins to serve. */
-    fun start() {
+    suspend fun start() {
         control.start()
         server.start()
         log.info { "entry: ${settings.id} is serving on ${settings.listen}" }
@@ -63,12 +69,13 @@
      * the requests in flight end.
      */
     suspend fun drain() {
-        log.info { "entry: draining with ${tracker.inFlight} requests in flight" }
+        log.info { "entry: draining with ${tracker.requestsInFlight} requests in flight" }
         tracker.startDraining()
         delay(settings.drainDelay)
         tracker.close()
         withTimeoutOrNull(settings.drainLimit) { tracker.awaitIdle() }
-            ?: log.warn { "entry: ${tracker.inFlight} requests are cut off at the drain limit" }
+            ?: log.warn { "entry: ${tracker.requestsInFlight} requests are cut off at the drain limit" }
+        control.stop()
         server.stop(STOP_GRACE_MILLIS, STOP_LIMIT_MILLIS)
         log.info { "entry: stopped" }
     }
@@ -78,7 +85,7 @@
         routing {
             operationsRoutes(registry) { whyNotReady() }
             callers.install(this)
-            OperatorRoutes(control, tableLog, tokens).install(this)
+            OperatorRoutes(control, tableLog, tokens, tracker).install(this)
         }
     }
 
@@ -89,8 +96,11 @@
     }
 
     private fun showGauges() {
-        metrics.gauge("bilberry.requests.in.flight", "Requests in flight") { tracker.inFlight }
+        metrics.gauge("bilberry.requests.in.flight", "Requests in flight") { tracker.requestsInFlight }
         metrics.gauge("bilberry.table.version", "Version of the tables in force") { control.tables.version.value }
+        metrics.gauge("bilberry.table.age.seconds", "Time since the tables were last known to be the newest") {
+            (clock.now() - control.currentAt).inWholeMilliseconds / MILLIS_PER_SECOND
+        }
         metrics.gauge("bilberry.store.reachable", "1 when the table service answers") {
             if (control.isStoreReachable) 1 else 0
         }
@@ -106,6 +116,7 @@
     }
 
     private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
         const val STOP_GRACE_MILLIS = 100L
         const val STOP_LIMIT_MILLIS = 2_000L
     }
