Harden the connections between processes

Cause: one failing handler ended a connection's coroutine without telling its owner or ended the reconnecting for good; a close with bytes left to write to a stopped peer left the socket open; queued messages had no limit in bytes; a message past the limit cost its connection. Change: senders encode and are refused at once when the queue, the connection or the message does not allow it; close cancels the socket's writer; finish() flushes before closing; the first message of a peer is limited to 64 KiB; reconnect pauses are jittered; a decoder error is never an exception. Conclusion: a silent, stopped or hostile peer costs its own connection.

--- a/protocol/src/main/kotlin/org/bilberryhead/protocol/MessageClient.kt
+++ b/protocol/src/main/kotlin/org/bilberryhead/protocol/MessageClient.kt
@@ -5,11 +5,14 @@
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 import org.bilberryhead.core.common.SocketAddress
@@ -17,6 +20,7 @@
 import org.bilberryhead.core.message.Hello
 import org.bilberryhead.core.message.Message
 import org.bilberryhead.core.message.Welcome
+import kotlin.random.Random
 
 private val log = KotlinLogging.logger("protocol")
 
@@ -45,6 +49,7 @@
     private val selectors: SelectorManager,
     private val scope: CoroutineScope,
     private val timings: ProtocolTimings = ProtocolTimings(),
+    private val random: Random = Random.Default,
 ) {
     @Volatile
     private var connection: MessageConnection? = null
@@ -66,30 +71,48 @@
 
     private suspend fun connectLoop() {
         var pause = timings.reconnectDelay
-        while (scope.isActive) {
-            val wasOpen = connectOnce()
+        while (true) {
+            val wasOpen = connectAndLogFailure()
             pause = if (wasOpen) timings.reconnectDelay else minOf(pause * 2, timings.maximumReconnectDelay)
-            delay(pause)
+            delay(pause * random.nextDouble(LEAST_JITTER, MOST_JITTER))
         }
     }
 
+    @Suppress("TooGenericExceptionCaught") // a fault of the handler must not end the reconnecting for good
+    private suspend fun connectAndLogFailure(): Boolean = try {
+        connectOnce()
+    } catch (cancellation: CancellationException) {
+        throw cancellation
+    } catch (failure: Exception) {
+        log.error(failure) { "protocol: the connection to $address failed" }
+        false
+    }
+
     private suspend fun connectOnce(): Boolean {
         val opened = open() ?: return false
-        val welcome = greet(opened)
-        if (welcome == null) {
+        try {
+            val welcome = greet(opened) ?: return false
+            serve(opened, welcome)
+            return true
+        } finally {
             opened.close()
-            return false
         }
+    }
+
+    private suspend fun serve(opened: MessageConnection, welcome: Welcome) = coroutineScope {
         connection = opened
-        handler.opened(welcome)
-        val heartbeats = scope.launch { heartbeatLoop(opened) }
-        val error = receiveLoop(opened)
-        heartbeats.cancel()
-        connection = null
-        opened.close()
-        log.info { "protocol: connection to $address lost: $error" }
-        handler.lost(error)
-        return true
+        val heartbeats = launch { heartbeatLoop(opened) }
+        var error: ProtocolError = ProtocolError.Closed("stopped")
+        try {
+            handler.opened(welcome)
+            error = receiveLoop(opened)
+        } finally {
+            heartbeats.cancel()
+            connection = null
+            opened.close()
+            log.info { "protocol: connection to $address lost: $error" }
+            withContext(NonCancellable) { handler.lost(error) }
+        }
     }
 
     private suspend fun open(): MessageConnection? = try {
@@ -107,7 +130,11 @@
 
     private suspend fun greet(opened: MessageConnection): Welcome? {
         opened.trySend(handler.hello())
-        return opened.receive().getOrElse { return null } as? Welcome
+        val answer = opened.receive().getOrElse {
+            log.info { "protocol: no welcome from $address: $it" }
+            return null
+        }
+        return answer as? Welcome
     }
 
     private suspend fun receiveLoop(opened: MessageConnection): ProtocolError {
@@ -122,4 +149,10 @@
             opened.trySend(handler.heartbeat())
         }
     }
+
+    private companion object {
+        /** A pause is multiplied by a random factor, so that many processes do not reconnect at the same moment. */
+        const val LEAST_JITTER = 0.5
+        const val MOST_JITTER = 1.5
+    }
 }
--- a/protocol/src/main/kotlin/org/bilberryhead/protocol/MessageCodec.kt
+++ b/protocol/src/main/kotlin/org/bilberryhead/protocol/MessageCodec.kt
@@ -4,7 +4,6 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
@@ -46,14 +45,10 @@
     fun encode(message: Message): ByteArray = cbor.encodeToByteArray(message)
 
     /** Returns the message encoded in [bytes], or [ProtocolError.Malformed]. */
-    @Suppress("TooGenericExceptionCaught") // the CBOR library throws it for bytes that are cut off
+    @Suppress("TooGenericExceptionCaught") // the CBOR library throws many kinds for bytes that are not CBOR
     fun decode(bytes: ByteArray): Result<Message, ProtocolError> = try {
         Ok(cbor.decodeFromByteArray<Message>(bytes))
-    } catch (failure: SerializationException) {
+    } catch (failure: RuntimeException) {
         Err(ProtocolError.Malformed(failure.message ?: "not a message"))
-    } catch (failure: IllegalArgumentException) {
-        Err(ProtocolError.Malformed(failure.message ?: "not a message"))
-    } catch (failure: IndexOutOfBoundsException) {
-        Err(ProtocolError.Malformed(failure.message ?: "cut off"))
     }
 }
--- a/protocol/src/main/kotlin/org/bilberryhead/protocol/MessageServer.kt
+++ b/protocol/src/main/kotlin/org/bilberryhead/protocol/MessageServer.kt
@@ -7,11 +7,16 @@
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.isClosed
+import io.ktor.network.sockets.toJavaAddress
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import kotlinx.io.IOException
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.core.message.Heartbeat
@@ -20,6 +25,8 @@
 import org.bilberryhead.core.message.Welcome
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 private val log = KotlinLogging.logger("protocol")
 
@@ -31,7 +38,10 @@
     /** Returns the heartbeat to send now. */
     fun heartbeat(): Heartbeat
 
-    /** The connection is open; [send] queues a message on it and returns whether it could. */
+    /**
+     * The connection is open; [send] queues a message on it and returns whether it could. A connection that can not
+     * take a message is closed, so that the other end asks for what it missed.
+     */
     suspend fun opened(connection: Long, hello: Hello, send: (Message) -> Boolean)
 
     /** A message other than the hello arrived. */
@@ -50,60 +60,102 @@
 ) {
     private val numbers = AtomicLong()
     private val open = ConcurrentHashMap<Long, MessageConnection>()
+    private val selectors = SelectorManager(Dispatchers.IO)
     private var serverSocket: ServerSocket? = null
+    private val failureLogger = CoroutineExceptionHandler { _, failure ->
+        log.error(failure) { "protocol: a connection failed" }
+    }
+
+    /** Number of connections that are open. */
+    val openConnections: Int get() = open.size
+
+    /** Where the server listens; its port is known once [start] has returned. */
+    val listening: SocketAddress
+        get() {
+            val bound = checkNotNull(serverSocket) { "the server is not started" }.localAddress.toJavaAddress()
+            return SocketAddress(address.host, (bound as java.net.InetSocketAddress).port)
+        }
 
     /** Starts to listen and returns once connections are accepted. */
     suspend fun start() {
-        val listening = aSocket(
-            SelectorManager(Dispatchers.IO),
-        ).tcp().bind(InetSocketAddress(address.host, address.port)) {
+        val bound = aSocket(selectors).tcp().bind(InetSocketAddress(address.host, address.port)) {
             reuseAddress = true
         }
-        serverSocket = listening
-        scope.launch { acceptLoop(listening) }
+        serverSocket = bound
+        scope.launch(failureLogger) { acceptLoop(bound) }
     }
 
-    /** Closes the listening socket and every connection. */
+    /** Closes the listening socket and every connection at once. */
     fun stop() {
         serverSocket?.close()
         open.values.forEach { it.close() }
+        selectors.close()
+    }
+
+    /** Closes the listening socket, and every connection once what is queued on it has been sent, within [limit]. */
+    suspend fun finish(limit: Duration) {
+        serverSocket?.close()
+        coroutineScope {
+            open.values.forEach { launch { it.finish(limit) } }
+        }
+        selectors.close()
     }
 
-    private suspend fun acceptLoop(listening: ServerSocket) {
-        while (scope.isActive && listening.socketContext.isActive) {
+    private suspend fun acceptLoop(bound: ServerSocket) {
+        while (!bound.isClosed) {
             try {
-                val socket = listening.accept()
-                scope.launch { serve(socket) }
+                val socket = bound.accept()
+                scope.launch(failureLogger) { serve(socket) }
             } catch (failure: IOException) {
-                log.info { "protocol: accept ended: ${failure.message}" }
+                log.info { "protocol: no connection accepted: ${failure.message}" }
+                delay(ACCEPT_PAUSE)
             }
         }
     }
 
     private suspend fun serve(socket: Socket) {
         val connection = MessageConnection(socket, scope, timings.silenceLimit)
-        val number = numbers.incrementAndGet()
         try {
-            val hello = connection.receive().getOrElse { return refuse(it) } as? Hello
-                ?: return refuse(ProtocolError.Malformed("the first message is not a hello"))
-            if (hello.protocolVersion != MessageCodec.PROTOCOL_VERSION) {
-                return refuse(ProtocolError.WrongVersion(hello.protocolVersion))
-            }
-            open[number] = connection
+            val hello = greet(connection)
+            if (hello != null) serve(numbers.incrementAndGet(), connection, hello)
+        } finally {
+            connection.close()
+        }
+    }
+
+    private suspend fun greet(connection: MessageConnection): Hello? {
+        val first = connection.receive(MAXIMUM_HELLO_BYTES).getOrElse { return refuse(it) }
+        val hello = first as? Hello ?: return refuse(ProtocolError.Malformed("the first message is not a hello"))
+        if (hello.protocolVersion != MessageCodec.PROTOCOL_VERSION) {
+            return refuse(ProtocolError.WrongVersion(hello.protocolVersion))
+        }
+        return hello
+    }
+
+    private fun refuse(error: ProtocolError): Hello? {
+        log.warn { "protocol: connection refused: $error" }
+        return null
+    }
+
+    private suspend fun serve(number: Long, connection: MessageConnection, hello: Hello) = coroutineScope {
+        open[number] = connection
+        val heartbeats = launch { heartbeatLoop(connection) }
+        try {
             connection.trySend(handler.welcome(hello))
-            handler.opened(number, hello, connection::trySend)
-            val heartbeats = scope.launch { heartbeatLoop(connection) }
+            handler.opened(number, hello) { sendOrClose(connection, it) }
             receiveLoop(number, connection)
-            heartbeats.cancel()
-            handler.closed(number)
         } finally {
+            heartbeats.cancel()
             open.remove(number)
             connection.close()
+            withContext(NonCancellable) { handler.closed(number) }
         }
     }
 
-    private fun refuse(error: ProtocolError) {
-        log.warn { "protocol: connection refused: $error" }
+    private fun sendOrClose(connection: MessageConnection, message: Message): Boolean {
+        val isSent = connection.trySend(message)
+        if (!isSent) connection.close()
+        return isSent
     }
 
     private suspend fun receiveLoop(number: Long, connection: MessageConnection) {
@@ -122,4 +174,12 @@
             connection.trySend(handler.heartbeat())
         }
     }
+
+    private companion object {
+        /** Largest first message of a peer that has not yet said who it is. */
+        const val MAXIMUM_HELLO_BYTES = 64 * 1024
+
+        /** Pause after a failed accept, such as for want of file descriptors. */
+        val ACCEPT_PAUSE = 100.milliseconds
+    }
 }
--- a/protocol/src/test/kotlin/org/bilberryhead/protocol/MessageCodecTest.kt
+++ b/protocol/src/test/kotlin/org/bilberryhead/protocol/MessageCodecTest.kt
@@ -1,19 +1,116 @@
 package org.bilberryhead.protocol
 
 import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.getError
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
 import org.bilberryhead.core.common.AttemptId
+import org.bilberryhead.core.common.ClientAccount
+import org.bilberryhead.core.common.DaemonId
+import org.bilberryhead.core.common.Incarnation
 import org.bilberryhead.core.common.Payload
+import org.bilberryhead.core.common.RequestId
+import org.bilberryhead.core.common.RequestKind
+import org.bilberryhead.core.common.StageName
+import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.message.Dispatch
 import org.bilberryhead.core.message.Frame
+import org.bilberryhead.core.message.Heartbeat
+import org.bilberryhead.core.message.Hello
+import org.bilberryhead.core.message.Leaving
+import org.bilberryhead.core.message.LoadReport
+import org.bilberryhead.core.message.Message
+import org.bilberryhead.core.message.Snapshot
+import org.bilberryhead.core.testing.testTables
+import java.lang.management.ManagementFactory
+import kotlin.random.Random
+
+private const val SEED = 20_261
+private const val CASES = 20_000
+private const val MAXIMUM_FUZZ_BYTES = 300
+private const val MEGABYTE = 1024L * 1024
+
+private val samples: List<Message> = listOf(
+    Hello(MessageCodec.PROTOCOL_VERSION, DaemonId("entry-1"), TableVersion(3)),
+    Heartbeat(TableVersion(3), LoadReport(1, 2, 4, 1.5)),
+    Leaving,
+    Frame(AttemptId("a"), number = 3, payload = Payload.ofText("answer"), last = true),
+    Snapshot(testTables()),
+    Dispatch(
+        attempt = AttemptId("a"),
+        incarnation = Incarnation("run"),
+        request = RequestId("r"),
+        kind = RequestKind("plan"),
+        stage = StageName("generate"),
+        clientAccount = ClientAccount("granite"),
+        remainingMillis = 4_000,
+        idempotent = true,
+        payload = Payload.ofText("{}"),
+    ),
+)
 
 class MessageCodecTest :
     DescribeSpec({
-        describe("a frame") {
-            it("is the same after encoding and decoding") {
-                val frame = Frame(AttemptId("a"), number = 3, payload = Payload.ofText("answer"), last = true)
+        describe("each kind of message") {
+            for (message in samples) {
+                it("is the same after encoding and decoding: ${message::class.simpleName}") {
+                    MessageCodec.decode(MessageCodec.encode(message)) shouldBe Ok(message)
+                }
+            }
+        }
+
+        describe("bytes that are not a message") {
+            it("are an error and no exception when they are random") {
+                val random = Random(SEED)
+
+                repeat(CASES) { MessageCodec.decode(random.nextBytes(random.nextInt(MAXIMUM_FUZZ_BYTES))) }
+            }
+
+            it("are an error and no exception when a message is cut off") {
+                for (message in samples) {
+                    val bytes = MessageCodec.encode(message)
+                    for (length in 0 until bytes.size) {
+                        MessageCodec.decode(bytes.copyOf(length)).getError()
+                            .shouldBeInstanceOf<ProtocolError.Malformed>()
+                    }
+                }
+            }
 
-                MessageCodec.decode(MessageCodec.encode(frame)) shouldBe Ok(frame)
+            it("are no exception when bytes of a message are changed") {
+                val random = Random(SEED)
+                val encoded = samples.map { MessageCodec.encode(it) }
+
+                repeat(CASES) {
+                    val bytes = encoded.random(random).copyOf()
+                    repeat(random.nextInt(1, 4)) { bytes[random.nextInt(bytes.size)] = random.nextInt().toByte() }
+                    MessageCodec.decode(bytes)
+                }
+            }
+
+            it("do not make it reserve the memory that they announce") {
+                val announcedLengths = listOf(0x5a, 0x7a, 0x9a, 0xba).map { type ->
+                    byteArrayOf(type.toByte(), 0x7f, -1, -1, -1, 1)
+                }
+                val encoded = MessageCodec.encode(samples.last())
+                val inMessage = announcedLengths.flatMap { length ->
+                    encoded.indices.map { encoded.copyOf(it) + length }
+                }
+
+                val before = allocatedBytes()
+                (announcedLengths + inMessage).forEach { MessageCodec.decode(it) }
+
+                (allocatedBytes() - before) shouldBeLessThan 256 * MEGABYTE
+            }
+
+            it("are an error when lists are nested without end") {
+                val nested = ByteArray(100_000) { 0x9f.toByte() }
+
+                MessageCodec.decode(nested).getError().shouldBeInstanceOf<ProtocolError.Malformed>()
             }
         }
     })
+
+private fun allocatedBytes(): Long =
+    (ManagementFactory.getThreadMXBean() as com.sun.management.ThreadMXBean).currentThreadAllocatedBytes
