--- /dev/null
+++ b/platform-testing/src/main/kotlin/org/bilberryhead/platform/testing/FakeTableService.kt
@@ -0,0 +1,111 @@
+package org.bilberryhead.platform.testing
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import org.bilberryhead.platform.Condition
+import org.bilberryhead.platform.RowWrite
+import org.bilberryhead.platform.StoreError
+import org.bilberryhead.platform.StoredRow
+import org.bilberryhead.platform.TableService
+import org.bilberryhead.platform.Transaction
+import java.util.TreeMap
+
+/** What goes wrong with a call. */
+enum class StoreFault {
+    /** Nothing. */
+    NONE,
+
+    /** The call is refused and has no effect. */
+    DOWN,
+
+    /** The call has its effect and its answer is lost. */
+    LOST_ANSWER,
+
+    /** The call has no effect and its answer is lost. */
+    LOST_CALL,
+}
+
+/** Kinds of calls that a fault can hit. */
+enum class StoreCall { READ, SCAN, COMMIT }
+
+/** A table service in memory. Safe for use by several threads. */
+class FakeTableService : TableService {
+    private val rows = TreeMap<String, StoredRow>()
+    private val planned = StoreCall.entries.associateWith { ArrayDeque<StoreFault>() }
+
+    /** Hits every call that has no planned fault. */
+    @Volatile
+    var fault = StoreFault.NONE
+
+    /** Runs before each call; suspends to make the service slow, or lets another writer in. */
+    @Volatile
+    var before: suspend (StoreCall) -> Unit = {}
+
+    /** Transactions that took effect, in order. */
+    val committed = mutableListOf<Transaction>()
+
+    /** Number of calls of each kind so far, with those that failed. */
+    val calls = mutableMapOf<StoreCall, Int>()
+
+    /** Lets [faults] hit the next calls of kind [call], one each. */
+    fun plan(call: StoreCall, vararg faults: StoreFault) = synchronized(rows) { planned.getValue(call) += faults }
+
+    /** Ends all faults, also those planned. */
+    fun heal() = synchronized(rows) {
+        fault = StoreFault.NONE
+        before = {}
+        planned.values.forEach { it.clear() }
+    }
+
+    /** Writes [key] past all faults. */
+    fun put(key: String, value: String) = synchronized(rows) { write(RowWrite(key, value)) }
+
+    /** Returns the value of [key] past all faults. */
+    fun valueOf(key: String): String? = synchronized(rows) { rows[key]?.value }
+
+    override suspend fun read(key: String): Result<StoredRow?, StoreError> = call(StoreCall.READ) { Ok(rows[key]) }
+
+    override suspend fun scan(prefix: String, after: String, limit: Int): Result<List<StoredRow>, StoreError> =
+        call(StoreCall.SCAN) {
+            val from = if (after > prefix) rows.tailMap(after, false) else rows.tailMap(prefix, true)
+            Ok(from.values.asSequence().takeWhile { it.key.startsWith(prefix) }.take(limit).toList())
+        }
+
+    override suspend fun commit(transaction: Transaction): Result<Unit, StoreError> = call(StoreCall.COMMIT) {
+        val broken = transaction.conditions.find { !holds(it) }
+        if (broken == null) {
+            transaction.writes.forEach { write(it) }
+            committed += transaction
+            Ok(Unit)
+        } else {
+            Err(StoreError.Conflict("condition on ${broken.key} does not hold"))
+        }
+    }
+
+    private suspend fun <T> call(kind: StoreCall, work: () -> Result<T, StoreError>): Result<T, StoreError> {
+        before(kind)
+        return synchronized(rows) {
+            calls.merge(kind, 1, Int::plus)
+            when (planned.getValue(kind).removeFirstOrNull() ?: fault) {
+                StoreFault.NONE -> work()
+                StoreFault.DOWN -> Err(StoreError.Refused("the table service is down"))
+                StoreFault.LOST_CALL -> Err(StoreError.OutcomeUnknown("the call was lost"))
+                StoreFault.LOST_ANSWER -> {
+                    work()
+                    Err(StoreError.OutcomeUnknown("the answer was lost"))
+                }
+            }
+        }
+    }
+
+    private fun write(write: RowWrite) {
+        val version = (rows[write.key]?.version ?: 0) + 1
+        rows[write.key] = StoredRow(write.key, write.value, version)
+    }
+
+    private fun holds(condition: Condition): Boolean = when (condition) {
+        is Condition.Absent -> condition.key !in rows
+        is Condition.HasVersion -> rows[condition.key]?.version == condition.version
+    }
+}
