Test the whole system as processes: path, endpoint and sidecar faults

Cause: the promises had no proof over real processes.

An endpoint that cuts a chunked answer of a stage that is not streamed to the caller is taken for complete: the caller gets status 200 and half a body. The connection does end without the last chunk (curl reports it), so the sidecar's caller must treat it as a failure.

--- /dev/null
+++ b/system-tests/src/test/kotlin/org/bilberryhead/system/DaemonProcess.kt
@@ -0,0 +1,48 @@
+package org.bilberryhead.system
+
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+import kotlin.io.path.writeText
+
+/** Signals that the tests send. */
+internal enum class Signal { TERM, KILL, STOP, CONT }
+
+/** One process of the system, started from the launchers that are shipped. */
+internal class DaemonProcess(private val folder: Path, private val name: String, private val program: String) {
+    private var process: Process? = null
+
+    /** Whether the process runs. */
+    val isAlive: Boolean get() = process?.isAlive == true
+
+    /** Starts the process with [settings], in YAML. */
+    fun start(settings: String) {
+        val file = folder.resolve("$name.yaml")
+        file.writeText(settings)
+        process = ProcessBuilder("$PROGRAMS/$program", "--settings", file.toString())
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("$name.log").toFile()))
+            .start()
+    }
+
+    /** Sends [signal] to the process. */
+    fun signal(signal: Signal) {
+        val pid = checkNotNull(process) { "$name was never started" }.pid()
+        ProcessBuilder("kill", "-${signal.name}", pid.toString()).inheritIO().start().waitFor()
+    }
+
+    /** Waits until the process has ended. */
+    fun awaitEnd() {
+        val hasEnded = checkNotNull(process).waitFor(END_LIMIT_SECONDS, TimeUnit.SECONDS)
+        check(hasEnded) { "$name has not ended" }
+    }
+
+    /** Kills the process and waits until it is gone; a stopped one too. */
+    fun kill() {
+        process?.destroyForcibly()?.waitFor()
+    }
+
+    private companion object {
+        const val PROGRAMS = "../dist/target/bilberryhead/bin"
+        const val END_LIMIT_SECONDS = 90L
+    }
+}
--- /dev/null
+++ b/system-tests/src/test/kotlin/org/bilberryhead/system/TestSystem.kt
@@ -0,0 +1,280 @@
+package org.bilberryhead.system
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.matchers.shouldBe
+import io.ktor.http.HttpMethod
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.bilberryhead.core.common.ChangeId
+import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.common.EndpointId
+import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.common.VmId
+import org.bilberryhead.core.tables.Endpoint
+import org.bilberryhead.core.tables.Pool
+import org.bilberryhead.core.tables.Route
+import org.bilberryhead.core.tables.TableChange
+import org.bilberryhead.core.tables.Tables
+import org.bilberryhead.operator.ChangeAnswer
+import org.bilberryhead.operator.EndpointState
+import org.bilberryhead.operator.EntryStatus
+import org.bilberryhead.operator.OperatorPaths
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.nio.file.Files
+import java.nio.file.Path
+import java.security.MessageDigest
+import java.util.UUID
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Limit of every wait for an event; far above what any should take. */
+internal val EVENT_LIMIT: Duration = 60.seconds
+
+private const val OPERATOR_TOKEN = "operator-token"
+private const val CALLER_TOKEN = "caller-token"
+private const val LOOPBACK = "127.0.0.1"
+
+/** One effect that the stand-in recorded. */
+@Serializable
+internal data class Effect(val request: String, val attempt: String, val stage: String, val endpoint: String)
+
+/**
+ * What to start.
+ *
+ * @property pools number of endpoints of each pool
+ * @property relayed whether a relay stands between the entries and each sidecar
+ */
+internal data class SystemPlan(
+    val routes: List<Route>,
+    val pools: Map<String, Int>,
+    val relayed: Boolean = false,
+    val serviceTime: String = "20ms",
+    val streamedStages: List<String> = emptyList(),
+)
+
+/** The whole system as separate processes: stand-ins, two entries and a sidecar for each endpoint. */
+internal class TestSystem(private val plan: SystemPlan) : AutoCloseable {
+    private class EndpointPorts(val pool: String, val table: Int, val listen: Int, val operations: Int)
+
+    private val folder: Path = Files.createTempDirectory(Path.of("target").toAbsolutePath(), "system-")
+    private val http = HttpCalls()
+    private val json = Json { ignoreUnknownKeys = true }
+    private val standin = DaemonProcess(folder, "standin", "bilberry-standin")
+    private val standinPort = freePort()
+    private val entryPorts = List(ENTRIES) { freePort() }
+    private val peerPorts = List(ENTRIES) { freePort() }
+    private val ports = plan.pools.flatMap { (pool, size) -> List(size) { "$pool-$it" to portsOf(pool) } }.toMap()
+
+    /** The entries. */
+    val entries = List(ENTRIES) { DaemonProcess(folder, "entry-$it", "bilberry-entry") }
+
+    /** The sidecars by the names of their endpoints. */
+    val sidecars = ports.keys.associateWith { DaemonProcess(folder, "sidecar-$it", "bilberry-sidecar") }
+
+    /** Names of the endpoints of [pool]. */
+    fun endpointsOf(pool: String): List<String> = ports.filterValues { it.pool == pool }.keys.toList()
+
+    /** Starts every process and puts the planned tables in force. */
+    suspend fun start() {
+        standin.start(standinSettings())
+        awaitReady(standinPort)
+        sidecars.keys.forEach(::startSidecar)
+        entries.indices.forEach(::startEntry)
+        awaitLive(0)
+        eventually(EVENT_LIMIT) { (propose(firstChange()) is ChangeAnswer.Accepted) shouldBe true }
+        entries.indices.forEach { awaitEntry(it) }
+    }
+
+    /** Starts the sidecar of [endpoint]. */
+    fun startSidecar(endpoint: String) = sidecars.getValue(endpoint).start(sidecarSettings(endpoint))
+
+    /** Starts entry [number]. */
+    fun startEntry(number: Int) = entries[number].start(entrySettings(number))
+
+    /** Waits until entry [number] has tables and every sidecar serves it. */
+    suspend fun awaitEntry(number: Int) {
+        awaitReady(entryPorts[number])
+        val endpoints = ports.size
+        eventually(EVENT_LIMIT) { connectedSidecars(number) shouldBe endpoints }
+        clearEffects()
+    }
+
+    /** Waits until entry [number] answers at all. */
+    suspend fun awaitLive(number: Int) = eventually(EVENT_LIMIT) {
+        http.call(HttpMethod.Get, "${entryUrl(number)}/health/live").status shouldBe OK
+    }
+
+    /** Sends a request through entry [entry]. */
+    suspend fun send(
+        kind: String,
+        entry: Int = 0,
+        body: String = """{"question":"where to?"}""",
+        headers: Map<String, String> = emptyMap(),
+    ): CallerAnswer {
+        val all = headers + mapOf("Authorization" to "Bearer $CALLER_TOKEN", "Content-Type" to "application/json")
+        return http.call(HttpMethod.Post, "${entryUrl(entry)}/v1/requests/$kind", body, all)
+    }
+
+    /** Returns every effect that endpoints had. */
+    suspend fun effects(): List<Effect> =
+        json.decodeFromString(http.call(HttpMethod.Get, "${standinUrl()}/effects").body)
+
+    /** Passes once the sidecar of [endpoint] reports work to entry 0. */
+    suspend fun shouldBeRunning(endpoint: String) {
+        val answer = operatorCall(HttpMethod.Get, OperatorPaths.STATUS, entry = 0)
+        val load = json.decodeFromString<EntryStatus>(answer.body).endpoints.single {
+            it.endpoint.value == endpoint
+        }.load
+        (checkNotNull(load).running > 0) shouldBe true
+    }
+
+    /** Forgets the effects so far. */
+    suspend fun clearEffects() {
+        http.call(HttpMethod.Delete, "${standinUrl()}/effects").status shouldBe OK
+    }
+
+    /** Switches a fault of the stand-in; [path] follows `/faults/`. */
+    suspend fun fault(path: String, body: String) {
+        http.call(HttpMethod.Post, "${standinUrl()}/faults/$path", body).status shouldBe OK
+    }
+
+    /** Sets the fault [kind] of [endpoint]. */
+    suspend fun endpointFault(endpoint: String, kind: String, more: String = "") =
+        fault("endpoints/$endpoint", """{"kind":"$kind"$more}""")
+
+    /** Sets the fault [kind] of the table service. */
+    suspend fun storeFault(kind: String, more: String = "") =
+        fault("platform", """{"service":"TABLES","kind":"$kind"$more}""")
+
+    /** Sets the mode of the relay before the sidecar of [endpoint]. */
+    suspend fun relay(endpoint: String, mode: String) = fault("relays/$endpoint", """{"mode":"$mode"}""")
+
+    /** Returns the tables in force at entry [entry], or null when it does not tell. */
+    suspend fun tables(entry: Int): Tables? {
+        val answer = operatorCall(HttpMethod.Get, OperatorPaths.TABLES, entry)
+        return if (answer.status == OK) json.decodeFromString<Tables>(answer.body) else null
+    }
+
+    /** Proposes [change] at entry [entry]; null when no answer came. */
+    suspend fun propose(change: TableChange, entry: Int = 0): ChangeAnswer? =
+        changeAnswer(operatorCall(HttpMethod.Post, OperatorPaths.CHANGES, entry, Json.encodeToString(change)))
+
+    /** Asks entry [entry] what became of the change [id]. */
+    suspend fun outcomeOf(id: ChangeId, entry: Int = 0): ChangeAnswer? =
+        changeAnswer(operatorCall(HttpMethod.Get, OperatorPaths.CHANGE.replace("{id}", id.value), entry))
+
+    /** Returns a change of [tables] that puts [route] and nothing else. */
+    fun changeOf(tables: Tables, route: Route) = TableChange(
+        id = ChangeId(UUID.randomUUID().toString()),
+        baseVersion = tables.version,
+        author = "",
+        madeAt = Clock.System.now(),
+        putRoutes = listOf(route),
+    )
+
+    override fun close() {
+        (entries + sidecars.values + standin).forEach { it.kill() }
+        http.close()
+    }
+
+    private fun changeAnswer(answer: CallerAnswer): ChangeAnswer? =
+        if (answer.body.startsWith("{")) json.decodeFromString<ChangeAnswer>(answer.body) else null
+
+    private suspend fun operatorCall(method: HttpMethod, path: String, entry: Int, body: String = ""): CallerAnswer {
+        val headers = mapOf("Authorization" to "Bearer $OPERATOR_TOKEN", "Content-Type" to "application/json")
+        return http.call(method, entryUrl(entry) + path, body, headers)
+    }
+
+    private suspend fun connectedSidecars(entry: Int): Int {
+        val answer = operatorCall(HttpMethod.Get, OperatorPaths.STATUS, entry)
+        return json.decodeFromString<EntryStatus>(answer.body).endpoints.count { it.state == EndpointState.SERVING }
+    }
+
+    private suspend fun awaitReady(port: Int) = eventually(EVENT_LIMIT) {
+        http.call(HttpMethod.Get, "http://$LOOPBACK:$port/health/ready").status shouldBe OK
+    }
+
+    private fun entryUrl(number: Int) = "http://$LOOPBACK:${entryPorts[number]}"
+
+    private fun standinUrl() = "http://$LOOPBACK:$standinPort"
+
+    private fun firstChange() = TableChange(
+        id = ChangeId(UUID.randomUUID().toString()),
+        baseVersion = Tables().version,
+        author = "",
+        madeAt = Clock.System.now(),
+        putRoutes = plan.routes,
+        putPools = plan.pools.keys.map { pool ->
+            Pool(PoolName(pool), ports.filterValues { it.pool == pool }.map { (id, ports) -> endpoint(id, ports) })
+        },
+    )
+
+    private fun endpoint(id: String, ports: EndpointPorts) = Endpoint(
+        EndpointId(id),
+        DataCentre("nashua"),
+        SocketAddress(LOOPBACK, ports.table),
+        VmId("vm-$id"),
+    )
+
+    private fun portsOf(pool: String): EndpointPorts {
+        val listen = freePort()
+        return EndpointPorts(pool, if (plan.relayed) freePort() else listen, listen, freePort())
+    }
+
+    private fun standinSettings(): String {
+        val relays = if (plan.relayed) {
+            ports.map { (id, ports) ->
+                "  - {name: $id, listen: {host: $LOOPBACK, port: ${ports.table}}, " +
+                    "target: {host: $LOOPBACK, port: ${ports.listen}}}"
+            }
+        } else {
+            emptyList()
+        }
+        return """
+            listen: {host: $LOOPBACK, port: $standinPort}
+            serviceTime: ${plan.serviceTime}
+            streamedStages: ${plan.streamedStages}
+        """.trimIndent() + if (relays.isEmpty()) "" else relays.joinToString("\n", prefix = "\nrelays:\n")
+    }
+
+    private fun sidecarSettings(endpoint: String): String {
+        val ports = ports.getValue(endpoint)
+        return """
+            endpoint: $endpoint
+            dataCentre: nashua
+            listen: {host: $LOOPBACK, port: ${ports.listen}}
+            operations: {host: $LOOPBACK, port: ${ports.operations}}
+            endpointUrl: ${standinUrl()}/endpoints/$endpoint
+            platformUrl: ${standinUrl()}
+        """.trimIndent()
+    }
+
+    private fun entrySettings(number: Int): String {
+        val peers = peerPorts.filterIndexed { index, _ -> index != number }.map { "{host: $LOOPBACK, port: $it}" }
+        return """
+            id: entry-$number
+            dataCentre: nashua
+            listen: {host: $LOOPBACK, port: ${entryPorts[number]}}
+            peerListen: {host: $LOOPBACK, port: ${peerPorts[number]}}
+            platformUrl: ${standinUrl()}
+            peers: $peers
+            clientAccounts:
+              - {account: test-account, tokenSha256: ${digest(CALLER_TOKEN)}}
+            operators:
+              - {name: test-operator, tokenSha256: ${digest(OPERATOR_TOKEN)}}
+        """.trimIndent()
+    }
+
+    private companion object {
+        const val ENTRIES = 2
+        const val OK = 200
+
+        fun freePort(): Int = ServerSocket(0, 1, InetAddress.getByName(LOOPBACK)).use { it.localPort }
+
+        fun digest(token: String): String =
+            MessageDigest.getInstance("SHA-256").digest(token.encodeToByteArray()).toHexString()
+    }
+}
