--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
@@ -1,5 +1,8 @@
 package org.bilberryhead.core.pipeline
 
+import org.bilberryhead.core.admission.Admission
+import org.bilberryhead.core.admission.AdmissionControl
+import org.bilberryhead.core.admission.DeadlineSplitter
 import org.bilberryhead.core.common.AttemptId
 import org.bilberryhead.core.common.EndpointId
 import org.bilberryhead.core.common.Payload
@@ -19,6 +22,7 @@
 import org.bilberryhead.core.message.RefusalReason
 import org.bilberryhead.core.message.Refused
 import org.bilberryhead.core.message.Running
+import org.bilberryhead.core.retry.HedgePolicy
 import org.bilberryhead.core.retry.RetryBudget
 import org.bilberryhead.core.routing.EndpointSelector
 import org.bilberryhead.core.routing.Selection
@@ -45,6 +49,7 @@
     private val selector: EndpointSelector,
     private val budget: RetryBudget,
     private val timings: ExecutionTimings = ExecutionTimings(),
+    private val admission: AdmissionControl = AdmissionControl.Open,
 ) {
     private val attempts = LinkedHashMap<AttemptId, AttemptRecord>()
     private val actions = mutableListOf<RequestAction>()
@@ -61,6 +66,7 @@
     private var lastRetryAfter: Duration? = null
     private var isClosing = false
     private var isComplete = false
+    private var mayRefuse = true
 
     private val stage: Stage get() = route.stages[stageIndex]
     private val isLastStage: Boolean get() = stageIndex == route.stages.lastIndex
@@ -91,6 +97,7 @@
     }
 
     private fun startStage(now: Instant) {
+        if (stageIndex == 0 && request.ticket == null && !isAdmitted(now)) return
         budget.recordFirstAttempt()
         val ticket = request.ticket
         if (ticket != null && !stage.idempotent) {
@@ -99,8 +106,8 @@
         }
         dispatchToChosen(now)
         if (stage.hedged && stage.idempotent) {
-            val hedgeAt = now + (request.deadline - now) * timings.hedgeAfterShare
-            actions += RequestAction.SetTimer(RequestTimer.HEDGE, hedgeAt)
+            val delay = HedgePolicy.delay(selector.stageTimes(stage.pool), route.objective, request.deadline - now)
+            actions += RequestAction.SetTimer(RequestTimer.HEDGE, now + delay)
         }
     }
 
@@ -114,6 +121,23 @@
         }
     }
 
+    private fun isAdmitted(now: Instant): Boolean {
+        val remaining = request.deadline - now
+        return when (val admitted = admission.check(request.clientAccount, route, tables, remaining, now)) {
+            is Admission.Admitted -> {
+                mayRefuse = admitted.mayRefuse
+                true
+            }
+            is Admission.Refused -> {
+                end(FailureReason.DEADLINE_UNREACHABLE, admitted.retryAfter, now)
+                false
+            }
+        }
+    }
+
+    private fun stageLimit(now: Instant): Duration =
+        DeadlineSplitter.limit(route.stages.drop(stageIndex), request.deadline - now, selector)
+
     /** Asks what became of an attempt that another request may have sent, without sending it. */
     private fun attach(location: AttemptLocation, now: Instant) {
         attempts[location.attempt] = AttemptRecord(location, stageIndex, now, isShared = true)
@@ -156,16 +180,18 @@
     private fun selectionRequest(pool: Pool, now: Instant) = SelectionRequest(
         request = request.id,
         pool = pool,
-        remaining = request.deadline - now,
+        remaining = stageLimit(now),
         objective = route.objective,
         avoid = attempts.values.filter { it.stageIndex == stageIndex }.map { it.location.endpoint }.toSet(),
+        mayProbe = stage.idempotent,
+        mayRefuse = mayRefuse && stageIndex == 0,
     )
 
     private fun dispatch(location: AttemptLocation, why: String, candidates: Int, now: Instant) {
         attempts[location.attempt] = AttemptRecord(location, stageIndex, now, isShared = isTicketed)
         selector.recordDispatch(location.endpoint, now)
         logDecision(location.attempt, candidates, location.endpoint, why)
-        val message = messages.dispatch(location, stageIndex, input, now)
+        val message = messages.dispatch(location, stageIndex, input, stageLimit(now))
         actions += RequestAction.Send(location.endpoint, location.incarnation, message)
     }
 
@@ -342,7 +368,7 @@
 
     private fun hedge(now: Instant) {
         val canHedge = stage.hedged && stage.idempotent && leader == null && openAttempts().size == 1
-        if (canHedge && budget.tryTake()) dispatchToChosen(now)
+        if (canHedge && budget.tryTakeHedge()) dispatchToChosen(now)
     }
 
     private fun askAgain(now: Instant) {
@@ -360,15 +386,18 @@
         val mayHaveRun = attempts.values.filter { it.mayHaveRun }
         openAttempts().forEach { step(it.location.attempt, AttemptEvent.ABANDON, now) }
         complete(
-            if (mayHaveRun.isEmpty()) {
+            if (mayHaveRun.isEmpty() && !isTicketUnasked()) {
                 RequestOutcome.NotRun(reason, retryAfter)
             } else {
-                val repeatable = mayHaveRun.all { route.stages[it.stageIndex].idempotent }
+                val repeatable = !isTicketUnasked() && mayHaveRun.all { route.stages[it.stageIndex].idempotent }
                 RequestOutcome.Unknown(reason, repeatable, retryAfter)
             },
         )
     }
 
+    /** An earlier submission may have run under a ticket that this one has not asked about. */
+    private fun isTicketUnasked(): Boolean = request.ticket != null && attempts.values.none { it.isShared }
+
     private fun complete(outcome: RequestOutcome) {
         isComplete = true
         actions += RequestAction.Complete(outcome)
