Make the sidecar call its endpoint exactly once and leave without loss

Cause: OkHttp repeats a call that is answered 503 with "Retry-After: 0", lets five calls at once through and gives up reading after 10 s; an unexpected exception left an attempt without an end; an idle sidecar ended before it had refused what entries had already sent; the first call was slow for loading classes. Change: no follow-ups, no client limits but the gate's; every exception ends the attempt; long answers come in frames of 1 MiB and up to a limit; one control thread takes posted steps; at least 1 s between the leaving and the end, then the queued frames are flushed; warm-up before ready; metrics of calls by stage, refusals, queue and ledger. The entry claims keys in the table service. Conclusion: one HTTP request for one attempt, whatever the endpoint does.

--- a/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
@@ -20,6 +20,7 @@
 import org.bilberryhead.daemon.operationsRoutes
 import org.bilberryhead.platform.HttpPlatform
 import org.bilberryhead.platform.TableLog
+import org.bilberryhead.platform.TableServiceClaimStore
 import org.bilberryhead.platform.TableSnapshots
 import java.util.UUID
 import kotlin.random.Random
@@ -39,7 +40,7 @@
     private val tracker = RequestTracker()
     private val registry = newMeterRegistry()
     private val metrics = EntryMetrics(registry)
-    private val claims = NoClaimStore
+    private val claims = TableServiceClaimStore(platform, clock, scope)
     private val callers = CallerRoutes(
         reader = CallerRequestReader({ control.tables }, tokens, settings.maximumBodyBytes),
         keys = KeyResolver(selector, claims, clock, scope, RequestIdMint("$run-tickets")),
--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/EndpointCaller.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/EndpointCaller.kt
@@ -2,56 +2,98 @@
 
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.okhttp.OkHttp
+import io.ktor.client.engine.okhttp.OkHttpConfig
 import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.plugins.timeout
 import io.ktor.client.request.header
 import io.ktor.client.request.preparePost
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
-import io.ktor.client.statement.bodyAsBytes
 import io.ktor.client.statement.bodyAsChannel
 import io.ktor.http.ContentType
 import io.ktor.http.contentType
 import io.ktor.http.isSuccess
 import io.ktor.utils.io.readAvailable
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import okhttp3.ConnectionPool
+import okhttp3.Dispatcher
 import org.bilberryhead.core.common.Payload
 import org.bilberryhead.core.gate.GateEvent
 import org.bilberryhead.core.message.Dispatch
+import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.net.ConnectException
+import java.net.NoRouteToHostException
+import java.net.UnknownHostException
+import java.util.concurrent.TimeUnit
 
 /** Name of the header that tells the endpoint the request's id. */
 const val REQUEST_ID_HEADER = "X-Request-Id"
 
+/** Name of the header that tells the endpoint the attempt's id, which it never sees twice. */
+const val ATTEMPT_ID_HEADER = "X-Attempt-Id"
+
+/** Name of the header that tells the endpoint the kind of the request. */
+const val REQUEST_KIND_HEADER = "X-Request-Kind"
+
 /** Name of the header with which an endpoint states that it did not begin the call. */
 const val NOT_RUN_HEADER = "X-Not-Run"
 
-/** Calls the endpoint over HTTP, once for each attempt that it is given. */
-class EndpointCaller(private val baseUrl: String) : AutoCloseable {
+/**
+ * Calls the endpoint over HTTP, with one HTTP request for each attempt that it is given and never a second one.
+ *
+ * @param maximumAnswerBytes a longer answer counts as a failure of the endpoint
+ */
+class EndpointCaller(private val baseUrl: String, private val maximumAnswerBytes: Int = DEFAULT_ANSWER_BYTES) :
+    AutoCloseable {
     private val client = HttpClient(OkHttp) {
         expectSuccess = false
+        followRedirects = false
         install(HttpTimeout)
-        engine { config { retryOnConnectionFailure(false) } }
+        engine { configure() }
     }
 
     /** Makes the call and reports each part of the answer, and its end, through [report]. */
+    @Suppress("TooGenericExceptionCaught") // an attempt without an end would hold its place for ever
     suspend fun call(dispatch: Dispatch, report: suspend (GateEvent) -> Unit) {
-        val attempt = dispatch.attempt
         try {
             prepare(dispatch).execute { response -> read(dispatch, response, report) }
-        } catch (failure: ConnectException) {
-            report(GateEvent.EndpointDidNotRun(attempt, "no connection: ${failure.message}"))
-        } catch (failure: IOException) {
-            report(GateEvent.EndpointFailed(attempt, "call failed: ${failure.message}"))
+        } catch (failure: CancellationException) {
+            currentCoroutineContext().ensureActive()
+            report(failed(dispatch, failure))
+        } catch (failure: Exception) {
+            report(if (isConnectFailure(failure)) notRun(dispatch, failure) else failed(dispatch, failure))
         }
     }
 
     override fun close() = client.close()
 
+    private fun OkHttpConfig.configure() = config {
+        retryOnConnectionFailure(false)
+        followRedirects(false)
+        followSslRedirects(false)
+        dispatcher(
+            Dispatcher().apply {
+                maxRequests = MAXIMUM_CALLS
+                maxRequestsPerHost = MAXIMUM_CALLS
+            },
+        )
+        connectionPool(ConnectionPool(IDLE_CONNECTIONS, IDLE_SECONDS, TimeUnit.SECONDS))
+        connectTimeout(CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        readTimeout(0, TimeUnit.MILLISECONDS)
+        writeTimeout(0, TimeUnit.MILLISECONDS)
+        // OkHttp repeats a call that is answered with status 503 and "Retry-After: 0".
+        addNetworkInterceptor { chain ->
+            chain.proceed(chain.request()).newBuilder().removeHeader("Retry-After").build()
+        }
+    }
+
     private suspend fun prepare(dispatch: Dispatch) = client.preparePost("$baseUrl/stages/${dispatch.stage.value}") {
         header(REQUEST_ID_HEADER, dispatch.request.value)
-        header("X-Attempt-Id", dispatch.attempt.value)
-        header("X-Request-Kind", dispatch.kind.value)
+        header(ATTEMPT_ID_HEADER, dispatch.attempt.value)
+        header(REQUEST_KIND_HEADER, dispatch.kind.value)
         contentType(ContentType.Application.Json)
         timeout { requestTimeoutMillis = dispatch.remainingMillis + ANSWER_GRACE_MILLIS }
         setBody(dispatch.payload.bytes)
@@ -61,31 +103,72 @@
         val attempt = dispatch.attempt
         when {
             response.status.isSuccess() && dispatch.streamed -> readParts(dispatch, response, report)
-            response.status.isSuccess() ->
-                report(GateEvent.EndpointAnswered(attempt, Payload(response.bodyAsBytes()), last = true))
+            response.status.isSuccess() -> readWhole(dispatch, response, report)
             response.headers[NOT_RUN_HEADER] == "true" ->
                 report(GateEvent.EndpointDidNotRun(attempt, "endpoint answered ${response.status.value}, not run"))
             else -> report(GateEvent.EndpointFailed(attempt, "endpoint answered ${response.status.value}"))
         }
     }
 
+    private suspend fun readWhole(dispatch: Dispatch, response: HttpResponse, report: suspend (GateEvent) -> Unit) {
+        val collected = ByteArrayOutputStream()
+        readChunks(response) { collected.write(it) }
+        val answer = collected.toByteArray()
+        val starts = if (answer.isEmpty()) listOf(0) else answer.indices step FRAME_BYTES
+        for (start in starts) {
+            val end = minOf(start + FRAME_BYTES, answer.size)
+            val payload = Payload(answer.copyOfRange(start, end))
+            report(GateEvent.EndpointAnswered(dispatch.attempt, payload, last = end == answer.size))
+        }
+    }
+
     private suspend fun readParts(dispatch: Dispatch, response: HttpResponse, report: suspend (GateEvent) -> Unit) {
+        readChunks(response) { part ->
+            report(GateEvent.EndpointAnswered(dispatch.attempt, Payload(part), last = false))
+        }
+        report(GateEvent.EndpointAnswered(dispatch.attempt, Payload.EMPTY, last = true))
+    }
+
+    private suspend fun readChunks(response: HttpResponse, take: suspend (ByteArray) -> Unit) {
         val body = response.bodyAsChannel()
         val buffer = ByteArray(PART_BYTES)
+        var total = 0L
         while (true) {
             val count = body.readAvailable(buffer)
             if (count < 0) break
-            report(GateEvent.EndpointAnswered(dispatch.attempt, Payload(buffer.copyOf(count)), last = false))
+            total += count
+            if (total > maximumAnswerBytes) throw IOException("answer is longer than $maximumAnswerBytes bytes")
+            take(buffer.copyOf(count))
         }
         body.closedCause?.let { throw IOException("answer is cut off", it) }
-        report(GateEvent.EndpointAnswered(dispatch.attempt, Payload.EMPTY, last = true))
     }
 
-    private companion object {
+    private fun isConnectFailure(failure: Exception): Boolean =
+        failure is ConnectException || failure is NoRouteToHostException || failure is UnknownHostException
+
+    private fun notRun(dispatch: Dispatch, failure: Exception) =
+        GateEvent.EndpointDidNotRun(dispatch.attempt, "no connection: ${failure.message}")
+
+    private fun failed(dispatch: Dispatch, failure: Exception) =
+        GateEvent.EndpointFailed(dispatch.attempt, "call failed: ${failure.message}")
+
+    companion object {
+        /** Longest answer that is taken unless the settings say otherwise, in bytes. */
+        const val DEFAULT_ANSWER_BYTES = 8 * 1024 * 1024
+
         /** Largest part of a streamed answer, in bytes. */
-        const val PART_BYTES = 16 * 1024
+        private const val PART_BYTES = 16 * 1024
+
+        /** Largest frame of an answer that is not streamed, in bytes. */
+        private const val FRAME_BYTES = 1024 * 1024
 
         /** Time after the deadline for which an answer is still awaited, so that the ledger learns the outcome. */
-        const val ANSWER_GRACE_MILLIS = 10_000L
+        private const val ANSWER_GRACE_MILLIS = 10_000L
+
+        /** Calls that the HTTP client lets run at once; the gate sets the real limit. */
+        private const val MAXIMUM_CALLS = 4_096
+        private const val IDLE_CONNECTIONS = 64
+        private const val IDLE_SECONDS = 60L
+        private const val CONNECT_TIMEOUT_MILLIS = 1_000L
     }
 }
--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/Main.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/Main.kt
@@ -17,17 +17,30 @@
     override suspend fun serve(settings: SidecarSettings) {
         val signal = TerminationSignal(settings.drainLimit)
         val incarnation = Incarnation(UUID.randomUUID().toString())
-        val daemon = SidecarDaemon(settings, incarnation, MonotonicClock(), EndpointCaller(settings.endpointUrl))
         val registry = newMeterRegistry()
-        daemon.start()
+        val daemon = SidecarDaemon(
+            settings = settings,
+            incarnation = incarnation,
+            clock = MonotonicClock(),
+            caller = EndpointCaller(settings.endpointUrl, settings.maximumAnswerBytes),
+            metrics = SidecarMetrics(registry),
+            onBrokenInvariant = { Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT) },
+        )
         val operations = embeddedServer(Netty, settings.operations.port, settings.operations.host) {
             routing { operationsRoutes(registry, daemon::whyNotReady) }
         }
         operations.start()
+        WarmUp.run(settings.operations, incarnation)
+        daemon.start()
         signal.await()
         daemon.drain()
         signal.release()
     }
+
+    private companion object {
+        /** Exit status after a broken invariant: the ledger can not be trusted any more. */
+        const val EXIT_BROKEN_INVARIANT = 70
+    }
 }
 
 /** Starts a sidecar. */
--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarDaemon.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarDaemon.kt
@@ -3,56 +3,68 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.newSingleThreadContext
-import kotlinx.coroutines.withContext
 import org.bilberryhead.core.common.AttemptId
 import org.bilberryhead.core.common.DaemonId
 import org.bilberryhead.core.common.Incarnation
+import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.execution.AttemptLedger
 import org.bilberryhead.core.gate.ConnectionId
 import org.bilberryhead.core.gate.GateAction
 import org.bilberryhead.core.gate.GateEvent
 import org.bilberryhead.core.gate.GateLimits
 import org.bilberryhead.core.gate.SidecarGate
+import org.bilberryhead.core.message.AskOutcome
 import org.bilberryhead.core.message.AttemptMessage
+import org.bilberryhead.core.message.AttemptOutcome
 import org.bilberryhead.core.message.Changes
 import org.bilberryhead.core.message.Dispatch
 import org.bilberryhead.core.message.FetchChanges
 import org.bilberryhead.core.message.Heartbeat
 import org.bilberryhead.core.message.Hello
+import org.bilberryhead.core.message.Leaving
 import org.bilberryhead.core.message.Message
+import org.bilberryhead.core.message.OutcomeReport
+import org.bilberryhead.core.message.Refused
 import org.bilberryhead.core.message.Snapshot
 import org.bilberryhead.core.message.Welcome
 import org.bilberryhead.core.propagation.MergeResult
 import org.bilberryhead.core.propagation.TableReplica
 import org.bilberryhead.protocol.ConnectionHandler
 import org.bilberryhead.protocol.MessageServer
+import org.bilberryhead.protocol.ProtocolTimings
 import kotlin.time.Clock
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 private val log = KotlinLogging.logger("sidecar")
 
 /** Runs a [SidecarGate] on one control thread, with connections and endpoint calls on others. */
-@OptIn(ExperimentalCoroutinesApi::class)
 class SidecarDaemon(
     private val settings: SidecarSettings,
     private val incarnation: Incarnation,
     private val clock: Clock,
     private val caller: EndpointCaller,
+    private val metrics: SidecarMetrics,
+    private val timings: ProtocolTimings = ProtocolTimings(),
+    onBrokenInvariant: () -> Unit,
 ) {
-    private val control = newSingleThreadContext("control")
+    private val control = ControlThread(onBrokenInvariant)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val gate = SidecarGate(incarnation, GateLimits(settings.concurrency, settings.queueCapacity))
+    private val ledger = AttemptLedger()
+    private val gate = SidecarGate(incarnation, GateLimits(settings.concurrency, settings.queueCapacity), ledger)
     private val replica = TableReplica()
     private val senders = HashMap<ConnectionId, (Message) -> Boolean>()
     private val calls = HashMap<AttemptId, Job>()
     private val stopped = Job()
-    private val server = MessageServer(settings.listen, Handler(), scope)
+    private val server = MessageServer(settings.listen, Handler(), scope, timings)
+
+    @Volatile
+    private var isServing = false
 
     @Volatile
     private var status = gate.status
@@ -60,26 +72,37 @@
     @Volatile
     private var tableVersion = TableVersion.NONE
 
+    /** Where entries connect; known once [start] has returned. */
+    val listening: SocketAddress get() = server.listening
+
     /** Begins to serve. */
     suspend fun start() {
+        showGauges()
         server.start()
         handle(GateEvent.Ready)
+        isServing = true
         scope.launch { tickLoop() }
-        log.info { "sidecar: serving endpoint ${settings.endpoint} on ${settings.listen} as run $incarnation" }
+        log.info { "sidecar: serving endpoint ${settings.endpoint} on ${server.listening} as run $incarnation" }
     }
 
-    /** Takes no new work, waits until accepted work has ended, and stops. */
+    /** Takes no new work, waits until accepted work has ended and its answers are sent, and stops. */
     suspend fun drain() {
         log.info { "sidecar: leaving with ${status.load.running} running and ${status.load.queued} queued" }
         handle(GateEvent.Leave)
+        // What entries sent before they heard of the leaving still gets its refusal.
+        delay(LEAVING_NOTICE)
         stopped.join()
-        delay(FLUSH_PAUSE)
-        server.stop()
+        server.finish(FLUSH_LIMIT)
+        caller.close()
         log.info { "sidecar: stopped" }
     }
 
     /** Returns null when the sidecar takes work, or else why not. */
-    fun whyNotReady(): String? = if (status.leaving) "leaving" else null
+    fun whyNotReady(): String? = when {
+        !isServing -> "starting"
+        status.leaving -> "leaving"
+        else -> null
+    }
 
     private suspend fun tickLoop() {
         while (true) {
@@ -88,30 +111,66 @@
         }
     }
 
-    private suspend fun handle(event: GateEvent) = withContext(control) {
+    private fun handle(event: GateEvent) = control.post { step(event) }
+
+    private fun step(event: GateEvent) {
         gate.handle(event, clock.now()).forEach(::perform)
         status = gate.status
     }
 
     private fun perform(action: GateAction) {
         when (action) {
-            is GateAction.Send -> senders[action.connection]?.invoke(action.message)
+            is GateAction.Send -> send(action.connection, action.message)
             is GateAction.Run -> run(action.dispatch)
             is GateAction.CancelRun -> calls.remove(action.attempt)?.cancel()
             GateAction.Stop -> stopped.complete()
         }
     }
 
+    private fun send(connection: ConnectionId, message: Message) {
+        if (message is Refused) {
+            metrics.countRefusal(message.reason)
+            log.info { "sidecar: refuse attempt ${message.attempt}: ${message.reason}" }
+        }
+        senders[connection]?.invoke(message)
+    }
+
     private fun run(dispatch: Dispatch) {
         log.info {
             "sidecar: run request ${dispatch.request} attempt ${dispatch.attempt} stage ${dispatch.stage.value}"
         }
-        calls[dispatch.attempt] = scope.launch {
-            caller.call(dispatch, ::handle)
-            withContext(control) { calls.remove(dispatch.attempt) }
+        calls[dispatch.attempt] = scope.launch { callEndpoint(dispatch) }
+    }
+
+    private suspend fun callEndpoint(dispatch: Dispatch) {
+        val startedAt = clock.now()
+        var result = CallResult.CANCELLED
+        try {
+            caller.call(dispatch) { event ->
+                result = resultOf(event)
+                handle(event)
+            }
+        } finally {
+            metrics.countCall(dispatch.stage, result, clock.now() - startedAt)
+            control.post { calls.remove(dispatch.attempt) }
         }
     }
 
+    private fun resultOf(event: GateEvent): CallResult = when (event) {
+        is GateEvent.EndpointAnswered -> if (event.last) CallResult.ANSWERED else CallResult.CANCELLED
+        is GateEvent.EndpointDidNotRun -> CallResult.NOT_RUN
+        else -> CallResult.FAILED
+    }
+
+    private fun showGauges() {
+        metrics.gauge("bilberry.queue", "Attempts that wait for the endpoint") { status.load.queued }
+        metrics.gauge("bilberry.running", "Attempts that the endpoint works on") { status.load.running }
+        metrics.gauge("bilberry.concurrency", "Attempts that the endpoint may work on") { status.load.concurrency }
+        metrics.gauge("bilberry.ledger.attempts", "Attempts that the ledger remembers") { status.remembered }
+        metrics.gauge("bilberry.connections", "Open connections of entries") { server.openConnections }
+        metrics.gauge("bilberry.table.version", "Version of the tables held") { tableVersion.value }
+    }
+
     private inner class Handler : ConnectionHandler {
         override fun welcome(hello: Hello) = Welcome(
             sender = DaemonId("sidecar-${settings.endpoint.value}"),
@@ -126,30 +185,44 @@
         override fun heartbeat() = Heartbeat(tableVersion, status.load)
 
         override suspend fun opened(connection: Long, hello: Hello, send: (Message) -> Boolean) {
-            withContext(control) { senders[ConnectionId(connection)] = send }
-            handle(GateEvent.ConnectionOpened(ConnectionId(connection)))
-            catchUp(ConnectionId(connection), hello.tableVersion)
+            val id = ConnectionId(connection)
+            control.post {
+                senders[id] = send
+                step(GateEvent.ConnectionOpened(id))
+                // The welcome may have been written before the leaving was announced to the open connections.
+                if (status.leaving) send(Leaving)
+                catchUp(id, hello.tableVersion)
+            }
         }
 
         override suspend fun received(connection: Long, message: Message) {
             val id = ConnectionId(connection)
             when (message) {
                 is AttemptMessage -> handle(GateEvent.MessageArrived(id, message))
-                is Heartbeat -> catchUp(id, message.tableVersion)
-                is Changes -> withContext(control) { tablesOffered(id, replica.merge(message.changes)) }
-                is Snapshot -> withContext(control) { tablesOffered(id, replica.merge(message)) }
-                is FetchChanges -> withContext(control) { replica.answer(message)?.let { senders[id]?.invoke(it) } }
+                is AskOutcome -> control.post { senders[id]?.invoke(outcomeOf(message)) }
+                is Heartbeat -> control.post { catchUp(id, message.tableVersion) }
+                is Changes -> control.post { tablesOffered(id, replica.merge(message.changes)) }
+                is Snapshot -> control.post { tablesOffered(id, replica.merge(message)) }
+                is FetchChanges -> control.post { replica.answer(message)?.let { senders[id]?.invoke(it) } }
                 else -> log.warn { "sidecar: unexpected ${message::class.simpleName} on connection $connection" }
             }
         }
 
         override suspend fun closed(connection: Long) {
-            withContext(control) { senders.remove(ConnectionId(connection)) }
-            handle(GateEvent.ConnectionClosed(ConnectionId(connection)))
+            val id = ConnectionId(connection)
+            control.post {
+                senders.remove(id)
+                step(GateEvent.ConnectionClosed(id))
+            }
         }
     }
 
-    private suspend fun catchUp(connection: ConnectionId, theirs: TableVersion) = withContext(control) {
+    private fun outcomeOf(question: AskOutcome): OutcomeReport {
+        if (question.incarnation == incarnation) return ledger.outcomeOf(question.attempt)
+        return OutcomeReport(question.attempt, AttemptOutcome.FORGOTTEN)
+    }
+
+    private fun catchUp(connection: ConnectionId, theirs: TableVersion) {
         if (theirs > replica.version) senders[connection]?.invoke(FetchChanges(replica.version))
     }
 
@@ -167,10 +240,13 @@
     }
 
     private companion object {
-        /** How often old ledger entries are looked for. */
-        val TICK_INTERVAL = 1.seconds
+        /** How often time is looked at: for old ledger entries, queued deadlines and the end of a drain. */
+        val TICK_INTERVAL = 200.milliseconds
+
+        /** Least time between the announcement of leaving and the end of the process. */
+        val LEAVING_NOTICE = 1.seconds
 
-        /** Time for the last frames to leave before connections are closed. */
-        val FLUSH_PAUSE = 0.2.seconds
+        /** Time for the last frames to be read before connections are closed. */
+        val FLUSH_LIMIT = 2.seconds
     }
 }
--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarSettings.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarSettings.kt
@@ -18,6 +18,7 @@
  * @property endpointUrl where the endpoint takes calls
  * @property concurrency calls that the endpoint works on at once, until the pools table says otherwise
  * @property queueCapacity attempts that may wait
+ * @property maximumAnswerBytes a longer answer counts as a failure of the endpoint
  * @property drainLimit longest time that a graceful shutdown may take
  */
 @Serializable
@@ -30,11 +31,14 @@
     val platformUrl: String,
     val concurrency: Int = 4,
     val queueCapacity: Int = 64,
+    val maximumAnswerBytes: Int = EndpointCaller.DEFAULT_ANSWER_BYTES,
     @Serializable(with = DurationTextSerializer::class) val drainLimit: Duration = 60.seconds,
 ) : CheckedSettings {
     override fun check(): List<SettingsError> = buildList {
         if (!endpointUrl.startsWith("http")) add(SettingsError("endpointUrl", "'$endpointUrl' is not an HTTP address"))
         if (concurrency < 1) add(SettingsError("concurrency", "$concurrency is less than 1"))
+        if (maximumAnswerBytes < 1) add(SettingsError("maximumAnswerBytes", "$maximumAnswerBytes is less than 1"))
+        if (!drainLimit.isPositive()) add(SettingsError("drainLimit", "$drainLimit is not positive"))
         if (queueCapacity < 1) add(SettingsError("queueCapacity", "$queueCapacity is less than 1"))
     }
 }
--- /dev/null
+++ b/sidecar/src/test/kotlin/org/bilberryhead/sidecar/EndpointCallerTest.kt
@@ -0,0 +1,214 @@
+package org.bilberryhead.sidecar
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
+import org.bilberryhead.core.common.AttemptId
+import org.bilberryhead.core.common.Payload
+import org.bilberryhead.core.gate.GateEvent
+import org.bilberryhead.core.message.Dispatch
+import java.io.IOException
+import java.io.OutputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.util.Collections
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.Semaphore
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+private suspend fun eventsOf(
+    url: String,
+    dispatch: Dispatch = testDispatch(),
+    maximumAnswerBytes: Int = EndpointCaller.DEFAULT_ANSWER_BYTES,
+): List<GateEvent> {
+    val events = Collections.synchronizedList(mutableListOf<GateEvent>())
+    EndpointCaller(url, maximumAnswerBytes).use { caller -> caller.call(dispatch) { events += it } }
+    return events
+}
+
+private suspend fun eventsOf(answer: (OutputStream) -> Unit, dispatch: Dispatch = testDispatch()): List<GateEvent> =
+    ScriptedEndpoint(answer).use { endpoint ->
+        eventsOf(endpoint.url, dispatch).also { endpoint.calls.get() shouldBe 1 }
+    }
+
+private fun answerOf(events: List<GateEvent>): Payload =
+    Payload.join(events.map { (it as GateEvent.EndpointAnswered).payload })
+
+class EndpointCallerTest :
+    DescribeSpec({
+        val attempt = AttemptId("entry.1:0:0")
+        val binary = Random(5).nextBytes(3_000_000)
+
+        describe("an answer") {
+            it("is reported with the same bytes, in frames of limited size") {
+                val events = eventsOf(ScriptedEndpoint.response("200 OK", binary))
+
+                answerOf(events) shouldBe Payload(binary)
+                events shouldHaveSize 3
+                events.map { (it as GateEvent.EndpointAnswered).last } shouldBe listOf(false, false, true)
+            }
+
+            it("without a body is one empty last frame") {
+                eventsOf(ScriptedEndpoint.response("200 OK")) shouldBe
+                    listOf(GateEvent.EndpointAnswered(attempt, Payload.EMPTY, last = true))
+            }
+
+            it("that is streamed is reported while the endpoint still makes it") {
+                val firstSeen = CountDownLatch(1)
+                val endpoint = ScriptedEndpoint { output ->
+                    output.write("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc".encodeToByteArray())
+                    output.flush()
+                    firstSeen.await()
+                    output.write("def".encodeToByteArray())
+                    output.flush()
+                }
+                val events = mutableListOf<GateEvent>()
+
+                endpoint.use {
+                    EndpointCaller(it.url).use { caller ->
+                        caller.call(testDispatch(streamed = true)) { event ->
+                            events += event
+                            firstSeen.countDown()
+                        }
+                    }
+                }
+
+                events.first() shouldBe GateEvent.EndpointAnswered(attempt, Payload.ofText("abc"), last = false)
+                answerOf(events) shouldBe Payload.ofText("abcdef")
+            }
+
+            it("that is cut off is a failure, whether streamed or not") {
+                val cutOff: (OutputStream) -> Unit = { output ->
+                    output.write("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf".encodeToByteArray())
+                    output.flush()
+                    throw IOException("cut off on purpose")
+                }
+
+                eventsOf(cutOff).single().shouldBeInstanceOf<GateEvent.EndpointFailed>()
+                eventsOf(cutOff, testDispatch(streamed = true)).last().shouldBeInstanceOf<GateEvent.EndpointFailed>()
+            }
+
+            it("that is longer than allowed is a failure") {
+                ScriptedEndpoint(ScriptedEndpoint.response("200 OK", ByteArray(101))).use { endpoint ->
+                    eventsOf(endpoint.url, maximumAnswerBytes = 100).single()
+                        .shouldBeInstanceOf<GateEvent.EndpointFailed>()
+                }
+            }
+        }
+
+        describe("a call that did not run") {
+            it("is one whose connection is refused") {
+                val closedPort = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+
+                eventsOf("http://127.0.0.1:$closedPort").single().shouldBeInstanceOf<GateEvent.EndpointDidNotRun>()
+            }
+
+            it("is one that the endpoint says it did not begin") {
+                eventsOf(ScriptedEndpoint.response("503 Service Unavailable", ByteArray(0), "X-Not-Run: true")).single()
+                    .shouldBeInstanceOf<GateEvent.EndpointDidNotRun>()
+            }
+        }
+
+        describe("a call that may have run is made once only") {
+            val answers = mapOf(
+                "status 500" to ScriptedEndpoint.response("500 Internal Server Error"),
+                "status 503 with Retry-After: 0" to
+                    ScriptedEndpoint.response("503 Service Unavailable", ByteArray(0), "Retry-After: 0"),
+                "status 408" to ScriptedEndpoint.response("408 Request Timeout"),
+                "status 421" to ScriptedEndpoint.response("421 Misdirected Request"),
+                "a redirect to itself" to
+                    ScriptedEndpoint.response("307 Temporary Redirect", ByteArray(0), "Location: /stages/record"),
+                "a connection closed without an answer" to { _: OutputStream -> throw IOException("on purpose") },
+                "an answer that is not HTTP" to { output: OutputStream ->
+                    output.write("what?\r\n\r\n".encodeToByteArray())
+                    throw IOException("on purpose")
+                },
+            )
+            for ((what, answer) in answers) {
+                it("after $what") {
+                    eventsOf(answer).single().shouldBeInstanceOf<GateEvent.EndpointFailed>()
+                }
+            }
+
+            it("after its time is up without an answer") {
+                val release = CountDownLatch(1)
+                val dispatch = testDispatch(remainingMillis = -9_500)
+
+                eventsOf({ release.await() }, dispatch).single().shouldBeInstanceOf<GateEvent.EndpointFailed>()
+                release.countDown()
+            }
+
+            it("on a pooled connection that the endpoint has closed meanwhile") {
+                val endpoint = ScriptedEndpoint { output ->
+                    ScriptedEndpoint.response("200 OK")(output)
+                    throw IOException("closes each connection after one answer")
+                }
+                endpoint.use {
+                    EndpointCaller(it.url).use { caller ->
+                        repeat(20) { number -> caller.call(testDispatch("entry.$number:0:0")) { } }
+                    }
+                    (endpoint.calls.get() <= 20) shouldBe true
+                }
+            }
+        }
+
+        describe("many calls at once") {
+            it("all reach the endpoint without waiting for one another") {
+                val begun = Semaphore(0)
+                val release = CountDownLatch(1)
+                val endpoint = ScriptedEndpoint { output ->
+                    begun.release()
+                    release.await()
+                    ScriptedEndpoint.response("200 OK")(output)
+                }
+                endpoint.use {
+                    EndpointCaller(it.url).use { caller ->
+                        coroutineScope {
+                            val calls = List(30) { number ->
+                                async(Dispatchers.Default) { caller.call(testDispatch("entry.$number:0:0")) { } }
+                            }
+                            launch(Dispatchers.IO) {
+                                begun.acquire(30)
+                                release.countDown()
+                            }
+                            withTimeout(20.seconds) { calls.awaitAll() }
+                        }
+                    }
+                }
+            }
+        }
+
+        describe("a call that is cancelled") {
+            it("reports nothing") {
+                val begun = Channel<Unit>(1)
+                val release = CountDownLatch(1)
+                val events = Collections.synchronizedList(mutableListOf<GateEvent>())
+                val endpoint = ScriptedEndpoint {
+                    begun.trySend(Unit)
+                    release.await()
+                }
+                endpoint.use {
+                    EndpointCaller(it.url).use { caller ->
+                        coroutineScope {
+                            val call = launch { caller.call(testDispatch()) { event -> events += event } }
+                            begun.receive()
+                            call.cancel()
+                            call.join()
+                        }
+                    }
+                }
+                release.countDown()
+
+                events shouldHaveSize 0
+            }
+        }
+    })
--- /dev/null
+++ b/sidecar/src/test/kotlin/org/bilberryhead/sidecar/SidecarDaemonTest.kt
@@ -0,0 +1,212 @@
+package org.bilberryhead.sidecar
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.ktor.network.selector.SelectorManager
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.withTimeout
+import org.bilberryhead.core.common.AttemptId
+import org.bilberryhead.core.common.DaemonId
+import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.common.EndpointId
+import org.bilberryhead.core.common.Payload
+import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.message.AskOutcome
+import org.bilberryhead.core.message.AttemptOutcome
+import org.bilberryhead.core.message.Frame
+import org.bilberryhead.core.message.Heartbeat
+import org.bilberryhead.core.message.Hello
+import org.bilberryhead.core.message.Leaving
+import org.bilberryhead.core.message.Message
+import org.bilberryhead.core.message.OutcomeReport
+import org.bilberryhead.core.message.Query
+import org.bilberryhead.core.message.RefusalReason
+import org.bilberryhead.core.message.Refused
+import org.bilberryhead.core.message.Running
+import org.bilberryhead.core.message.Welcome
+import org.bilberryhead.daemon.MonotonicClock
+import org.bilberryhead.protocol.ClientHandler
+import org.bilberryhead.protocol.MessageClient
+import org.bilberryhead.protocol.MessageCodec
+import org.bilberryhead.protocol.ProtocolError
+import java.util.concurrent.CountDownLatch
+import kotlin.time.Duration.Companion.seconds
+
+private val loopback = SocketAddress("127.0.0.1", 0)
+
+/** An entry's side of one connection to a sidecar. */
+private class TestEntry(address: SocketAddress, selectors: SelectorManager, scope: CoroutineScope) : ClientHandler {
+    val opened = Channel<Welcome>(Channel.UNLIMITED)
+    val messages = Channel<Message>(Channel.UNLIMITED)
+    val client = MessageClient(address, this, selectors, scope).also { it.start() }
+
+    override fun hello() = Hello(MessageCodec.PROTOCOL_VERSION, DaemonId("entry-1"), TableVersion.NONE)
+
+    override fun heartbeat() = Heartbeat(TableVersion.NONE)
+
+    override suspend fun opened(welcome: Welcome) = opened.send(welcome)
+
+    override suspend fun received(message: Message) {
+        if (message !is Heartbeat) messages.send(message)
+    }
+
+    override suspend fun lost(error: ProtocolError) = Unit
+
+    suspend fun next(): Message = withTimeout(15.seconds) { messages.receive() }
+
+    suspend fun awaitOpen(): Welcome = withTimeout(15.seconds) { opened.receive() }
+}
+
+private fun query(attempt: String): Query {
+    val dispatch = testDispatch(attempt)
+    return Query(dispatch.attempt, TEST_RUN, 0, dispatch.request, dispatch.clientAccount, dispatch.fingerprint)
+}
+
+class SidecarDaemonTest :
+    DescribeSpec({
+        lateinit var scope: CoroutineScope
+        lateinit var selectors: SelectorManager
+        lateinit var endpoint: ScriptedEndpoint
+        lateinit var daemon: SidecarDaemon
+        lateinit var release: CountDownLatch
+        lateinit var begun: Channel<Unit>
+
+        beforeEach {
+            scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+            selectors = SelectorManager(Dispatchers.IO)
+            release = CountDownLatch(1)
+            begun = Channel(Channel.UNLIMITED)
+            endpoint = ScriptedEndpoint { output ->
+                begun.trySend(Unit)
+                release.await()
+                ScriptedEndpoint.response("200 OK", "done".encodeToByteArray())(output)
+            }
+            daemon = SidecarDaemon(
+                settings = SidecarSettings(
+                    endpoint = EndpointId("record-0"),
+                    dataCentre = DataCentre("nashua"),
+                    listen = loopback,
+                    operations = loopback,
+                    endpointUrl = endpoint.url,
+                    platformUrl = "http://127.0.0.1:1",
+                ),
+                incarnation = TEST_RUN,
+                clock = MonotonicClock(),
+                caller = EndpointCaller(endpoint.url),
+                metrics = SidecarMetrics(SimpleMeterRegistry()),
+                onBrokenInvariant = { throw AssertionError("broken invariant") },
+            )
+            daemon.start()
+        }
+
+        afterEach {
+            release.countDown()
+            endpoint.close()
+            scope.cancel()
+            selectors.close()
+        }
+
+        suspend fun connect(): TestEntry =
+            TestEntry(daemon.listening, selectors, scope).also { it.awaitOpen().leaving shouldBe false }
+
+        fun frameOf(attempt: String): (Message) -> Boolean = {
+            it is Frame && it.attempt == AttemptId(attempt) && it.last && it.payload == Payload.ofText("done")
+        }
+
+        describe("an attempt") {
+            it("is run on the endpoint and answered") {
+                val entry = connect()
+                release.countDown()
+
+                entry.client.trySend(testDispatch("entry.1:0:0")) shouldBe true
+
+                frameOf("entry.1:0:0")(entry.next()) shouldBe true
+            }
+
+            it("goes on when its connection is lost, and is answered on the next one") {
+                val first = connect()
+                first.client.trySend(testDispatch("entry.1:0:0"))
+                begun.receive()
+
+                first.client.stop()
+                val second = connect()
+                second.client.trySend(query("entry.1:0:0"))
+                second.next() shouldBe Running(AttemptId("entry.1:0:0"))
+                release.countDown()
+
+                frameOf("entry.1:0:0")(second.next()) shouldBe true
+                endpoint.calls.get() shouldBe 1
+            }
+
+            it("runs once although it is sent twice") {
+                val entry = connect()
+                entry.client.trySend(testDispatch("entry.1:0:0"))
+                begun.receive()
+                entry.client.trySend(testDispatch("entry.1:0:0"))
+                entry.next() shouldBe Running(AttemptId("entry.1:0:0"))
+                release.countDown()
+
+                frameOf("entry.1:0:0")(entry.next()) shouldBe true
+                endpoint.calls.get() shouldBe 1
+            }
+        }
+
+        describe("a question for an outcome") {
+            it("does not keep the attempt from running later") {
+                val entry = connect()
+                release.countDown()
+
+                entry.client.trySend(AskOutcome(AttemptId("entry.1:0:0"), TEST_RUN))
+                entry.next() shouldBe OutcomeReport(AttemptId("entry.1:0:0"), AttemptOutcome.NEVER_SEEN)
+                entry.client.trySend(testDispatch("entry.1:0:0"))
+
+                frameOf("entry.1:0:0")(entry.next()) shouldBe true
+            }
+        }
+
+        describe("a sidecar that is told to leave") {
+            it("announces it, refuses new work, answers what is in flight and ends") {
+                val entry = connect()
+                entry.client.trySend(testDispatch("entry.1:0:0"))
+                begun.receive()
+
+                coroutineScope {
+                    val drained = async(Dispatchers.Default) { daemon.drain() }
+                    entry.next() shouldBe Leaving
+                    daemon.whyNotReady() shouldBe "leaving"
+                    entry.client.trySend(testDispatch("entry.2:0:0"))
+                    val refusal = entry.next().shouldBeInstanceOf<Refused>()
+                    refusal.reason shouldBe RefusalReason.LEAVING
+                    release.countDown()
+
+                    frameOf("entry.1:0:0")(entry.next()) shouldBe true
+                    withTimeout(15.seconds) { drained.await() }
+                }
+                endpoint.calls.get() shouldBe 1
+            }
+
+            it("tells an entry that connects while it leaves") {
+                val first = connect()
+                first.client.trySend(testDispatch("entry.1:0:0"))
+                begun.receive()
+
+                coroutineScope {
+                    val drained = async(Dispatchers.Default) { daemon.drain() }
+                    first.next() shouldBe Leaving
+                    val second = TestEntry(daemon.listening, selectors, scope)
+                    second.awaitOpen().leaving shouldBe true
+                    release.countDown()
+                    withTimeout(15.seconds) { drained.await() }
+                }
+            }
+        }
+    })
