--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestMessages.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestMessages.kt
@@ -10,14 +10,14 @@
 import org.bilberryhead.core.message.Move
 import org.bilberryhead.core.message.Query
 import org.bilberryhead.core.tables.Route
-import kotlin.time.Instant
+import kotlin.time.Duration
 
 /** Makes the messages that one request sends about its attempts. */
 internal class RequestMessages(private val request: AdmittedRequest, private val route: Route) {
     private val fingerprint = RequestFingerprint.of(route.kind, request.payload)
 
-    /** Returns the message that runs stage [stageIndex] on [input] as [location]'s attempt. */
-    fun dispatch(location: AttemptLocation, stageIndex: Int, input: Payload, now: Instant): Dispatch {
+    /** Returns the message that runs stage [stageIndex] on [input] as [location]'s attempt, within [remaining]. */
+    fun dispatch(location: AttemptLocation, stageIndex: Int, input: Payload, remaining: Duration): Dispatch {
         val stage = route.stages[stageIndex]
         return Dispatch(
             attempt = location.attempt,
@@ -26,7 +26,7 @@
             kind = route.kind,
             stage = stage.name,
             clientAccount = request.clientAccount,
-            remainingMillis = (request.deadline - now).inWholeMilliseconds,
+            remainingMillis = remaining.inWholeMilliseconds,
             idempotent = stage.idempotent,
             payload = input,
             streamed = route.streamed && stageIndex == route.stages.lastIndex,
