--- a/entry/src/main/kotlin/org/bilberryhead/entry/CallerRoutes.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/CallerRoutes.kt
@@ -26,10 +26,10 @@
 import org.bilberryhead.core.common.Payload
 import org.bilberryhead.core.common.RequestId
 import org.bilberryhead.core.common.RequestKind
+import org.bilberryhead.core.execution.RequestIdMint
 import org.bilberryhead.core.execution.Ticket
 import org.bilberryhead.core.pipeline.AdmittedRequest
 import org.bilberryhead.core.pipeline.RequestOutcome
-import java.util.UUID
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -58,6 +58,7 @@
     private val tracker: RequestTracker,
     private val metrics: EntryMetrics,
     private val clock: Clock,
+    private val mint: RequestIdMint,
 ) {
     /** Adds the routes. */
     fun install(route: Route) = with(route) {
@@ -77,7 +78,7 @@
     }
 
     private suspend fun RoutingContext.admitted(serve: suspend (Exchange) -> Unit) {
-        val exchange = Exchange(call, RequestId(UUID.randomUUID().toString()), clock.now())
+        val exchange = Exchange(call, mint.next(), clock.now())
         call.response.header(REQUEST_ID_HEADER, exchange.id.value)
         if (!tracker.tryBegin()) {
             reject(exchange, Rejection(RejectionReason.DRAINING, "this entry is shutting down", DEFAULT_RETRY_AFTER))
