Weigh waiting above service, and wait for samples before limiting concurrency

Cause: at load 0.8 with idle endpoints 2.7 % of the requests were refused or late. The concurrency limiter took the first service time of an endpoint as its best and halved the endpoint's concurrency for about 350 answers. Ruled out: the estimate of the load of other entries (misses also appeared with reports in time). Change: the limiter uses the smoothed time after 20 answers; waiting counts four times on routes by attainment; the fair level of accounts follows what is answered instead of what is let in.

--- a/core/src/main/kotlin/org/bilberryhead/core/admission/AdmissionControl.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/admission/AdmissionControl.kt
@@ -1,9 +1,11 @@
 package org.bilberryhead.core.admission
 
 import org.bilberryhead.core.common.ClientAccount
+import org.bilberryhead.core.common.RequestKind
 import org.bilberryhead.core.routing.EndpointSelector
 import org.bilberryhead.core.tables.Route
 import org.bilberryhead.core.tables.Tables
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
@@ -32,6 +34,9 @@
         now: Instant,
     ): Admission
 
+    /** Counts a request on [route] that was answered. */
+    abstract fun recordAnswered(route: Route, now: Instant)
+
     /** Lets every request in. */
     data object Open : AdmissionControl() {
         override fun check(
@@ -41,6 +46,8 @@
             remaining: Duration,
             now: Instant,
         ): Admission = Admission.Admitted(mayRefuse = true)
+
+        override fun recordAnswered(route: Route, now: Instant) = Unit
     }
 
     /**
@@ -48,11 +55,9 @@
      *
      * @param refuseAt part of the remaining time; a longer prediction over all stages refuses the request
      */
-    class Predictive(
-        private val selector: EndpointSelector,
-        private val shares: FairShares = FairShares(),
-        private val refuseAt: Double = 0.6,
-    ) : AdmissionControl() {
+    class Predictive(private val selector: EndpointSelector, private val refuseAt: Double = 0.4) : AdmissionControl() {
+        private val sharesByKind = ConcurrentHashMap<RequestKind, FairShares>()
+
         override fun check(
             account: ClientAccount,
             route: Route,
@@ -63,13 +68,17 @@
             val predicted = predict(route, tables, now)
             val excess = predicted - remaining * refuseAt
             val isLate = excess.isPositive()
+            val shares = sharesOf(route)
             shares.recordDemand(account, now)
-            if (!isLate) shares.recordGranted(now)
             if (!isLate) return Admission.Admitted(mayRefuse = true)
             if (!shares.isOverShare(account, now)) return Admission.Admitted(mayRefuse = false)
             return Admission.Refused("predicted $predicted of $remaining left", maxOf(excess, MINIMUM_RETRY))
         }
 
+        override fun recordAnswered(route: Route, now: Instant) = sharesOf(route).recordServed(now)
+
+        private fun sharesOf(route: Route) = sharesByKind.computeIfAbsent(route.kind) { FairShares() }
+
         private fun predict(route: Route, tables: Tables, now: Instant): Duration =
             route.stages.fold(Duration.ZERO) { sum, stage ->
                 val pool = tables.poolOf(stage)
--- a/core/src/main/kotlin/org/bilberryhead/core/admission/ConcurrencyLimiter.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/admission/ConcurrencyLimiter.kt
@@ -12,10 +12,12 @@
 class ConcurrencyLimiter {
     private var bestMillis = 0.0
     private var share = 1.0
+    private var samples = 0
 
-    /** Adds the service time of an attempt that was answered, in milliseconds. */
-    fun record(serviceMillis: Double, meanMillis: Double) {
-        bestMillis = if (bestMillis == 0.0) serviceMillis else min(meanMillis, bestMillis * BEST_GROWTH)
+    /** Takes the smoothed service time after one more attempt was answered, in milliseconds. */
+    fun record(meanMillis: Double) {
+        if (++samples < FEWEST_SAMPLES) return
+        bestMillis = if (bestMillis == 0.0) meanMillis else min(meanMillis, bestMillis * BEST_GROWTH)
         val isCongested = meanMillis > bestMillis * TOLERANCE
         share = if (isCongested) max(LOWEST_SHARE, share * DECREASE) else min(1.0, share + INCREASE)
     }
@@ -24,8 +26,11 @@
     fun limit(concurrency: Int): Int = max(1, (concurrency * share + ROUNDING).toInt())
 
     private companion object {
+        /** Attempts after which the smoothed service time means something. */
+        const val FEWEST_SAMPLES = 20
+
         /** Growth of the remembered best by each sample, so that a lasting change becomes the new best. */
-        const val BEST_GROWTH = 1.002
+        const val BEST_GROWTH = 1.005
 
         /** Ratio of the mean to the best from which the endpoint counts as congested. */
         const val TOLERANCE = 2.0
--- a/core/src/main/kotlin/org/bilberryhead/core/admission/FairShares.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/admission/FairShares.kt
@@ -24,9 +24,9 @@
     /** Counts one unit of demand of [account]. */
     fun recordDemand(account: ClientAccount, now: Instant) = current(now).newest.add(account)
 
-    /** Counts one unit of demand that could be served without overload. */
-    fun recordGranted(now: Instant) {
-        current(now).newest.granted.incrementAndGet()
+    /** Counts one unit that was served, of any account. */
+    fun recordServed(now: Instant) {
+        current(now).newest.served.incrementAndGet()
     }
 
     /** Whether [account] asks for more than its share. */
@@ -52,7 +52,7 @@
 
     /** What was counted in one window. */
     private class Counts {
-        val granted = AtomicLong()
+        val served = AtomicLong()
         private val cells = AtomicLongArray(ROWS * COLUMNS)
 
         fun add(account: ClientAccount) {
@@ -65,12 +65,12 @@
             return least
         }
 
-        /** Returns the level at which the demands, each cut to it, add up to what was granted. */
+        /** Returns the level at which the demands, each cut to it, add up to what was served. */
         fun fairLevel(): Double {
             val demands = (0 until COLUMNS).map { cells.get(it) }.filter { it > 0 }.sorted()
             if (demands.isEmpty()) return Double.MAX_VALUE
-            var left = granted.get().toDouble()
-            if (left >= demands.sum() * FULLY_GRANTED) return demands.last().toDouble()
+            var left = served.get().toDouble()
+            if (left >= demands.sum() * FULLY_SERVED) return demands.last().toDouble()
             demands.forEachIndexed { index, demand ->
                 val equalPart = left / (demands.size - index)
                 if (demand > equalPart) return equalPart
@@ -100,7 +100,7 @@
         /** An account may exceed the fair level by this factor before it counts as over its share. */
         const val TOLERANCE = 1.25
 
-        /** Share of the demand from which all of it counts as granted. */
-        const val FULLY_GRANTED = 0.98
+        /** Share of the demand from which all of it counts as served. */
+        const val FULLY_SERVED = 0.98
     }
 }
--- a/core/src/main/kotlin/org/bilberryhead/core/admission/GateAdmission.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/admission/GateAdmission.kt
@@ -4,6 +4,7 @@
 import org.bilberryhead.core.message.RefusalReason
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /** How a sidecar treats work when there is more than its endpoint can do. */
@@ -35,7 +36,7 @@
 class GateAdmission(private val policy: GatePolicy = GatePolicy.DeadlineAware()) {
     private val service = ServiceTimeEstimator()
     private val limiter = ConcurrencyLimiter()
-    private val shares = FairShares()
+    private val shares = FairShares(SHARES_WINDOW)
 
     /** Smoothed service time in milliseconds; 0 before the first answer. */
     val serviceMillis: Double get() = service.meanMillis
@@ -43,7 +44,7 @@
     /** Adds the service time of an attempt that was answered, in milliseconds. */
     fun recordService(millis: Double) {
         service.record(millis)
-        limiter.record(millis, service.meanMillis)
+        limiter.record(service.meanMillis)
     }
 
     /** Returns how many attempts the endpoint may work on at once under a configured [concurrency]. */
@@ -58,11 +59,11 @@
         is GatePolicy.DeadlineAware -> if (shares.isOverShare(account, now)) OVER_SHARE else WITHIN_SHARE
     }
 
-    /** Counts an arriving attempt of [account]; [isAccepted] tells whether it may wait or run. */
-    fun recordArrival(account: ClientAccount, isAccepted: Boolean, now: Instant) {
-        shares.recordDemand(account, now)
-        if (isAccepted) shares.recordGranted(now)
-    }
+    /** Counts an arriving attempt of [account]. */
+    fun recordArrival(account: ClientAccount, now: Instant) = shares.recordDemand(account, now)
+
+    /** Counts an attempt that is given to the endpoint. */
+    fun recordStart(now: Instant) = shares.recordServed(now)
 
     /** Returns why an attempt of [rank] with [remaining] time is refused, or null when it is accepted. */
     fun refusalFor(rank: Int, remaining: Duration, occupancy: GateOccupancy): RefusalReason? = when (policy) {
@@ -104,6 +105,8 @@
     private val needed: Duration get() = service.lateMillis.milliseconds
 
     private companion object {
+        /** Time over which the demand of accounts is counted. */
+        val SHARES_WINDOW = 2.seconds
         const val WITHIN_SHARE = 0
         const val OVER_SHARE = 1
     }
--- a/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
@@ -136,9 +136,8 @@
         val remaining = dispatch.remainingMillis.milliseconds
         val ahead = queue.countAhead(rank, now + remaining)
         val occupancy = GateOccupancy(ahead, running.size, queue.size, queue.capacity, concurrency)
-        val refusal = admission.refusalFor(rank, remaining, occupancy)
-        admission.recordArrival(dispatch.clientAccount, refusal == null, now)
-        return refusal
+        admission.recordArrival(dispatch.clientAccount, now)
+        return admission.refusalFor(rank, remaining, occupancy)
     }
 
     private val concurrency: Int get() = admission.concurrency(limits.concurrency)
@@ -250,6 +249,7 @@
         }
         while (running.size < concurrency) {
             val next = queue.poll() ?: return
+            admission.recordStart(now)
             running[next.dispatch.attempt] = RunningAttempt(next.dispatch, now)
             val remaining = (next.deadline - now).inWholeMilliseconds
             actions += GateAction.Run(next.dispatch.copy(remainingMillis = remaining))
--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
@@ -303,6 +303,7 @@
         abandonOthers(record.location.attempt, now)
         val answer = record.frames.wholeAnswer()
         if (isLastStage) {
+            admission.recordAnswered(route, now)
             complete(RequestOutcome.Answered(if (route.streamed) Payload.EMPTY else answer))
             return
         }
--- a/core/src/main/kotlin/org/bilberryhead/core/routing/ChoicePolicy.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/ChoicePolicy.kt
@@ -22,6 +22,8 @@
      * Of a few random endpoints the one that is predicted to answer first.
      *
      * @property sampleSize number of endpoints that are compared
+     * @property waitWeight what a second of waiting counts against a second of service on a route by attainment; more
+     *   than 1, because work that waits also delays the work behind it
      * @property refuseAt part of the remaining time; a longer prediction refuses the work
      * @property costWeight what a second of endpoint time counts against a second of latency on a route by cost
      * @property costHeadroom part of the remaining time that a route by cost may be predicted to use
@@ -32,9 +34,10 @@
      */
     data class PredictedCompletion(
         val sampleSize: Int = 8,
+        val waitWeight: Double = 4.0,
         val refuseAt: Double = 0.9,
-        val costWeight: Double = 4.0,
-        val costHeadroom: Double = 0.5,
+        val costWeight: Double = 2.0,
+        val costHeadroom: Double = 0.25,
         val prefixStretch: Double = 1.5,
         val slowStart: Duration = 3.seconds,
         val ejection: EjectionLimits = EjectionLimits(),
--- a/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointState.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointState.kt
@@ -26,6 +26,9 @@
     @Volatile
     private var report: LoadReport? = null
 
+    @Volatile
+    private var reportedAt = nowMillis
+
     @Volatile
     private var progressAt = nowMillis
 
@@ -55,18 +58,20 @@
     }
 
     /** Takes what the sidecar reported. The part that other processes sent is smoothed, because reports are late. */
-    fun recordLoad(load: LoadReport) {
+    fun recordLoad(load: LoadReport, nowMillis: Long) {
         val others = (load.queued + load.running - inFlight).toDouble()
-        loadOfOthers.update { if (report == null) others else it + OTHERS_SMOOTHING * (others - it) }
+        val weight = if (report == null) 1.0 else 1 - exp(-(nowMillis - reportedAt) / OTHERS_MILLIS)
+        loadOfOthers.update { it + weight * (others - it) }
         report = load
+        reportedAt = nowMillis
     }
 
     /** Whether the pause of an ejected endpoint is over and nobody probes it; the caller then sends the probe. */
     fun tryProbe(nowMillis: Long): Boolean = nowMillis >= ejectedUntil.get() && isProbed.compareAndSet(false, true)
 
-    /** Returns the expected service time in milliseconds, 0 when nothing is known. */
+    /** Returns the expected service time in milliseconds. */
     fun serviceMillis(nowMillis: Long): Double {
-        val usual = pool.serviceMillis
+        val usual = max(pool.serviceMillis, UNKNOWN_SERVICE_MILLIS)
         val reported = report?.serviceMillis ?: 0.0
         if (reported <= 0.0) return usual
         val idleMillis = max(0L, nowMillis - progressAt)
@@ -75,17 +80,16 @@
         return weight * reported + (1 - weight) * min(reported, usual)
     }
 
-    /** Returns how long an attempt that is sent now would take, in milliseconds, without the way there. */
-    fun completionMillis(slowStartMillis: Long, nowMillis: Long): Double {
+    /** Returns how long an attempt that is sent now would wait for the endpoint, in milliseconds. */
+    fun waitMillis(serviceMillis: Double): Double {
         val concurrency = max(1, report?.concurrency ?: pool.concurrency)
-        val service = serviceMillis(nowMillis)
         val backlog = inFlight + max(0.0, loadOfOthers.get())
         val before = max(0.0, backlog + 1 - concurrency)
-        val predicted = service + before * service / concurrency
-        return predicted * slowStartFactor(slowStartMillis, nowMillis)
+        return before * serviceMillis / concurrency
     }
 
-    private fun slowStartFactor(slowStartMillis: Long, nowMillis: Long): Double {
+    /** Returns by how much an endpoint that is new or has just come back is predicted to be slower. */
+    fun slowStartFactor(slowStartMillis: Long, nowMillis: Long): Double {
         val age = nowMillis - warmSince
         if (age >= slowStartMillis) return 1.0
         return 1.0 + COLD_PENALTY * (1.0 - age.toDouble() / slowStartMillis)
@@ -127,10 +131,13 @@
 
     private companion object {
         const val NOT_EJECTED = Long.MIN_VALUE
+
+        /** Service time while nothing is known of a pool, in milliseconds. */
+        const val UNKNOWN_SERVICE_MILLIS = 1.0
         const val LONG_AGO = Long.MIN_VALUE / 2
 
-        /** Weight of the newest report in the smoothed load that other processes cause. */
-        const val OTHERS_SMOOTHING = 0.3
+        /** Time constant with which the load that other processes cause is smoothed, in milliseconds. */
+        const val OTHERS_MILLIS = 3_000.0
 
         /** Time constant with which an idle endpoint's service time is forgotten, in milliseconds. */
         const val FORGET_MILLIS = 10_000.0
--- a/core/src/main/kotlin/org/bilberryhead/core/routing/PolicySelector.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/PolicySelector.kt
@@ -58,11 +58,14 @@
 
     override fun recordLoad(endpoint: EndpointId, load: LoadReport, now: Instant) {
         val state = endpoints[endpoint] ?: return
-        state.recordLoad(load)
+        state.recordLoad(load, now.toEpochMilliseconds())
         state.pool.recordService(load.serviceMillis)
     }
 
-    override fun stageTimes(pool: PoolName): StageTimes? = pools[pool]?.times
+    override fun stageTimes(pool: PoolName): StageTimes? {
+        if (policy !is ChoicePolicy.PredictedCompletion) return null
+        return pools[pool]?.times
+    }
 
     override fun predict(pool: Pool, now: Instant): Duration? {
         if (policy !is ChoicePolicy.PredictedCompletion) return null
@@ -119,7 +122,7 @@
             return Selection.NoneAvailable(view.candidates.size, why, max(excess, MINIMUM_RETRY_MILLIS).milliseconds)
         }
         val best = when (selection.objective) {
-            Objective.ATTAINMENT -> fastest
+            Objective.ATTAINMENT -> sampled.minBy { it.completionMillis + (policy.waitWeight - 1) * it.waitMillis }
             Objective.COST -> cheapest(policy, sampled, remainingMillis) ?: fastest
         }
         val chosen = withPrefix(policy, selection, view, best) ?: best
@@ -154,8 +157,10 @@
     ): Predicted {
         val isAway = candidate.dataCentre != dataCentre
         val roundTrip = if (isAway) policy.roundTripAway.toDouble(DurationUnit.MILLISECONDS) else 0.0
-        val completion = state.completionMillis(policy.slowStart.inWholeMilliseconds, view.nowMillis)
-        return Predicted(candidate, completion + roundTrip, state.serviceMillis(view.nowMillis))
+        val service = state.serviceMillis(view.nowMillis)
+        val wait = state.waitMillis(service)
+        val factor = state.slowStartFactor(policy.slowStart.inWholeMilliseconds, view.nowMillis)
+        return Predicted(candidate, (service + wait) * factor + roundTrip, wait, service)
     }
 
     private fun cheapest(
@@ -206,7 +211,12 @@
 
     private class PoolView(val candidates: List<Candidate>, val pool: PoolState, val nowMillis: Long)
 
-    private class Predicted(val candidate: Candidate, val completionMillis: Double, val serviceMillis: Double)
+    private class Predicted(
+        val candidate: Candidate,
+        val completionMillis: Double,
+        val waitMillis: Double,
+        val serviceMillis: Double,
+    )
 
     private companion object {
         /** Odd factor that spreads hashes. */
