Make the endpoint stand-in cut its streamed answers for certain

Change: the cut answer announces its length. Conclusion: a fault of the stand-in, not of the system. A chunked answer that its endpoint ends cleanly can not be told from a whole one.

--- a/standin/src/main/kotlin/org/bilberryhead/standin/EndpointStandin.kt
+++ b/standin/src/main/kotlin/org/bilberryhead/standin/EndpointStandin.kt
@@ -120,14 +120,13 @@
         }
     }
 
-    private suspend fun RoutingContext.cutOff(answer: String) {
-        val length = if (isStreamed()) null else answer.length.toLong()
-        call.respondBytesWriter(ContentType.Application.Json, contentLength = length) {
+    /** The length is announced, since the server may end a chunked answer as if it were whole. */
+    private suspend fun RoutingContext.cutOff(answer: String) =
+        call.respondBytesWriter(ContentType.Application.Json, contentLength = answer.length.toLong()) {
             writeStringUtf8(answer.take(answer.length / 2))
             flush()
             throw IOException("cut off on purpose")
         }
-    }
 
     private fun partsOf(answer: String): List<String> {
         val partLength = (answer.length + settings.parts - 1) / settings.parts
