Let wire faults strike messages under way

Cause: a stale connection delayed only what was sent after the fault, so no late copy of a dispatch ever met a tombstone. Change: the model looks at the fault when a message arrives; golden files recorded anew.

--- a/core-testing/src/main/kotlin/org/bilberryhead/core/testing/model/ModelConnection.kt
+++ b/core-testing/src/main/kotlin/org/bilberryhead/core/testing/model/ModelConnection.kt
@@ -30,8 +30,8 @@
 
     fun send(message: Message) {
         if (isSilent) return
-        schedule(message)
-        if (isDuplicating) schedule(message)
+        val now = session.loop.clock.now()
+        session.loop.after(arrival() - now) { arrive(message, sentAt = now) }
     }
 
     /** Runs [action] once everything sent before has arrived. */
@@ -39,9 +39,16 @@
         if (!isSilent) session.loop.after(arrival() - session.loop.clock.now(), action)
     }
 
-    private fun schedule(message: Message) {
-        val at = arrival()
-        session.loop.after(at - session.loop.clock.now()) { deliver(message) }
+    /** A fault strikes what is under way, too. */
+    private fun arrive(message: Message, sentAt: Instant) {
+        if (isSilent) return
+        val rest = sentAt + WireTimings.LATENCY + delay - session.loop.clock.now()
+        if (rest > Duration.ZERO) {
+            session.loop.after(rest) { deliver(message) }
+        } else {
+            deliver(message)
+        }
+        if (isDuplicating) session.loop.after(WireTimings.JITTER * session.random.nextDouble()) { deliver(message) }
     }
 
     private fun arrival(): Instant {
