--- /dev/null
+++ b/core/src/test/kotlin/org/bilberryhead/core/gate/SidecarGateTest.kt
@@ -0,0 +1,132 @@
+package org.bilberryhead.core.gate
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import org.bilberryhead.core.common.AttemptId
+import org.bilberryhead.core.common.ClientAccount
+import org.bilberryhead.core.common.Incarnation
+import org.bilberryhead.core.common.Payload
+import org.bilberryhead.core.common.RequestId
+import org.bilberryhead.core.common.RequestKind
+import org.bilberryhead.core.common.StageName
+import org.bilberryhead.core.message.AttemptMessage
+import org.bilberryhead.core.message.Cancel
+import org.bilberryhead.core.message.Dispatch
+import org.bilberryhead.core.message.Forgotten
+import org.bilberryhead.core.message.Message
+import org.bilberryhead.core.message.Query
+import org.bilberryhead.core.message.RefusalReason
+import org.bilberryhead.core.message.Refused
+import org.bilberryhead.core.message.Running
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+private val NOW = Instant.fromEpochSeconds(1_800_000_000)
+private val RUN = Incarnation("run-1")
+private val ATTEMPT = AttemptId("ticket:0")
+private val FIRST = ConnectionId(1)
+private val SECOND = ConnectionId(2)
+
+class SidecarGateTest :
+    DescribeSpec({
+        describe("a known attempt id") {
+            it("tells nothing to another client account or another body, and runs on") {
+                val gate = servingGate()
+                gate.receive(FIRST, dispatch())
+                val stranger = dispatch(request = "other").copy(clientAccount = ClientAccount("stranger"))
+                val mismatch = Refused(ATTEMPT, RefusalReason.ATTEMPT_MISMATCH)
+                gate.receive(SECOND, stranger) shouldContainExactly listOf(SECOND to mismatch)
+                gate.receive(SECOND, dispatch("other").copy(fingerprint = "else")) shouldContain (SECOND to mismatch)
+                gate.receive(SECOND, query("other").copy(fingerprint = "else")) shouldContain (SECOND to mismatch)
+                gate.answer("done") shouldBe listOf(FIRST)
+            }
+        }
+        describe("an attempt with two subscribers") {
+            it("answers both, and goes on when one cancels while it waits") {
+                val gate = servingGate()
+                gate.receive(FIRST, dispatch("blocker", AttemptId("blocker")))
+                gate.receive(FIRST, dispatch("one"))
+                gate.receive(SECOND, dispatch("two"))
+                gate.receive(FIRST, Cancel(ATTEMPT, RUN, RequestId("one"))) shouldContain (FIRST to Running(ATTEMPT))
+                gate.answer("first", AttemptId("blocker"))
+                gate.answer("done") shouldBe listOf(SECOND)
+            }
+        }
+        describe("a non-idempotent attempt that runs") {
+            it("is never cancelled") {
+                val gate = servingGate()
+                gate.receive(FIRST, dispatch("one"))
+                val cancel = GateEvent.MessageArrived(FIRST, Cancel(ATTEMPT, RUN, RequestId("one")))
+                gate.handle(cancel, NOW) shouldContainExactly listOf(GateAction.Send(FIRST, Running(ATTEMPT)))
+            }
+        }
+        describe("a message for another run of the sidecar") {
+            it("leaves no trace and proves nothing") {
+                val gate = servingGate()
+                val old = Incarnation("run-0")
+                val forgotten = FIRST to Forgotten(ATTEMPT)
+                gate.receive(FIRST, Cancel(ATTEMPT, old, RequestId("one"))) shouldContainExactly listOf(forgotten)
+                gate.receive(FIRST, query("one").copy(incarnation = old)) shouldContainExactly listOf(forgotten)
+                gate.receive(FIRST, dispatch("one").copy(incarnation = old)) shouldContainExactly listOf(forgotten)
+                gate.status.remembered shouldBe 0
+            }
+        }
+        describe("a late message on an older connection") {
+            it("does not take the answer away from the newer one") {
+                val gate = servingGate()
+                gate.receive(FIRST, dispatch("one"))
+                gate.receive(SECOND, query("one"))
+                gate.receive(FIRST, dispatch("one"))
+                gate.answer("done") shouldBe listOf(SECOND)
+            }
+        }
+        describe("a leaving sidecar") {
+            it("stops once, after its work has ended and the answers could be asked for") {
+                val gate = servingGate()
+                gate.receive(FIRST, dispatch("one"))
+                gate.handle(GateEvent.Leave, NOW)
+                gate.answer("done")
+                gate.handle(GateEvent.Tick, NOW + 1.seconds) shouldBe emptyList()
+                gate.handle(GateEvent.Tick, NOW + 5.seconds) shouldContainExactly listOf(GateAction.Stop)
+                gate.handle(GateEvent.Tick, NOW + 6.seconds) shouldBe emptyList()
+            }
+        }
+    }) {
+    private companion object {
+        fun servingGate(): SidecarGate {
+            val gate = SidecarGate(RUN, GateLimits(concurrency = 1))
+            gate.handle(GateEvent.Ready, NOW)
+            listOf(FIRST, SECOND).forEach { gate.handle(GateEvent.ConnectionOpened(it), NOW) }
+            return gate
+        }
+
+        fun dispatch(request: String = "one", attempt: AttemptId = ATTEMPT) = Dispatch(
+            attempt = attempt,
+            incarnation = RUN,
+            request = RequestId(request),
+            kind = RequestKind("refill"),
+            stage = StageName("order"),
+            clientAccount = ClientAccount("owner"),
+            remainingMillis = 4_000,
+            idempotent = false,
+            payload = Payload.ofText("12 bins"),
+            fingerprint = "digest",
+        )
+
+        fun query(request: String) = Query(ATTEMPT, RUN, 0, RequestId(request), ClientAccount("owner"), "digest")
+
+        /** Returns what the gate sends, and where. */
+        fun SidecarGate.receive(connection: ConnectionId, message: AttemptMessage): List<Pair<ConnectionId, Message>> =
+            handle(GateEvent.MessageArrived(connection, message), NOW)
+                .filterIsInstance<GateAction.Send>()
+                .map { it.connection to it.message }
+
+        /** Lets the endpoint answer and returns the connections that the answer goes to. */
+        fun SidecarGate.answer(text: String, attempt: AttemptId = ATTEMPT): List<ConnectionId> =
+            handle(GateEvent.EndpointAnswered(attempt, Payload.ofText(text), last = true), NOW)
+                .filterIsInstance<GateAction.Send>()
+                .map { it.connection }
+    }
+}
