--- a/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
@@ -1,12 +1,16 @@
 package org.bilberryhead.core.gate
 
+import org.bilberryhead.core.admission.GateAdmission
+import org.bilberryhead.core.admission.GateOccupancy
 import org.bilberryhead.core.common.AttemptId
 import org.bilberryhead.core.common.Incarnation
 import org.bilberryhead.core.common.Payload
 import org.bilberryhead.core.execution.AttemptFingerprint
 import org.bilberryhead.core.execution.AttemptLedger
 import org.bilberryhead.core.execution.LedgerEntry
+import org.bilberryhead.core.message.AskOutcome
 import org.bilberryhead.core.message.AttemptMessage
+import org.bilberryhead.core.message.AttemptOutcome
 import org.bilberryhead.core.message.Cancel
 import org.bilberryhead.core.message.Dispatch
 import org.bilberryhead.core.message.Failed
@@ -15,6 +19,7 @@
 import org.bilberryhead.core.message.Leaving
 import org.bilberryhead.core.message.LoadReport
 import org.bilberryhead.core.message.Move
+import org.bilberryhead.core.message.OutcomeReport
 import org.bilberryhead.core.message.Query
 import org.bilberryhead.core.message.RefusalReason
 import org.bilberryhead.core.message.Refused
@@ -51,13 +56,13 @@
     private val incarnation: Incarnation,
     private var limits: GateLimits = GateLimits(),
     private val ledger: AttemptLedger = AttemptLedger(),
+    private val admission: GateAdmission = GateAdmission(),
 ) {
     private val queue = SidecarQueue(limits.queueCapacity)
     private val running = HashMap<AttemptId, RunningAttempt>()
     private val subscriptions = Subscriptions()
     private var state = SidecarChart.chart.initial
     private val linger = LingerTime()
-    private var serviceMillis = 0.0
 
     /** Current counts. */
     val status: GateStatus
@@ -68,6 +73,19 @@
         limits = newLimits
     }
 
+    /** Returns what is known of an attempt; nothing changes by it. */
+    fun outcomeOf(question: AskOutcome): OutcomeReport {
+        val attempt = question.attempt
+        if (question.incarnation != incarnation) return OutcomeReport(attempt, AttemptOutcome.FORGOTTEN)
+        return when (val known = ledger[attempt]) {
+            null -> OutcomeReport(attempt, AttemptOutcome.NEVER_SEEN)
+            is LedgerEntry.Tombstone -> OutcomeReport(attempt, AttemptOutcome.NOT_RUN, known.movedTo)
+            is LedgerEntry.Accepted -> OutcomeReport(attempt, AttemptOutcome.RUNNING)
+            is LedgerEntry.Finished -> OutcomeReport(attempt, AttemptOutcome.ANSWERED)
+            is LedgerEntry.Failed -> OutcomeReport(attempt, AttemptOutcome.FAILED)
+        }
+    }
+
     /** Handles [event], which happened at [now], and returns what to do about it. */
     fun handle(event: GateEvent, now: Instant): List<GateAction> {
         val actions = mutableListOf<GateAction>()
@@ -145,24 +163,35 @@
             answerKnown(connection, attempt, known, resumeAt = 0, actions)
             return
         }
-        val refusal = refusalFor(dispatch)
+        val rank = admission.rankOf(dispatch.clientAccount, now)
+        val refusal = refusalFor(dispatch, rank, now)
         if (refusal != null) {
             ledger.bury(attempt, refusal, now, fingerprint)
             refuse(attempt, refusal, now, actions)
             return
         }
         ledger.accept(attempt, fingerprint)
-        queue.add(QueuedAttempt(dispatch, now + dispatch.remainingMillis.milliseconds))
+        queue.add(QueuedAttempt(dispatch, now + dispatch.remainingMillis.milliseconds, rank))
     }
 
-    private fun refusalFor(dispatch: Dispatch): RefusalReason? = when {
+    private fun refusalFor(dispatch: Dispatch, rank: Int, now: Instant): RefusalReason? = when {
         dispatch.incarnation != incarnation -> RefusalReason.WRONG_INCARNATION
         state != SidecarState.SERVING -> RefusalReason.LEAVING
         dispatch.remainingMillis <= 0 -> RefusalReason.DEADLINE_PASSED
-        queue.isFull -> RefusalReason.QUEUE_FULL
-        else -> null
+        else -> refusalByLoad(dispatch, rank, now)
+    }
+
+    private fun refusalByLoad(dispatch: Dispatch, rank: Int, now: Instant): RefusalReason? {
+        val remaining = dispatch.remainingMillis.milliseconds
+        val ahead = queue.countAhead(rank, now + remaining)
+        val occupancy = GateOccupancy(ahead, running.size, queue.size, queue.capacity, concurrency)
+        val refusal = admission.refusalFor(rank, remaining, occupancy)
+        admission.recordArrival(dispatch.clientAccount, refusal == null, now)
+        return refusal
     }
 
+    private val concurrency: Int get() = admission.concurrency(limits.concurrency)
+
     private fun takeQuery(connection: ConnectionId, query: Query, now: Instant, actions: MutableList<GateAction>) {
         val attempt = query.attempt
         if (query.incarnation != incarnation || ledger.isForgotten(attempt)) {
@@ -263,7 +292,7 @@
         if (event.last) {
             running.remove(event.attempt)
             linger.keepUntil(now + limits.answerLinger)
-            recordService((now - run.startedAt).inWholeMicroseconds / MICROS_PER_MILLI)
+            admission.recordService((now - run.startedAt).inWholeMicroseconds / MICROS_PER_MILLI)
         }
         notifySubscribers(event.attempt, Frame(event.attempt, number, event.payload, event.last, load()), actions)
         if (event.last) subscriptions.remove(event.attempt)
@@ -292,10 +321,12 @@
     }
 
     private fun startWaiting(now: Instant, actions: MutableList<GateAction>) {
-        for (expired in queue.removeExpired(now)) {
-            refuse(expired.dispatch.attempt, RefusalReason.DEADLINE_PASSED, now, actions)
+        for (hopeless in queue.removeHopeless(now, admission::latestStart)) {
+            val isExpired = hopeless.deadline <= now
+            val reason = if (isExpired) RefusalReason.DEADLINE_PASSED else RefusalReason.DEADLINE_UNREACHABLE
+            refuse(hopeless.dispatch.attempt, reason, now, actions)
         }
-        while (running.size < limits.concurrency) {
+        while (running.size < concurrency) {
             val next = queue.poll() ?: return
             running[next.dispatch.attempt] = RunningAttempt(next.dispatch, now)
             val remaining = (next.deadline - now).inWholeMilliseconds
@@ -312,26 +343,17 @@
     }
 
     private fun refusedMessage(attempt: AttemptId, tombstone: LedgerEntry.Tombstone) =
-        Refused(attempt, tombstone.reason, retryAfterMillis(), tombstone.movedTo, load())
+        Refused(attempt, tombstone.reason, admission.drainMillis(queue.size, concurrency), tombstone.movedTo, load())
 
     private fun notifySubscribers(attempt: AttemptId, message: AttemptMessage, actions: MutableList<GateAction>) {
         subscriptions.connectionsOf(attempt).forEach { actions += GateAction.Send(it, message) }
     }
 
-    private fun recordService(millis: Double) {
-        serviceMillis = if (serviceMillis == 0.0) millis else serviceMillis + SMOOTHING * (millis - serviceMillis)
-    }
-
-    private fun retryAfterMillis(): Long = ((queue.size + 1) * serviceMillis / limits.concurrency).toLong()
-
-    private fun load() = LoadReport(queue.size, running.size, limits.concurrency, serviceMillis)
+    private fun load() = LoadReport(queue.size, running.size, concurrency, admission.serviceMillis)
 
     private data class RunningAttempt(val dispatch: Dispatch, val startedAt: Instant)
 
     private companion object {
         const val MICROS_PER_MILLI = 1000.0
-
-        /** Weight of the newest service time in the smoothed one. */
-        const val SMOOTHING = 0.2
     }
 }
--- a/core/src/main/kotlin/org/bilberryhead/core/message/Messages.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/message/Messages.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.bilberryhead.core.common.AttemptId
+import org.bilberryhead.core.common.ChangeId
 import org.bilberryhead.core.common.ClientAccount
 import org.bilberryhead.core.common.DaemonId
 import org.bilberryhead.core.common.DataCentre
@@ -214,6 +215,46 @@
 @SerialName("forgotten")
 data class Forgotten(override val attempt: AttemptId) : AttemptMessage
 
+/**
+ * Asks what became of an attempt without subscribing to it or leaving a tombstone, so that its dispatch may still run
+ * afterwards.
+ */
+@Serializable
+@SerialName("ask-outcome")
+data class AskOutcome(val attempt: AttemptId, val incarnation: Incarnation) : Message
+
+/** What a sidecar knows of an attempt. */
+@Serializable
+enum class AttemptOutcome {
+    /** No message about the attempt has arrived; one may be under way. */
+    NEVER_SEEN,
+
+    /** The attempt is refused and never runs under this id. */
+    NOT_RUN,
+
+    /** The attempt is queued or running. */
+    RUNNING,
+
+    /** The endpoint answered completely. */
+    ANSWERED,
+
+    /** The endpoint failed and may have taken effect. */
+    FAILED,
+
+    /** The sidecar run that held the attempt has ended, and its ledger with it. */
+    FORGOTTEN,
+}
+
+/**
+ * Answer to [AskOutcome].
+ *
+ * @property movedTo where a refused attempt was moved, if a move is recorded
+ */
+@Serializable
+@SerialName("outcome-report")
+data class OutcomeReport(val attempt: AttemptId, val outcome: AttemptOutcome, val movedTo: AttemptLocation? = null) :
+    Message
+
 /** Asks a process for the changes that follow [after]. */
 @Serializable
 @SerialName("fetch-changes")
@@ -224,7 +265,11 @@
 @SerialName("changes")
 data class Changes(val changes: List<TableChange>) : Message
 
-/** The whole tables, sent when the receiver is too far behind for single changes. */
+/**
+ * The whole tables, sent when the receiver is too far behind for single changes.
+ *
+ * @property change the change that made the version, if the sender knows it
+ */
 @Serializable
 @SerialName("snapshot")
-data class Snapshot(val tables: Tables) : Message
+data class Snapshot(val tables: Tables, val change: ChangeId? = null) : Message
