Tell a forgotten attempt apart from one never seen when its outcome is asked

Cause: the question for an outcome looked only at the remembered attempts, so one that was forgotten early was reported as never seen, which reads as 'not run'. A dispatch carries the limit of its stage, so an attempt that passed it in a queue ended the request although other endpoints and time were left. Change: forgotten attempts are reported as such; only a mismatch of the attempt id rules out another endpoint; a question keeps a leaving sidecar for a moment.

--- a/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
@@ -76,7 +76,9 @@
     /** Returns what is known of an attempt; nothing changes by it. */
     fun outcomeOf(question: AskOutcome): OutcomeReport {
         val attempt = question.attempt
-        if (question.incarnation != incarnation) return OutcomeReport(attempt, AttemptOutcome.FORGOTTEN)
+        if (question.incarnation != incarnation || ledger.isForgotten(attempt)) {
+            return OutcomeReport(attempt, AttemptOutcome.FORGOTTEN)
+        }
         return when (val known = ledger[attempt]) {
             null -> OutcomeReport(attempt, AttemptOutcome.NEVER_SEEN)
             is LedgerEntry.Tombstone -> OutcomeReport(attempt, AttemptOutcome.NOT_RUN, known.movedTo)
@@ -199,6 +201,7 @@
             return
         }
         val fingerprint = AttemptFingerprint(query.clientAccount, query.fingerprint)
+        linger.keepUntil(now + limits.answerLinger)
         val known = ledger[attempt] ?: ledger.bury(attempt, RefusalReason.NEVER_SEEN, now, fingerprint)
         if (!known.matches(fingerprint)) {
             actions += GateAction.Send(connection, Refused(attempt, RefusalReason.ATTEMPT_MISMATCH))
--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
@@ -291,7 +291,8 @@
         else -> end(lastFailure ?: FailureReason.RETRIES_EXHAUSTED, lastRetryAfter, now)
     }
 
-    private fun mayStartAnother(): Boolean = !isClosing && leader == null && lastRefusal !in FINAL_REFUSALS
+    private fun mayStartAnother(): Boolean =
+        !isClosing && leader == null && lastRefusal != RefusalReason.ATTEMPT_MISMATCH
 
     /** Goes where the ticket was moved; near the deadline only to ask, so that nothing starts late. */
     private fun followMove(record: AttemptRecord, now: Instant) {
@@ -421,8 +422,5 @@
     private companion object {
         /** The cancel margin is at most this part of the time that a request has. */
         const val MARGIN_DIVISOR = 4
-
-        /** Refusals after which another endpoint would not help. */
-        val FINAL_REFUSALS = setOf(RefusalReason.DEADLINE_PASSED, RefusalReason.ATTEMPT_MISMATCH)
     }
 }
--- a/core/src/test/kotlin/org/bilberryhead/core/gate/SidecarGateTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/gate/SidecarGateTest.kt
@@ -11,7 +11,11 @@
 import org.bilberryhead.core.common.RequestId
 import org.bilberryhead.core.common.RequestKind
 import org.bilberryhead.core.common.StageName
+import org.bilberryhead.core.execution.AttemptLedger
+import org.bilberryhead.core.execution.LedgerLimits
+import org.bilberryhead.core.message.AskOutcome
 import org.bilberryhead.core.message.AttemptMessage
+import org.bilberryhead.core.message.AttemptOutcome
 import org.bilberryhead.core.message.Cancel
 import org.bilberryhead.core.message.Dispatch
 import org.bilberryhead.core.message.Forgotten
@@ -73,6 +77,16 @@
                 gate.status.remembered shouldBe 0
             }
         }
+        describe("a forgotten attempt") {
+            it("is not reported as never seen") {
+                val gate = servingGate(AttemptLedger(LedgerLimits(maximumEnded = 1)))
+                gate.receive(FIRST, dispatch())
+                gate.answer("done")
+                gate.receive(FIRST, query("other").copy(attempt = AttemptId("ticket-2:0")))
+                gate.outcomeOf(AskOutcome(ATTEMPT, RUN)).outcome shouldBe AttemptOutcome.FORGOTTEN
+                gate.receive(FIRST, dispatch()) shouldContainExactly listOf(FIRST to Forgotten(ATTEMPT))
+            }
+        }
         describe("a late message on an older connection") {
             it("does not take the answer away from the newer one") {
                 val gate = servingGate()
@@ -95,8 +109,8 @@
         }
     }) {
     private companion object {
-        fun servingGate(): SidecarGate {
-            val gate = SidecarGate(RUN, GateLimits(concurrency = 1))
+        fun servingGate(ledger: AttemptLedger = AttemptLedger()): SidecarGate {
+            val gate = SidecarGate(RUN, GateLimits(concurrency = 1), ledger)
             gate.handle(GateEvent.Ready, NOW)
             listOf(FIRST, SECOND).forEach { gate.handle(GateEvent.ConnectionOpened(it), NOW) }
             return gate
