--- a/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
@@ -182,6 +182,7 @@
             return
         }
         val fingerprint = AttemptFingerprint(query.clientAccount, query.fingerprint)
+        linger.keepUntil(now + limits.answerLinger)
         val known = ledger[attempt] ?: ledger.bury(attempt, RefusalReason.NEVER_SEEN, now, fingerprint)
         if (!known.matches(fingerprint)) {
             actions += GateAction.Send(connection, Refused(attempt, RefusalReason.ATTEMPT_MISMATCH))
