Show the callers' interface on real sockets

Change: tests with a caller that goes away, half a body, bytes that are not HTTP, a drain with requests in flight, and a stream that begins before its end is made. A key that belongs to another request is told so.

--- a/entry/src/main/kotlin/org/bilberryhead/entry/Problem.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/Problem.kt
@@ -54,7 +54,14 @@
 internal fun refusalOf(id: RequestId, outcome: RequestOutcome, hasKey: Boolean): Refusal? = when (outcome) {
     is RequestOutcome.Answered -> null
     is RequestOutcome.NotRun -> Refusal(
-        problemOf(id, statusOf(outcome.reason), outcome.reason.name, NOT_RUN_DETAIL, OUTCOME_NOT_RUN, true),
+        problemOf(
+            id,
+            statusOf(outcome.reason),
+            outcome.reason.name,
+            notRunDetail(outcome.reason),
+            OUTCOME_NOT_RUN,
+            true,
+        ),
         outcome.retryAfter ?: retryAfterOf(outcome.reason),
     )
     is RequestOutcome.Unknown -> {
@@ -92,6 +99,11 @@
     else -> HttpStatusCode.ServiceUnavailable
 }
 
+private fun notRunDetail(reason: FailureReason): String = when (reason) {
+    FailureReason.KEY_REUSED -> "The key belongs to another request; nothing of this one ran, and nothing will."
+    else -> NOT_RUN_DETAIL
+}
+
 private fun retryAfterOf(reason: FailureReason): Duration? = when (reason) {
     FailureReason.SIDECAR_GONE, FailureReason.KEY_REUSED, FailureReason.CALLER_GONE -> null
     else -> DEFAULT_RETRY_AFTER
--- a/entry/src/test/kotlin/org/bilberryhead/entry/FakeLinks.kt
+++ b/entry/src/test/kotlin/org/bilberryhead/entry/FakeLinks.kt
@@ -1,5 +1,6 @@
 package org.bilberryhead.entry
 
+import kotlinx.coroutines.channels.Channel
 import org.bilberryhead.core.common.AttemptId
 import org.bilberryhead.core.common.EndpointId
 import org.bilberryhead.core.common.Incarnation
@@ -11,18 +12,28 @@
 import org.bilberryhead.core.message.Frame
 import org.bilberryhead.core.message.OutcomeReport
 import org.bilberryhead.core.pipeline.RequestEvent
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 
 /** Plays the sidecars of all endpoints: records what is sent and answers each dispatch with [respond]. */
 internal class FakeLinks(var respond: (Dispatch) -> List<AttemptMessage> = { answer(it, "{\"done\":true}") }) :
     LinkSource {
     val sent = ConcurrentLinkedQueue<Pair<EndpointId, AttemptMessage>>()
+    val arrivals = Channel<AttemptMessage>(Channel.UNLIMITED)
+    private val subscribers = ConcurrentHashMap<AttemptId, AttemptSubscriber>()
     val outcomes = HashMap<AttemptLocation, OutcomeReport>()
     val dispatches: List<Dispatch> get() = sent.mapNotNull { it.second as? Dispatch }
 
+    /** Delivers messages about an attempt that was dispatched before. */
+    fun deliver(messages: List<AttemptMessage>) = messages.forEach {
+        subscribers.getValue(it.attempt).deliver(RequestEvent.MessageArrived(it))
+    }
+
     override fun link(endpoint: EndpointId): AttemptLink = object : AttemptLink {
         override fun send(incarnation: Incarnation, message: AttemptMessage, subscriber: AttemptSubscriber) {
             sent += endpoint to message
+            subscribers[message.attempt] = subscriber
+            arrivals.trySend(message)
             if (message is Dispatch) respond(message).forEach { subscriber.deliver(RequestEvent.MessageArrived(it)) }
         }
 
