List every fault of a settings file at once

Cause: the YAML reader stops at its first wrong type, unknown key or missing key, so that an operator mends a file one start at a time. Change: the document is compared with the type of the settings first.

--- a/daemon/src/main/kotlin/org/bilberryhead/daemon/SettingsReader.kt
+++ b/daemon/src/main/kotlin/org/bilberryhead/daemon/SettingsReader.kt
@@ -39,10 +39,15 @@
 
     /** Returns the settings in [text], or every fault that was found. */
     fun <T : CheckedSettings> parse(text: String, serializer: KSerializer<T>): Result<T, List<SettingsError>> = try {
-        val settings = yaml.decodeFromString(serializer, text)
-        val errors = settings.check()
-        if (errors.isEmpty()) Ok(settings) else Err(errors)
+        val shapeErrors = SettingsShape.check(yaml.parseToYamlNode(text), serializer.descriptor)
+        if (shapeErrors.isEmpty()) decode(text, serializer) else Err(shapeErrors)
     } catch (failure: YamlException) {
         Err(listOf(SettingsError(failure.path.toHumanReadableString(), "line ${failure.line}: ${failure.message}")))
     }
+
+    private fun <T : CheckedSettings> decode(text: String, serializer: KSerializer<T>): Result<T, List<SettingsError>> {
+        val settings = yaml.decodeFromString(serializer, text)
+        val errors = settings.check()
+        return if (errors.isEmpty()) Ok(settings) else Err(errors)
+    }
 }
