Follow late load reports, let only over-share accounts hold the load at its limit, check targets

Cause: with reports that lag 2 s every entry took load off its own count that it had itself just added, so all herded onto the same endpoints. A flooding account raised the prediction until the entry also refused a large account, because the fair level fell whenever another entry got more of the pools. On routes by attainment the straggler looked best under overload, since waiting elsewhere counted four times. Hedges went on under overload. Change: the load of other entries is scaled by how this entry's own load has changed since the reports; the admission limit falls with an account's demand over its share; waiting is weighed only among endpoints predicted to use at most half of the remaining time; a hedge needs a prediction below 0.75 of the typical time; queues compare without boxing; the first pause of an ejected endpoint is 2 s; the report checks the targets and draws a plot. The store outage is no scenario of its own: no decision of this part reads the store.

--- a/core/src/main/kotlin/org/bilberryhead/core/admission/AdmissionControl.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/admission/AdmissionControl.kt
@@ -12,12 +12,8 @@
 
 /** Whether a request is let in. */
 sealed interface Admission {
-    /**
-     * The request may run.
-     *
-     * @property mayRefuse whether a stage may still refuse it by prediction
-     */
-    data class Admitted(val mayRefuse: Boolean) : Admission
+    /** The request may run. */
+    data object Admitted : Admission
 
     /** The request would not be answered in time; coming back after [retryAfter] may help. */
     data class Refused(val why: String, val retryAfter: Duration) : Admission
@@ -45,17 +41,23 @@
             tables: Tables,
             remaining: Duration,
             now: Instant,
-        ): Admission = Admission.Admitted(mayRefuse = true)
+        ): Admission = Admission.Admitted
 
         override fun recordAnswered(route: Route, now: Instant) = Unit
     }
 
     /**
-     * Refuses what is predicted to be late, except for accounts that ask for no more than their share.
+     * Refuses what is predicted to take too long over all stages. Accounts that ask for more than their share are
+     * refused sooner than the others, so that they alone keep the load at the limit.
      *
-     * @param refuseAt part of the remaining time; a longer prediction over all stages refuses the request
+     * @param refuseAt part of the remaining time that a request of an account within its share may be predicted to use
+     * @param refuseOverShareAt the same for an account that asks for twice its share or more
      */
-    class Predictive(private val selector: EndpointSelector, private val refuseAt: Double = 0.4) : AdmissionControl() {
+    class Predictive(
+        private val selector: EndpointSelector,
+        private val refuseAt: Double = 0.5,
+        private val refuseOverShareAt: Double = 0.2,
+    ) : AdmissionControl() {
         private val sharesByKind = ConcurrentHashMap<RequestKind, FairShares>()
 
         override fun check(
@@ -66,17 +68,20 @@
             now: Instant,
         ): Admission {
             val predicted = predict(route, tables, now)
-            val excess = predicted - remaining * refuseAt
-            val isLate = excess.isPositive()
             val shares = sharesOf(route)
             shares.recordDemand(account, now)
-            if (!isLate) return Admission.Admitted(mayRefuse = true)
-            if (!shares.isOverShare(account, now)) return Admission.Admitted(mayRefuse = false)
+            val excess = predicted - remaining * limitFor(shares.demandRatio(account, now))
+            if (!excess.isPositive()) return Admission.Admitted
             return Admission.Refused("predicted $predicted of $remaining left", maxOf(excess, MINIMUM_RETRY))
         }
 
         override fun recordAnswered(route: Route, now: Instant) = sharesOf(route).recordServed(now)
 
+        private fun limitFor(demandRatio: Double): Double {
+            val overShare = (demandRatio - 1).coerceIn(0.0, 1.0)
+            return refuseAt + (refuseOverShareAt - refuseAt) * overShare
+        }
+
         private fun sharesOf(route: Route) = sharesByKind.computeIfAbsent(route.kind) { FairShares() }
 
         private fun predict(route: Route, tables: Tables, now: Instant): Duration =
--- a/core/src/main/kotlin/org/bilberryhead/core/admission/FairShares.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/admission/FairShares.kt
@@ -18,7 +18,7 @@
  *
  * @param window length of one window
  */
-class FairShares(private val window: Duration = 1.seconds) {
+class FairShares(private val window: Duration = 2.seconds) {
     private val state = AtomicReference(Windows(Instant.DISTANT_PAST, Counts(), Counts(), Double.MAX_VALUE))
 
     /** Counts one unit of demand of [account]. */
@@ -29,14 +29,17 @@
         current(now).newest.served.incrementAndGet()
     }
 
-    /** Whether [account] asks for more than its share. */
-    fun isOverShare(account: ClientAccount, now: Instant): Boolean {
+    /** Whether [account] clearly asks for more than its share. */
+    fun isOverShare(account: ClientAccount, now: Instant): Boolean = demandRatio(account, now) > TOLERANCE
+
+    /** Returns what [account] asks for, relative to its share. */
+    fun demandRatio(account: ClientAccount, now: Instant): Double {
         val windows = current(now)
         val elapsed = ((now - windows.startedAt) / window).coerceIn(0.0, 1.0)
         val older = windows.older.of(account)
         val newest = windows.newest.of(account)
         val rate = max(older * (1 - elapsed) + newest, newest.toDouble())
-        return rate > max(windows.level * TOLERANCE, 1.0)
+        return rate / max(windows.level, 1.0)
     }
 
     private fun current(now: Instant): Windows {
@@ -45,7 +48,7 @@
             val age = now - windows.startedAt
             if (age < window) return windows
             val older = if (age < window * 2) windows.newest else Counts()
-            val next = Windows(now, Counts(), older, older.fairLevel())
+            val next = Windows(now, Counts(), older, older.levelWith(windows.older))
             if (state.compareAndSet(windows, next)) return next
         }
     }
@@ -65,11 +68,21 @@
             return least
         }
 
-        /** Returns the level at which the demands, each cut to it, add up to what was served. */
-        fun fairLevel(): Double {
-            val demands = (0 until COLUMNS).map { cells.get(it) }.filter { it > 0 }.sorted()
+        /**
+         * Returns the level for one window at which the demands of this window and [before], each cut to it, add up to
+         * what was served.
+         */
+        fun levelWith(before: Counts): Double {
+            val demands = (0 until COLUMNS).map { cells.get(it) + before.cells.get(it) }.filter { it > 0 }.sorted()
+            val windows = if (before.isEmpty()) 1 else 2
+            return level(demands, (served.get() + before.served.get()).toDouble()) / windows
+        }
+
+        private fun isEmpty() = (0 until COLUMNS).all { cells.get(it) == 0L }
+
+        private fun level(demands: List<Long>, servedInTotal: Double): Double {
             if (demands.isEmpty()) return Double.MAX_VALUE
-            var left = served.get().toDouble()
+            var left = servedInTotal
             if (left >= demands.sum() * FULLY_SERVED) return demands.last().toDouble()
             demands.forEachIndexed { index, demand ->
                 val equalPart = left / (demands.size - index)
--- a/core/src/main/kotlin/org/bilberryhead/core/admission/GateAdmission.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/admission/GateAdmission.kt
@@ -4,7 +4,6 @@
 import org.bilberryhead.core.message.RefusalReason
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /** How a sidecar treats work when there is more than its endpoint can do. */
@@ -18,7 +17,7 @@
      * @property waitShare part of the remaining time that an attempt may be predicted to wait
      * @property overShareCapacity part of the queue that accounts over their share may fill
      */
-    data class DeadlineAware(val waitShare: Double = 0.6, val overShareCapacity: Double = 0.75) : GatePolicy()
+    data class DeadlineAware(val waitShare: Double = 0.8, val overShareCapacity: Double = 0.75) : GatePolicy()
 }
 
 /**
@@ -36,7 +35,7 @@
 class GateAdmission(private val policy: GatePolicy = GatePolicy.DeadlineAware()) {
     private val service = ServiceTimeEstimator()
     private val limiter = ConcurrencyLimiter()
-    private val shares = FairShares(SHARES_WINDOW)
+    private val shares = FairShares()
 
     /** Smoothed service time in milliseconds; 0 before the first answer. */
     val serviceMillis: Double get() = service.meanMillis
@@ -105,8 +104,6 @@
     private val needed: Duration get() = service.lateMillis.milliseconds
 
     private companion object {
-        /** Time over which the demand of accounts is counted. */
-        val SHARES_WINDOW = 2.seconds
         const val WITHIN_SHARE = 0
         const val OVER_SHARE = 1
     }
--- a/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarQueue.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarQueue.kt
@@ -2,6 +2,7 @@
 
 import org.bilberryhead.core.common.AttemptId
 import org.bilberryhead.core.message.Dispatch
+import java.util.TreeSet
 import kotlin.time.Instant
 
 /**
@@ -17,8 +18,7 @@
  * threads.
  */
 class SidecarQueue(val capacity: Int) {
-    private val waiting =
-        sortedSetOf<QueuedAttempt>(compareBy({ it.rank }, { it.deadline }, { it.dispatch.attempt.value }))
+    private val waiting = TreeSet(StartOrder)
 
     /** Number of waiting attempts. */
     val size: Int get() = waiting.size
@@ -48,4 +48,14 @@
         waiting.removeAll(hopeless.toSet())
         return hopeless
     }
+
+    /** Compares without boxing, because every event of a busy gate compares many times. */
+    private object StartOrder : Comparator<QueuedAttempt> {
+        override fun compare(first: QueuedAttempt, second: QueuedAttempt): Int {
+            if (first.rank != second.rank) return first.rank.compareTo(second.rank)
+            val byDeadline = first.deadline.compareTo(second.deadline)
+            if (byDeadline != 0) return byDeadline
+            return first.dispatch.attempt.value.compareTo(second.dispatch.attempt.value)
+        }
+    }
 }
--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
@@ -86,7 +86,6 @@
     private var lastFailure: FailureReason? = null
     private var lastRetryAfter: Duration? = null
     private var isComplete = false
-    private var mayRefuse = true
 
     private val stage: Stage get() = route.stages[stageIndex]
     private val isLastStage: Boolean get() = stageIndex == route.stages.lastIndex
@@ -132,10 +131,7 @@
     private fun isAdmitted(now: Instant): Boolean {
         val remaining = request.deadline - now
         return when (val admitted = admission.check(request.clientAccount, route, tables, remaining, now)) {
-            is Admission.Admitted -> {
-                mayRefuse = admitted.mayRefuse
-                true
-            }
+            Admission.Admitted -> true
             is Admission.Refused -> {
                 end(FailureReason.DEADLINE_UNREACHABLE, admitted.retryAfter, now)
                 false
@@ -186,7 +182,7 @@
         objective = route.objective,
         avoid = attempts.values.filter { it.stageIndex == stageIndex }.map { it.location.endpoint }.toSet(),
         mayProbe = stage.idempotent,
-        mayRefuse = mayRefuse && stageIndex == 0,
+        mayRefuse = stageIndex == 0,
     )
 
     private fun dispatch(location: AttemptLocation, why: String, candidates: Int, now: Instant) {
@@ -332,7 +328,12 @@
 
     private fun hedge(now: Instant) {
         val canHedge = stage.hedged && stage.idempotent && leader == null && openAttempts().size == 1
-        if (canHedge && budget.tryTakeHedge()) dispatchToChosen(now)
+        if (canHedge && isHedgeWorthwhile(now) && budget.tryTakeHedge()) dispatchToChosen(now)
+    }
+
+    private fun isHedgeWorthwhile(now: Instant): Boolean {
+        val predicted = tables.poolOf(stage)?.let { selector.predict(it, now) }
+        return HedgePolicy.isWorthwhile(predicted, selector.stageTimes(stage.pool))
     }
 
     private fun askAgain(now: Instant) {
--- a/core/src/main/kotlin/org/bilberryhead/core/retry/HedgePolicy.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/retry/HedgePolicy.kt
@@ -6,6 +6,9 @@
 
 /** Decides how long an attempt may stay unanswered before a second one starts. */
 object HedgePolicy {
+    /** Part of the typical time below which a fresh attempt must be predicted. */
+    private const val WORTHWHILE_SHARE = 0.75
+
     /** Share of the remaining time that applies while nothing is learnt of a pool. */
     private const val UNLEARNT_SHARE = 0.3
 
@@ -20,4 +23,8 @@
             Objective.COST -> times.veryLate
         }
     }
+
+    /** Whether an attempt that is [predicted] to take so long is a help, or only adds to a load that is high. */
+    fun isWorthwhile(predicted: Duration?, times: StageTimes?): Boolean =
+        predicted == null || times == null || predicted <= times.typical * WORTHWHILE_SHARE
 }
--- a/core/src/main/kotlin/org/bilberryhead/core/routing/ChoicePolicy.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/ChoicePolicy.kt
@@ -24,7 +24,10 @@
      * @property sampleSize number of endpoints that are compared
      * @property waitWeight what a second of waiting counts against a second of service on a route by attainment; more
      *   than 1, because work that waits also delays the work behind it
+     * @property waitHeadroom part of the remaining time that a route by attainment may be predicted to use on an
+     *   endpoint that is not the fastest
      * @property refuseAt part of the remaining time; a longer prediction refuses the work
+     * @property costWaitWeight what a second of waiting counts against a second of service on a route by cost
      * @property costWeight what a second of endpoint time counts against a second of latency on a route by cost
      * @property costHeadroom part of the remaining time that a route by cost may be predicted to use
      * @property prefixStretch how much longer than on the best endpoint a request may take where its prefix is cached
@@ -35,8 +38,10 @@
     data class PredictedCompletion(
         val sampleSize: Int = 8,
         val waitWeight: Double = 4.0,
+        val waitHeadroom: Double = 0.5,
         val refuseAt: Double = 0.9,
         val costWeight: Double = 2.0,
+        val costWaitWeight: Double = 2.0,
         val costHeadroom: Double = 0.25,
         val prefixStretch: Double = 1.5,
         val slowStart: Duration = 3.seconds,
@@ -55,7 +60,7 @@
  */
 data class EjectionLimits(
     val failures: Int = 3,
-    val firstPause: Duration = 1.seconds,
+    val firstPause: Duration = 2.seconds,
     val longestPause: Duration = 30.seconds,
     val largestShare: Double = 0.34,
 )
--- a/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointState.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointState.kt
@@ -18,6 +18,7 @@
 internal class EndpointState(val pool: PoolState, nowMillis: Long) {
     private val attemptsInFlight = AtomicInteger()
     private val loadOfOthers = AtomicDouble()
+    private val usualInFlight = AtomicDouble()
     private val failures = AtomicInteger()
     private val ejections = AtomicInteger()
     private val ejectedUntil = AtomicLong(NOT_EJECTED)
@@ -62,6 +63,7 @@
         val others = (load.queued + load.running - inFlight).toDouble()
         val weight = if (report == null) 1.0 else 1 - exp(-(nowMillis - reportedAt) / OTHERS_MILLIS)
         loadOfOthers.update { it + weight * (others - it) }
+        usualInFlight.update { it + weight * (inFlight - it) }
         report = load
         reportedAt = nowMillis
     }
@@ -83,11 +85,14 @@
     /** Returns how long an attempt that is sent now would wait for the endpoint, in milliseconds. */
     fun waitMillis(serviceMillis: Double): Double {
         val concurrency = max(1, report?.concurrency ?: pool.concurrency)
-        val backlog = inFlight + max(0.0, loadOfOthers.get())
+        val backlog = inFlight + max(0.0, loadOfOthers.get()) * changeSinceReports()
         val before = max(0.0, backlog + 1 - concurrency)
         return before * serviceMillis / concurrency
     }
 
+    /** Other processes are taken to have changed their part of the load as this one did. */
+    private fun changeSinceReports(): Double = (inFlight + 1) / (usualInFlight.get() + 1)
+
     /** Returns by how much an endpoint that is new or has just come back is predicted to be slower. */
     fun slowStartFactor(slowStartMillis: Long, nowMillis: Long): Double {
         val age = nowMillis - warmSince
--- a/core/src/main/kotlin/org/bilberryhead/core/routing/PolicySelector.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/PolicySelector.kt
@@ -122,8 +122,9 @@
             return Selection.NoneAvailable(view.candidates.size, why, max(excess, MINIMUM_RETRY_MILLIS).milliseconds)
         }
         val best = when (selection.objective) {
-            Objective.ATTAINMENT -> sampled.minBy { it.completionMillis + (policy.waitWeight - 1) * it.waitMillis }
-            Objective.COST -> cheapest(policy, sampled, remainingMillis) ?: fastest
+            Objective.ATTAINMENT -> leastWaiting(policy, sampled, remainingMillis) ?: fastest
+            Objective.COST -> cheapest(policy, sampled, remainingMillis)
+                ?: leastWaiting(policy, sampled, remainingMillis) ?: fastest
         }
         val chosen = withPrefix(policy, selection, view, best) ?: best
         val why = "predicted ${chosen.completionMillis.toInt()} ms"
@@ -163,12 +164,21 @@
         return Predicted(candidate, (service + wait) * factor + roundTrip, wait, service)
     }
 
+    private fun leastWaiting(
+        policy: ChoicePolicy.PredictedCompletion,
+        sampled: List<Predicted>,
+        remainingMillis: Double,
+    ): Predicted? = sampled.filter { it.completionMillis <= remainingMillis * policy.waitHeadroom }
+        .minByOrNull { it.completionMillis + (policy.waitWeight - 1) * it.waitMillis }
+
     private fun cheapest(
         policy: ChoicePolicy.PredictedCompletion,
         sampled: List<Predicted>,
         remainingMillis: Double,
     ): Predicted? = sampled.filter { it.completionMillis <= remainingMillis * policy.costHeadroom }
-        .minByOrNull { it.completionMillis + policy.costWeight * it.serviceMillis }
+        .minByOrNull {
+            it.completionMillis + (policy.costWaitWeight - 1) * it.waitMillis + policy.costWeight * it.serviceMillis
+        }
 
     private fun withPrefix(
         policy: ChoicePolicy.PredictedCompletion,
--- a/load/src/main/kotlin/org/bilberryhead/load/policy/PolicyCommand.kt
+++ b/load/src/main/kotlin/org/bilberryhead/load/policy/PolicyCommand.kt
@@ -9,6 +9,7 @@
 import com.github.ajalt.clikt.parameters.types.enum
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.path
+import kotlinx.serialization.json.Json
 import java.nio.file.Path
 import kotlin.io.path.createDirectories
 import kotlin.io.path.writeText
@@ -25,14 +26,19 @@
         .multiple(listOf(0.5, 0.8, 0.95, 1.2, 2.0))
     private val seeds by option("--seeds", help = "number of runs of each cell, seeded from 1").int().default(10)
     private val threads by option("--threads").int().default(2)
-    private val directory: Path? by option("--output", help = "directory for report.md and report.json").path()
+    private val directory: Path? by option(
+        "--output",
+        help = "directory for report.md, report.json and attainment.svg",
+    ).path()
 
     override fun run() {
         val report = PolicyExperiment(deployments, scenarios, factors, seeds, threads).run { echo(it, err = true) }
-        val text = PolicyReport(report).text()
+        val text = PolicyReport(report).text() + TargetReport(TargetCheck(report).verdicts()).text()
         echo(text)
         val target = directory ?: return
         target.createDirectories()
         target.resolve("report.md").writeText(text)
+        target.resolve("report.json").writeText(Json.encodeToString(report))
+        target.resolve("attainment.svg").writeText(AttainmentPlot(report).svg())
     }
 }
--- a/load/src/main/kotlin/org/bilberryhead/load/policy/PolicyExperiment.kt
+++ b/load/src/main/kotlin/org/bilberryhead/load/policy/PolicyExperiment.kt
@@ -1,10 +1,12 @@
 package org.bilberryhead.load.policy
 
+import kotlinx.serialization.Serializable
 import org.bilberryhead.core.tables.Objective
 import java.util.concurrent.Callable
 import java.util.concurrent.Executors
 
 /** One line of a report: a contender's mean over all seeds in one cell. */
+@Serializable
 data class ReportLine(
     val deployment: Deployment,
     val scenario: Scenario,
--- a/load/src/main/kotlin/org/bilberryhead/load/policy/RunResult.kt
+++ b/load/src/main/kotlin/org/bilberryhead/load/policy/RunResult.kt
@@ -1,5 +1,7 @@
 package org.bilberryhead.load.policy
 
+import kotlinx.serialization.Serializable
+
 /**
  * What one run of an experiment came to. Shares are between 0 and 1.
  *
@@ -14,6 +16,7 @@
  * @property attainmentAfterBurst attainment of requests that arrived later than one deadline after the burst
  * @property latencyMillis median and 99th percentile of the answers' times, in milliseconds
  */
+@Serializable
 data class RunResult(
     val attainment: Double,
     val attainmentOfOthers: Double,
@@ -56,4 +59,5 @@
  *
  * @property late 99th percentile
  */
+@Serializable
 data class LatencySummary(val median: Double, val late: Double)
--- a/load/src/main/kotlin/org/bilberryhead/load/policy/Scenario.kt
+++ b/load/src/main/kotlin/org/bilberryhead/load/policy/Scenario.kt
@@ -46,7 +46,6 @@
     FLOOD("one account floods at 10x", floodFactor = 10.0),
     LATE_REPORTS("load reports lag 2 s", reportLag = 2.seconds),
     UNEQUAL_ENTRIES("entries of unequal size", entryWeights = listOf(1.0, 2.0, 4.0, 8.0)),
-    STORE_OUTAGE("store outage throughout"),
     ;
 
     companion object {
@@ -60,7 +59,7 @@
         const val STRAGGLER_FACTOR = 10.0
 
         /** How long requests arrive. */
-        val LENGTH: Duration = 30.seconds
+        val LENGTH: Duration = 25.seconds
 
         /** Requests that arrive earlier are not counted. */
         val WARM_UP: Duration = 4.seconds
--- a/load/src/main/kotlin/org/bilberryhead/load/policy/VirtualTime.kt
+++ b/load/src/main/kotlin/org/bilberryhead/load/policy/VirtualTime.kt
@@ -7,9 +7,12 @@
 
 /** A clock and the steps that are due, run in order of time; steps due at the same time keep their order. */
 class VirtualTime {
-    private class Step(val atMicros: Long, val number: Long, val run: () -> Unit)
+    private class Step(val atMicros: Long, val number: Long, val run: () -> Unit) : Comparable<Step> {
+        override fun compareTo(other: Step): Int =
+            if (atMicros == other.atMicros) number.compareTo(other.number) else atMicros.compareTo(other.atMicros)
+    }
 
-    private val steps = PriorityQueue<Step>(compareBy({ it.atMicros }, { it.number }))
+    private val steps = PriorityQueue<Step>()
     private var count = 0L
     private var micros = 0L
 
