--- /dev/null
+++ b/core-testing/src/test/kotlin/org/bilberryhead/core/routing/PolicySelectorTest.kt
@@ -0,0 +1,96 @@
+package org.bilberryhead.core.routing
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.common.EndpointId
+import org.bilberryhead.core.common.Incarnation
+import org.bilberryhead.core.common.RequestId
+import org.bilberryhead.core.message.LoadReport
+import org.bilberryhead.core.tables.Objective
+import org.bilberryhead.core.testing.TestClock
+import org.bilberryhead.core.testing.testPool
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class PolicySelectorTest :
+    DescribeSpec({
+        val pool = testPool(size = 4)
+        val clock = TestClock()
+
+        fun selector(policy: ChoicePolicy = ChoicePolicy.PredictedCompletion()) = PolicySelector(
+            { asked -> asked.endpoints.map { Candidate(it.id, Incarnation("run"), it.dataCentre) } },
+            DataCentre("nashua"),
+            Random(1),
+            policy,
+        )
+
+        fun request(remaining: Duration = 4.seconds, avoid: Set<EndpointId> = emptySet(), prefixHash: Int = 0) =
+            SelectionRequest(RequestId("r"), pool, remaining, Objective.ATTAINMENT, avoid, prefixHash)
+
+        fun PolicySelector.chosen(request: SelectionRequest = request()) =
+            choose(request, clock.now()).shouldBeInstanceOf<Selection.Chosen>().candidate.endpoint
+
+        fun PolicySelector.report(index: Int, load: LoadReport) {
+            choose(request(), clock.now())
+            repeat(16) { choose(request(), clock.now()) }
+            recordLoad(pool.endpoints[index].id, load, clock.now())
+        }
+
+        describe("choice by predicted completion") {
+            it("prefers the endpoint that works fastest") {
+                val selector = selector()
+                listOf(800.0, 400.0, 200.0, 800.0).forEachIndexed { index, millis ->
+                    selector.report(index, LoadReport(0, 0, 4, millis))
+                }
+                selector.chosen() shouldBe pool.endpoints[2].id
+            }
+
+            it("avoids an endpoint whose queue is long") {
+                val selector = selector()
+                listOf(40, 0, 40, 40).forEachIndexed { index, queued ->
+                    selector.report(index, LoadReport(queued, 4, 4, 100.0))
+                }
+                selector.chosen() shouldBe pool.endpoints[1].id
+            }
+
+            it("refuses with a time to come back when no endpoint can answer in time") {
+                val selector = selector()
+                repeat(4) { selector.report(it, LoadReport(100, 4, 4, 100.0)) }
+                val refused = selector.choose(request(remaining = 500.milliseconds), clock.now())
+                (refused.shouldBeInstanceOf<Selection.NoneAvailable>().retryAfter!! > 1.seconds) shouldBe true
+            }
+
+            it("gives a failing endpoint no work but probes") {
+                val selector = selector()
+                val failing = pool.endpoints[0].id
+                repeat(4) { selector.report(it, LoadReport(0, 0, 4, 100.0)) }
+                repeat(3) { selector.recordEnd(failing, AttemptResult.FAILED, 1.milliseconds, clock.now()) }
+                List(100) { selector.chosen() }.count { it == failing } shouldBeLessThan 1
+            }
+
+            it("sends requests with one prefix to one endpoint while it is not much slower") {
+                val selector = selector()
+                repeat(4) { selector.report(it, LoadReport(0, 0, 4, 100.0)) }
+                List(20) { selector.chosen(request(prefixHash = 77)) }.distinct().size shouldBe 1
+            }
+        }
+
+        describe("every policy") {
+            it("leaves out endpoints that the stage has tried") {
+                val policies = listOf(
+                    ChoicePolicy.Random,
+                    ChoicePolicy.RoundRobin,
+                    ChoicePolicy.LeastInFlight,
+                    ChoicePolicy.TwoChoices,
+                    ChoicePolicy.PredictedCompletion(),
+                )
+                val tried = pool.endpoints.take(3).map { it.id }.toSet()
+                for (policy in policies) selector(policy).chosen(request(avoid = tried)) shouldBe pool.endpoints[3].id
+            }
+        }
+    })
--- /dev/null
+++ b/core/src/test/kotlin/org/bilberryhead/core/routing/EndpointStateTest.kt
@@ -0,0 +1,80 @@
+package org.bilberryhead.core.routing
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import org.bilberryhead.core.message.LoadReport
+import org.jetbrains.lincheck.datastructures.Operation
+import org.jetbrains.lincheck.datastructures.StressOptions
+
+/** The operations that threads run on the counters of one endpoint at the same time. */
+class ConcurrentEndpointState {
+    private val state = EndpointState(PoolState(0).apply { size = 4 }, 0)
+    private val limits = EjectionLimits(failures = 2)
+
+    @Operation
+    fun recordDispatch() = state.recordDispatch(nowMillis = 1)
+
+    @Operation
+    fun recordAnswer() = state.recordEnd(AttemptResult.ABANDONED, limits, nowMillis = 1)
+
+    @Operation
+    fun inFlight() = state.inFlight
+}
+
+/** The operations that threads run on the count of ejected endpoints at the same time. */
+class ConcurrentEjections {
+    private val pool = PoolState(0).apply { size = 6 }
+
+    @Operation
+    fun eject() = pool.tryCountEjection(largestShare = 0.34)
+
+    @Operation
+    fun comeBack() = pool.countReturn()
+
+    @Operation
+    fun hasEjected() = pool.hasEjected
+}
+
+class EndpointStateTest :
+    DescribeSpec({
+        val limits = EjectionLimits()
+
+        describe("what is known of an endpoint") {
+            it("counts attempts like one thread would") {
+                StressOptions().iterations(20).invocationsPerIteration(500).check(ConcurrentEndpointState::class)
+            }
+
+            it("counts ejections like one thread would") {
+                StressOptions().iterations(20).invocationsPerIteration(500).check(ConcurrentEjections::class)
+            }
+
+            it("is ejected after three failures without an answer between them") {
+                val state = EndpointState(PoolState(0).apply { size = 4 }, 0)
+                repeat(2) { state.recordEnd(AttemptResult.FAILED, limits, nowMillis = 10) }
+                state.recordEnd(AttemptResult.ANSWERED, limits, nowMillis = 10)
+                repeat(2) { state.recordEnd(AttemptResult.FAILED, limits, nowMillis = 10) }
+                val before = state.isEjected
+                state.recordEnd(AttemptResult.FAILED, limits, nowMillis = 10)
+                before shouldBe false
+                state.isEjected shouldBe true
+            }
+
+            it("lets one probe through when the pause is over, and comes back with its answer") {
+                val state = EndpointState(PoolState(0).apply { size = 4 }, 0)
+                repeat(3) { state.recordEnd(AttemptResult.FAILED, limits, nowMillis = 0) }
+                state.tryProbe(nowMillis = 1_999) shouldBe false
+                state.tryProbe(nowMillis = 2_000) shouldBe true
+                state.tryProbe(nowMillis = 2_000) shouldBe false
+                state.recordEnd(AttemptResult.ANSWERED, limits, nowMillis = 2_100)
+                state.isEjected shouldBe false
+            }
+
+            it("is taken to be slow when attempts on it make no progress") {
+                val state = EndpointState(PoolState(0), 0)
+                state.recordDispatch(nowMillis = 0)
+                state.recordLoad(LoadReport(0, 1, 4, serviceMillis = 100.0), nowMillis = 0)
+                state.serviceMillis(nowMillis = 1_000) shouldBeGreaterThan 999.0
+            }
+        }
+    })
