--- a/core/src/main/kotlin/org/bilberryhead/core/admission/GateAdmission.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/admission/GateAdmission.kt
@@ -95,6 +95,9 @@
         is GatePolicy.DeadlineAware -> deadline - needed
     }
 
+    /** Returns when a place may be free behind [queued] waiting attempts, in milliseconds. */
+    fun drainMillis(queued: Int, concurrency: Int): Long = ((queued + 1) * serviceMillis / concurrency).toLong()
+
     private fun predictedWait(occupancy: GateOccupancy): Duration {
         val beforeIt = occupancy.ahead + occupancy.running + 1 - occupancy.concurrency
         if (beforeIt <= 0) return Duration.ZERO
