Prove table changes under a fault at every step

Cause: nothing showed that an accepted change survives kills, cuts, freezes, outages and races, or that replicas merge alike in any order. It is judged on: an accepted change in the log and in force at every live process at the end and after a restart, within 9 s for all that are reachable while the fault lasts, versions that only grow, one winner a version, a loser told the winner, a refusal that is true. A wake-up time is sent only when it changes. Ruled out: the model hung at first because its processes outlived the test's scope; they are now its children.

--- a/core/src/main/kotlin/org/bilberryhead/core/propagation/TablePropagation.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/propagation/TablePropagation.kt
@@ -51,6 +51,7 @@
     private val actions = mutableListOf<PropagationAction>()
     private var pollAt = Instant.DISTANT_PAST
     private var pollPause = timings.pollInterval
+    private var wakeAt = Instant.DISTANT_PAST
     private var isReading = false
 
     /** The newest tables that this process may act on. */
@@ -78,7 +79,7 @@
         poll(now)
         exchange(now)
         settleAcceptances(now)
-        actions += PropagationAction.WakeAt(nextWake(now))
+        armWake(now)
         return actions.toList().also { actions.clear() }
     }
 
@@ -203,6 +204,14 @@
         }
     }
 
+    private fun armWake(now: Instant) {
+        val next = nextWake(now)
+        val isArmed = wakeAt > now && wakeAt <= next
+        if (isArmed) return
+        wakeAt = next
+        actions += PropagationAction.WakeAt(next)
+    }
+
     private fun nextWake(now: Instant): Instant {
         val times = waiting.values.toMutableList()
         if (followsLog && !isReading) times += pollAt
--- /dev/null
+++ b/core/src/test/kotlin/org/bilberryhead/core/propagation/TablePropagationTest.kt
@@ -0,0 +1,116 @@
+package org.bilberryhead.core.propagation
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import org.bilberryhead.core.common.DaemonId
+import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.message.Changes
+import org.bilberryhead.core.message.FetchChanges
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+private val link = LinkId("sidecar")
+private val daemon = DaemonId("sidecar")
+
+/** Drives a [TablePropagation] by hand and keeps its clock. */
+private class Driver {
+    val propagation = TablePropagation(Random(1))
+    var now = Instant.fromEpochSeconds(1_800_000_000)
+
+    fun handle(event: PropagationEvent, after: Duration = 1.milliseconds): List<PropagationAction> {
+        now += after
+        return propagation.handle(event, now)
+    }
+
+    fun pauseUntilRead(): Duration {
+        val begin = now
+        while (handle(PropagationEvent.Woken, after = 10.milliseconds).none { it is PropagationAction.ReadLog }) {
+            check(now - begin < 60.seconds) { "the log is not read again" }
+        }
+        return now - begin
+    }
+
+    fun shows(version: Long) = handle(PropagationEvent.VersionShown(link, daemon, TableVersion(version)))
+}
+
+private fun sent(actions: List<PropagationAction>) = actions.filterIsInstance<PropagationAction.Send>().map {
+    it.message
+}
+
+class TablePropagationTest :
+    DescribeSpec({
+        describe("a committed change") {
+            it("is put in force and sent to every process at once, and accepted once one holds it") {
+                val driver = Driver()
+                driver.shows(0)
+
+                val actions = driver.handle(PropagationEvent.Committed(testChange(1)))
+
+                sent(actions) shouldContain Changes(listOf(testChange(1)))
+                actions.filterIsInstance<PropagationAction.PutInForce>().size shouldBe 1
+                actions.filterIsInstance<PropagationAction.Accept>().shouldBeEmpty()
+                driver.shows(1) shouldContain PropagationAction.Accept(TableVersion(1), holders = 1)
+            }
+            it("is accepted at once when no other process is connected") {
+                Driver().handle(PropagationEvent.Committed(testChange(1))) shouldContain
+                    PropagationAction.Accept(TableVersion(1), holders = 0)
+            }
+            it("is accepted after a bounded time when no process acknowledges it") {
+                val driver = Driver()
+                driver.shows(0)
+                driver.handle(PropagationEvent.Committed(testChange(1)))
+
+                driver.handle(PropagationEvent.Woken, after = 2.seconds) shouldContain
+                    PropagationAction.Accept(TableVersion(1), holders = 0)
+            }
+        }
+        describe("a process that shows another version") {
+            it("is caught up, once in a second, when it is behind") {
+                val driver = Driver()
+                driver.handle(PropagationEvent.Committed(testChange(1)))
+
+                sent(driver.shows(0)) shouldContainExactly listOf(Changes(listOf(testChange(1))))
+                sent(driver.shows(0)).shouldBeEmpty()
+                sent(driver.handle(PropagationEvent.Woken, after = 1.seconds)).size shouldBe 1
+            }
+            it("is asked when it is ahead") {
+                sent(Driver().shows(1)) shouldContainExactly listOf(FetchChanges(TableVersion.NONE))
+            }
+            it("no longer counts as a holder once its connection is closed") {
+                val driver = Driver()
+                driver.shows(1)
+                driver.handle(PropagationEvent.LinkClosed(link))
+
+                driver.propagation.holders(TableVersion(1)) shouldBe 0
+            }
+        }
+        describe("the log") {
+            it("is read again with longer pauses while it does not answer") {
+                val driver = Driver()
+                driver.handle(PropagationEvent.Woken)
+
+                val pauses = (1..6).map {
+                    driver.handle(PropagationEvent.LogFailed("down"))
+                    driver.pauseUntilRead()
+                }
+
+                (pauses.last() <= 5.seconds) shouldBe true
+                (pauses.last() > pauses.first()) shouldBe true
+            }
+            it("breaks an invariant when it ends before a version that was held when the read began") {
+                val driver = Driver()
+                driver.handle(PropagationEvent.Committed(testChange(1)))
+
+                val actions = driver.handle(PropagationEvent.LogRead(TableVersion(1), LogPage(TableVersion.NONE)))
+
+                actions.filterIsInstance<PropagationAction.ReportBreach>().size shouldBe 1
+                driver.propagation.tables.version shouldBe TableVersion(1)
+            }
+        }
+    })
--- /dev/null
+++ b/core/src/test/kotlin/org/bilberryhead/core/propagation/TableReplicaTest.kt
@@ -0,0 +1,96 @@
+package org.bilberryhead.core.propagation
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import org.bilberryhead.core.common.ChangeId
+import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.common.EndpointId
+import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.message.Changes
+import org.bilberryhead.core.message.FetchChanges
+import org.bilberryhead.core.message.Snapshot
+import org.bilberryhead.core.tables.Endpoint
+import org.bilberryhead.core.tables.Pool
+import org.bilberryhead.core.tables.TableChange
+import org.bilberryhead.core.tables.Tables
+import kotlin.random.Random
+import kotlin.time.Instant
+
+private const val LENGTH = 12
+
+private fun pool(name: String, port: Int = 20_000) = Pool(
+    PoolName(name),
+    listOf(Endpoint(EndpointId("$name-0"), DataCentre("nashua"), SocketAddress("127.0.0.1", port))),
+)
+
+internal fun testChange(version: Long, id: String = "change-$version") = TableChange(
+    id = ChangeId(id),
+    baseVersion = TableVersion(version - 1),
+    author = "operator",
+    madeAt = Instant.fromEpochSeconds(1_800_000_000),
+    putPools = listOf(pool("pool-${version % 5}", port = 20_000 + version.toInt())),
+    deletePools = if (version % 4 == 0L) listOf(PoolName("pool-${(version + 1) % 5}")) else emptyList(),
+)
+
+private val history = (1L..LENGTH).map { testChange(it) }
+
+private fun tablesAt(version: Int) = history.take(version).fold(Tables()) { tables, change -> change.applyTo(tables) }
+
+class TableReplicaTest :
+    DescribeSpec({
+        describe("a replica") {
+            it("ends at the same tables for any order and duplication of batches and snapshots") {
+                checkAll(PropTestConfig(seed = 1), Arb.int()) { seed ->
+                    val random = Random(seed)
+                    val replica = TableReplica(HistoryLimits(changes = random.nextInt(1, LENGTH + 1)))
+                    repeat(random.nextInt(30)) {
+                        val from = random.nextInt(LENGTH)
+                        val batch = history.subList(from, random.nextInt(from, LENGTH + 1)).shuffled(random)
+                        val before = replica.version
+                        if (random.nextInt(4) == 0) {
+                            replica.merge(Snapshot(tablesAt(from), history.getOrNull(from - 1)?.id))
+                        } else {
+                            replica.merge(batch + batch.take(1))
+                        }.breaches.shouldBeEmpty()
+                        (replica.version >= before) shouldBe true
+                        replica.tables shouldBe tablesAt(replica.version.value.toInt())
+                    }
+                    replica.merge(history)
+                    replica.tables shouldBe tablesAt(LENGTH)
+                }
+            }
+            it("keeps what it has when another change claims its version") {
+                val replica = TableReplica()
+                replica.merge(history.take(3))
+
+                val result = replica.merge(listOf(testChange(3, id = "other")))
+
+                result.breaches shouldContainExactly
+                    listOf(TableBreach(TableVersion(3), ChangeId("change-3"), ChangeId("other")))
+                replica.tables shouldBe tablesAt(3)
+            }
+            it("notices a snapshot that contradicts it") {
+                val replica = TableReplica()
+                replica.merge(history.take(3))
+
+                replica.merge(Snapshot(tablesAt(3), ChangeId("other"))).breaches.size shouldBe 1
+            }
+            it("answers with changes while its history reaches back, and with a snapshot otherwise") {
+                val replica = TableReplica(HistoryLimits(changes = 2))
+                replica.merge(history)
+
+                replica.answer(FetchChanges(TableVersion(LENGTH - 2L))) shouldBe Changes(history.takeLast(2))
+                replica.answer(FetchChanges(TableVersion(1))) shouldBe
+                    Snapshot(tablesAt(LENGTH), history.last().id)
+                replica.answer(FetchChanges(TableVersion(LENGTH.toLong()))) shouldBe null
+            }
+        }
+    })
--- /dev/null
+++ b/platform-testing/src/test/kotlin/org/bilberryhead/platform/TableCluster.kt
@@ -0,0 +1,218 @@
+package org.bilberryhead.platform
+
+import com.github.michaelbull.result.fold
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.plus
+import kotlinx.coroutines.test.TestScope
+import org.bilberryhead.core.common.DaemonId
+import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.message.Changes
+import org.bilberryhead.core.message.FetchChanges
+import org.bilberryhead.core.message.Heartbeat
+import org.bilberryhead.core.message.Message
+import org.bilberryhead.core.message.Snapshot
+import org.bilberryhead.core.propagation.LinkId
+import org.bilberryhead.core.propagation.PropagationAction
+import org.bilberryhead.core.propagation.PropagationEvent
+import org.bilberryhead.core.propagation.PropagationTimings
+import org.bilberryhead.core.propagation.TablePropagation
+import org.bilberryhead.core.tables.TableChange
+import org.bilberryhead.core.tables.Tables
+import org.bilberryhead.core.testing.TestClock
+import org.bilberryhead.platform.testing.FakeObjectStore
+import org.bilberryhead.platform.testing.FakeTableService
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Points of a change of the tables at which a fault can hit. */
+internal enum class ChangeStep { BEFORE_READ, AFTER_READ, AT_COMMIT, AFTER_COMMIT, BEFORE_PUSH, AFTER_PUSH }
+
+/** Two entries and two sidecars that run [TablePropagation] in virtual time over one table service. */
+internal class TableCluster(private val scope: TestScope, seed: Int) {
+    val store = FakeTableService()
+    val objects = FakeObjectStore()
+    val log = TableLog(store)
+    val breaches = mutableListOf<String>()
+    val reverts = mutableListOf<String>()
+    private val random = Random(seed)
+    private val processes = LinkedHashMap<String, TestProcess>()
+    private val cut = mutableSetOf<String>()
+    private val topology = mapOf(
+        "entry-a" to listOf("entry-b", "sidecar-1", "sidecar-2"),
+        "entry-b" to listOf("entry-a", "sidecar-1", "sidecar-2"),
+        "sidecar-1" to listOf("entry-a", "entry-b"),
+        "sidecar-2" to listOf("entry-a", "entry-b"),
+    )
+
+    val live: Collection<TestProcess> get() = processes.values
+
+    val now get() = TestClock.START + scope.testScheduler.currentTime.milliseconds
+
+    fun startAll() = topology.keys.forEach { start(it) }
+
+    fun start(name: String) {
+        processes[name] = TestProcess(name, followsLog = name.startsWith("entry")).also { it.run() }
+    }
+
+    fun kill(name: String) {
+        processes.remove(name)?.stop()
+        topology.getValue(name).forEach { processes[it]?.linkLost(name) }
+    }
+
+    fun cut(name: String) {
+        cut += name
+    }
+
+    fun mend(name: String) {
+        cut -= name
+    }
+
+    fun process(name: String): TestProcess? = processes[name]
+
+    private fun isConnected(from: String, to: String) = from !in cut && to !in cut && processes.containsKey(to)
+
+    /** One process: its decisions are those of core, its threads and sockets are coroutines in virtual time. */
+    inner class TestProcess(val name: String, followsLog: Boolean) {
+        private val job = SupervisorJob(scope.backgroundScope.coroutineContext[Job])
+        private val processScope: CoroutineScope = scope.backgroundScope + job
+        private val propagation =
+            TablePropagation(Random(random.nextInt()), PropagationTimings(snapshotEvery = 2), followsLog)
+        private val reader = TableLogReader(log, TableSnapshots(objects), snapshotDistance = 2)
+        private val accepted = HashMap<TableVersion, CompletableDeferred<Int>>()
+        private val heard = HashMap<String, Long>()
+        private var wake: Job? = null
+        private var frozen: CompletableDeferred<Unit>? = null
+
+        var tables = Tables()
+            private set
+
+        fun run() {
+            handle(PropagationEvent.Woken)
+            processScope.launch { heartbeats() }
+        }
+
+        fun stop() = job.cancel()
+
+        fun freeze() {
+            frozen = CompletableDeferred()
+        }
+
+        fun wakeUp() {
+            frozen?.complete(Unit)
+            frozen = null
+        }
+
+        /** Runs the steps of a change as an entry does; [atStep] is called at each. */
+        suspend fun propose(change: TableChange, atStep: (ChangeStep) -> Unit): Pair<ChangeOutcome, Int> {
+            atStep(ChangeStep.BEFORE_READ)
+            val answer = CompletableDeferred<Pair<ChangeOutcome, Int>>()
+            processScope.launch {
+                val outcome = log.commit(change)
+                frozen?.await()
+                if (outcome !is ChangeOutcome.Committed) {
+                    answer.complete(outcome to 0)
+                    return@launch
+                }
+                atStep(ChangeStep.BEFORE_PUSH)
+                delay(1.milliseconds)
+                val held = accepted.getOrPut(change.version) { CompletableDeferred() }
+                handle(PropagationEvent.Committed(change))
+                atStep(ChangeStep.AFTER_PUSH)
+                answer.complete(outcome to held.await())
+            }
+            job.invokeOnCompletion { answer.complete(ChangeOutcome.Unknown("the entry is gone") to 0) }
+            return answer.await()
+        }
+
+        fun linkLost(other: String) = handle(PropagationEvent.LinkClosed(LinkId(other)))
+
+        private suspend fun heartbeats() {
+            while (true) {
+                frozen?.await()
+                for (other in topology.getValue(name)) {
+                    send(other, Heartbeat(propagation.tables.version))
+                    val silentSince = heard[other] ?: continue
+                    if (scope.testScheduler.currentTime - silentSince > 2_000) {
+                        heard.remove(other)
+                        linkLost(other)
+                    }
+                }
+                delay(500.milliseconds)
+            }
+        }
+
+        private fun send(other: String, message: Message) {
+            if (!isConnected(name, other)) return
+            val target = processes.getValue(other)
+            val latency = random.nextInt(1, 5).milliseconds
+            target.processScope.launch {
+                delay(latency)
+                target.frozen?.await()
+                if (isConnected(name, other)) target.receive(name, message)
+            }
+        }
+
+        private fun receive(from: String, message: Message) {
+            if (from !in processes) return
+            heard[from] = scope.testScheduler.currentTime
+            val link = LinkId(from)
+            val event = when (message) {
+                is Heartbeat -> PropagationEvent.VersionShown(link, DaemonId(from), message.tableVersion)
+                is FetchChanges -> PropagationEvent.FetchArrived(link, message.after)
+                is Changes -> PropagationEvent.ChangesArrived(link, message.changes)
+                is Snapshot -> PropagationEvent.SnapshotArrived(link, message)
+                else -> error("unexpected $message")
+            }
+            handle(event)
+        }
+
+        private fun handle(event: PropagationEvent) = propagation.handle(event, now).forEach { perform(it) }
+
+        private fun perform(action: PropagationAction) {
+            when (action) {
+                is PropagationAction.ReadLog -> processScope.launch { readLog(action.after) }
+                is PropagationAction.WakeAt -> wakeAt(action)
+                is PropagationAction.Send -> send(action.link.value, action.message)
+                is PropagationAction.PutInForce -> putInForce(action.tables)
+                is PropagationAction.Accept ->
+                    accepted.getOrPut(action.version) { CompletableDeferred() }.complete(action.holders)
+                is PropagationAction.StoreSnapshot ->
+                    processScope.launch { TableSnapshots(objects).write(action.snapshot) }
+                is PropagationAction.ReportBreach -> breaches += "$name: ${action.detail}"
+            }
+        }
+
+        private fun putInForce(newer: Tables) {
+            if (newer.version <= tables.version) reverts += "$name went from ${tables.version} to ${newer.version}"
+            tables = newer
+        }
+
+        private suspend fun readLog(after: TableVersion) {
+            val event = reader.read(after)
+                .fold({ PropagationEvent.LogRead(after, it) }, { PropagationEvent.LogFailed(it.detail) })
+            frozen?.await()
+            handle(event)
+        }
+
+        private fun wakeAt(action: PropagationAction.WakeAt) {
+            wake?.cancel()
+            wake = processScope.launch {
+                // Virtual time moves in whole milliseconds.
+                delay((action.at - now).coerceAtLeast(1.milliseconds))
+                frozen?.await()
+                handle(PropagationEvent.Woken)
+            }
+        }
+    }
+
+    companion object {
+        /** Time in which every live process must hold an accepted change. */
+        val SPREAD_LIMIT = 9.seconds
+    }
+}
