--- a/core/src/main/kotlin/org/bilberryhead/core/message/Messages.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/message/Messages.kt
@@ -84,6 +84,7 @@
  * @property idempotent whether the stage may run more than once
  * @property streamed whether frames are passed on while the answer is made
  * @property prefixHash groups requests that share a prompt prefix; 0 when unknown
+ * @property fingerprint digest of the caller's own kind and body; a known attempt with another one is refused
  */
 @Serializable
 @SerialName("dispatch")
@@ -99,6 +100,7 @@
     val payload: Payload,
     val streamed: Boolean = false,
     val prefixHash: Int = 0,
+    val fingerprint: String = "",
 ) : AttemptMessage
 
 /**
@@ -106,15 +108,34 @@
  * dispatch can not run afterwards.
  *
  * @property resumeAt number of the first frame that the sender does not have
+ * @property request the request that waits for the answer
+ * @property fingerprint as in [Dispatch]
  */
 @Serializable
 @SerialName("query")
-data class Query(override val attempt: AttemptId, val incarnation: Incarnation, val resumeAt: Int) : AttemptMessage
+data class Query(
+    override val attempt: AttemptId,
+    val incarnation: Incarnation,
+    val resumeAt: Int,
+    val request: RequestId,
+    val clientAccount: ClientAccount,
+    val fingerprint: String,
+) : AttemptMessage
 
-/** Tells that the result of an attempt is no longer wanted. An attempt that is still queued never runs. */
+/**
+ * Tells that [request] no longer wants the result of an attempt. An attempt that is still queued, and that no other
+ * request waits for, never runs.
+ *
+ * @property onlyIfWaiting whether an attempt that runs goes on, with its answer still wanted
+ */
 @Serializable
 @SerialName("cancel")
-data class Cancel(override val attempt: AttemptId) : AttemptMessage
+data class Cancel(
+    override val attempt: AttemptId,
+    val incarnation: Incarnation,
+    val request: RequestId,
+    val onlyIfWaiting: Boolean = false,
+) : AttemptMessage
 
 /**
  * Asks the sidecar that refused an attempt to record where the attempt is moved. The first record wins.
@@ -158,6 +179,9 @@
     ENDPOINT_UNREACHABLE,
     NEVER_SEEN,
     ENDPOINT_REFUSED,
+
+    /** The attempt id belongs to another request; what became of that one is not told. */
+    ATTEMPT_MISMATCH,
 }
 
 /**
@@ -186,11 +210,51 @@
 @SerialName("running")
 data class Running(override val attempt: AttemptId) : AttemptMessage
 
-/** The sidecar run has ended and its ledger is gone, so nobody can tell whether the attempt ran. */
+/** The sidecar run has ended, or its ledger has dropped the attempt, so nobody can tell whether the attempt ran. */
 @Serializable
 @SerialName("forgotten")
 data class Forgotten(override val attempt: AttemptId) : AttemptMessage
 
+/**
+ * Asks what became of an attempt without subscribing to it or leaving a tombstone, so that its dispatch may still run
+ * afterwards.
+ */
+@Serializable
+@SerialName("ask-outcome")
+data class AskOutcome(val attempt: AttemptId, val incarnation: Incarnation) : Message
+
+/** What a sidecar knows of an attempt. */
+@Serializable
+enum class AttemptOutcome {
+    /** No message about the attempt has arrived; one may be under way. */
+    NEVER_SEEN,
+
+    /** The attempt is refused and never runs under this id. */
+    NOT_RUN,
+
+    /** The attempt is queued or running. */
+    RUNNING,
+
+    /** The endpoint answered completely. */
+    ANSWERED,
+
+    /** The endpoint failed and may have taken effect. */
+    FAILED,
+
+    /** The sidecar run that held the attempt has ended, and its ledger with it. */
+    FORGOTTEN,
+}
+
+/**
+ * Answer to [AskOutcome].
+ *
+ * @property movedTo where a refused attempt was moved, if a move is recorded
+ */
+@Serializable
+@SerialName("outcome-report")
+data class OutcomeReport(val attempt: AttemptId, val outcome: AttemptOutcome, val movedTo: AttemptLocation? = null) :
+    Message
+
 /** Asks a process for the changes that follow [after]. */
 @Serializable
 @SerialName("fetch-changes")
