--- a/core/src/test/kotlin/org/bilberryhead/core/gate/SidecarGateTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/gate/SidecarGateTest.kt
@@ -13,7 +13,6 @@
 import org.bilberryhead.core.common.StageName
 import org.bilberryhead.core.execution.AttemptLedger
 import org.bilberryhead.core.execution.LedgerLimits
-import org.bilberryhead.core.message.AskOutcome
 import org.bilberryhead.core.message.AttemptMessage
 import org.bilberryhead.core.message.AttemptOutcome
 import org.bilberryhead.core.message.Cancel
@@ -79,11 +78,12 @@
         }
         describe("a forgotten attempt") {
             it("is not reported as never seen") {
-                val gate = servingGate(AttemptLedger(LedgerLimits(maximumEnded = 1)))
+                val ledger = AttemptLedger(LedgerLimits(maximumEnded = 1))
+                val gate = servingGate(ledger)
                 gate.receive(FIRST, dispatch())
                 gate.answer("done")
                 gate.receive(FIRST, query("other").copy(attempt = AttemptId("ticket-2:0")))
-                gate.outcomeOf(AskOutcome(ATTEMPT, RUN)).outcome shouldBe AttemptOutcome.FORGOTTEN
+                ledger.outcomeOf(ATTEMPT).outcome shouldBe AttemptOutcome.FORGOTTEN
                 gate.receive(FIRST, dispatch()) shouldContainExactly listOf(FIRST to Forgotten(ATTEMPT))
             }
         }
