--- a/entry/src/main/kotlin/org/bilberryhead/entry/KeyResolver.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/KeyResolver.kt
@@ -13,7 +13,8 @@
 import org.bilberryhead.core.common.AttemptId
 import org.bilberryhead.core.common.IdempotencyKey
 import org.bilberryhead.core.common.Payload
-import org.bilberryhead.core.common.RequestId
+import org.bilberryhead.core.execution.RequestFingerprint
+import org.bilberryhead.core.execution.RequestIdMint
 import org.bilberryhead.core.execution.Ticket
 import org.bilberryhead.core.message.AttemptLocation
 import org.bilberryhead.core.pipeline.RequestOutcome
@@ -26,8 +27,6 @@
 import org.bilberryhead.platform.ClaimOutcome
 import org.bilberryhead.platform.ClaimStore
 import org.bilberryhead.platform.StoreError
-import java.security.MessageDigest
-import java.util.UUID
 import kotlin.time.Clock
 
 private val log = KotlinLogging.logger("keys")
@@ -38,15 +37,22 @@
     private val claims: ClaimStore,
     private val clock: Clock,
     private val scope: CoroutineScope,
+    private val mint: RequestIdMint,
 ) {
     /** Returns a new place for a request of the kind that [head] names. No store is needed for it. */
     fun newLocation(head: RequestHead): Result<AttemptLocation, Rejection> {
         val pool = poolOf(head).getOrElse { return Err(it) }
-        val id = UUID.randomUUID().toString()
-        val selection = SelectionRequest(RequestId(id), pool, head.timeout, head.route.objective)
+        val id = mint.next()
+        val selection = SelectionRequest(id, pool, head.timeout, head.route.objective)
         return when (val chosen = selector.choose(selection, clock.now())) {
             is Selection.Chosen ->
-                Ok(AttemptLocation(chosen.candidate.endpoint, chosen.candidate.incarnation, AttemptId(id)))
+                Ok(
+                    AttemptLocation(
+                        chosen.candidate.endpoint,
+                        chosen.candidate.incarnation,
+                        AttemptId("${id.value}:ticket"),
+                    ),
+                )
             is Selection.NoneAvailable -> Err(
                 Rejection(RejectionReason.NO_ENDPOINT, chosen.why, chosen.retryAfter ?: DEFAULT_RETRY_AFTER),
             )
@@ -88,7 +94,7 @@
     ): Result<AttemptLocation, Rejection> {
         val proposal = newLocation(head).getOrElse { return findStanding(head, key, body, it) }
         val claimed = withTimeoutOrNull(head.timeout) {
-            claims.claim(ClaimKey(head.account, key), Claim(proposal, fingerprint(head, body)))
+            claims.claim(ClaimKey(head.account, key), Claim(proposal, RequestFingerprint.of(head.route.kind, body)))
         }
         return standing(claimed ?: Err(StoreError.OutcomeUnknown("no answer in time")), head, body).flatMap { found ->
             if (found == null) Err(unavailable("the claim is gone")) else Ok(found)
@@ -113,7 +119,7 @@
         body: Payload,
     ): Result<AttemptLocation?, Rejection> {
         val claim = result.getOrElse { return Err(unavailable(it.detail)) } ?: return Ok(null)
-        if (claim.fingerprint != fingerprint(head, body)) {
+        if (claim.fingerprint != RequestFingerprint.of(head.route.kind, body)) {
             return Err(Rejection(RejectionReason.KEY_REUSED, "the key was used with another kind or body"))
         }
         return Ok(claim.location)
@@ -135,12 +141,4 @@
             ?: return Err(Rejection(RejectionReason.NO_ENDPOINT, "the pool of the route is gone", DEFAULT_RETRY_AFTER))
         return Ok(pool)
     }
-
-    private fun fingerprint(head: RequestHead, body: Payload): String {
-        val digest = MessageDigest.getInstance("SHA-256")
-        digest.update(head.route.kind.value.encodeToByteArray())
-        digest.update(0)
-        digest.update(body.bytes)
-        return digest.digest().toHexString()
-    }
 }
--- a/entry/src/main/kotlin/org/bilberryhead/entry/RequestTracker.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/RequestTracker.kt
@@ -3,19 +3,17 @@
 import kotlinx.coroutines.CompletableDeferred
 
 /** Counts the requests in flight and stops to admit any once the entry drains. Safe for use by several threads. */
-class RequestTracker {
+class RequestTracker : EntryActivity {
     private val lock = Any()
     private val idle = CompletableDeferred<Unit>()
     private var count = 0
     private var isClosed = false
 
-    /** Whether the entry is shutting down, so that no balancer should send it more. */
     @Volatile
-    var isDraining = false
+    override var isDraining = false
         private set
 
-    /** Number of requests in flight. */
-    val inFlight: Int get() = synchronized(lock) { count }
+    override val requestsInFlight: Int get() = synchronized(lock) { count }
 
     /** Counts a request in and returns true, or returns false when none is admitted any more. */
     fun tryBegin(): Boolean = synchronized(lock) {
--- a/entry/src/main/kotlin/org/bilberryhead/entry/SidecarLink.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/SidecarLink.kt
@@ -136,9 +136,6 @@
         }
     }
 
-    /** Queues [message] about the tables; it may be lost. */
-    fun post(message: Message): Boolean = client.trySend(message)
-
     override fun forget(attempt: AttemptId, subscriber: AttemptSubscriber) {
         openAttempts.computeIfPresent(attempt) { _, open ->
             open.filterTo(mutableSetOf()) { it.subscriber !== subscriber }.ifEmpty { null }
@@ -159,6 +156,9 @@
         }
     }
 
+    /** Queues [message] about the tables; it may be lost. */
+    fun post(message: Message): Boolean = client.trySend(message)
+
     override fun hello(): Hello = owner.hello()
 
     override fun heartbeat(): Heartbeat = owner.heartbeat()
--- a/entry/src/test/kotlin/org/bilberryhead/entry/CallerInterface.kt
+++ b/entry/src/test/kotlin/org/bilberryhead/entry/CallerInterface.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.SupervisorJob
 import org.bilberryhead.core.common.ClientAccount
 import org.bilberryhead.core.common.Incarnation
+import org.bilberryhead.core.execution.RequestIdMint
 import org.bilberryhead.core.retry.RetryBudget
 import org.bilberryhead.core.routing.Candidate
 import org.bilberryhead.core.routing.LeastInFlightSelector
@@ -52,12 +53,13 @@
     private val tokens = Tokens(listOf(AccountToken(TEST_ACCOUNT, digest(TEST_TOKEN))), emptyList())
     private val routes = CallerRoutes(
         reader = CallerRequestReader({ tables }, tokens, MAXIMUM_TEST_BODY),
-        keys = KeyResolver(selector, claims, clock, scope),
+        keys = KeyResolver(selector, claims, clock, scope, RequestIdMint("tickets")),
         outcomes = OutcomeLookup(links, claims),
         runner = RequestRunner(links, selector, clock, RetryBudget(), metrics),
         tracker = tracker,
         metrics = metrics,
         clock = clock,
+        mint = RequestIdMint("entry"),
     )
 
     fun install(application: Application) = with(application) {
