Keep serving after SIGTERM until the drain has ended

Cause: ktor's own shutdown hook stopped the HTTP server of a daemon as soon as SIGTERM came. Ruled out: the request tracker, whose test on a real socket without a signal passed. And the selector with the fewest in flight read each count twice, so that it failed when another thread changed it in between; the caller then got a 500 without a body. Change: the hook is disabled; answers during a drain ask the caller to close its connection; each count is read once, and the entry uses the selector by predicted completion; a fault inside the entry is told as a problem with outcome unknown.

--- a/core/src/main/kotlin/org/bilberryhead/core/routing/LeastInFlightSelector.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/LeastInFlightSelector.kt
@@ -17,8 +17,10 @@
         val all = source.candidates(selection.pool)
         val untried = all.filter { it.endpoint !in selection.avoid }
         if (untried.isEmpty()) return Selection.NoneAvailable(all.size, "no endpoint is left to try", 1.seconds)
-        val fewest = untried.minOf { count(it.endpoint) }
-        val chosen = untried.filter { count(it.endpoint) == fewest }.random(random)
+        // Other threads change the counts meanwhile, so that each is read once.
+        val counted = untried.groupBy { count(it.endpoint) }
+        val fewest = counted.keys.min()
+        val chosen = counted.getValue(fewest).random(random)
         return Selection.Chosen(chosen, all.size, "$fewest attempts in flight")
     }
 
--- a/daemon/src/main/kotlin/org/bilberryhead/daemon/DaemonCommand.kt
+++ b/daemon/src/main/kotlin/org/bilberryhead/daemon/DaemonCommand.kt
@@ -28,9 +28,15 @@
             echo("settings: no fault found")
             return
         }
+        disableServerShutdownHook()
         runBlocking { serve(settings) }
     }
 
+    /** Ktor would stop its servers as soon as the process is asked to end, with requests in flight. */
+    private fun disableServerShutdownHook() {
+        System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
+    }
+
     /** Runs the daemon until it is told to stop. */
     abstract suspend fun serve(settings: T)
 }
--- a/entry/src/main/kotlin/org/bilberryhead/entry/CallerRoutes.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/CallerRoutes.kt
@@ -80,17 +80,31 @@
     private suspend fun RoutingContext.admitted(serve: suspend (Exchange) -> Unit) {
         val exchange = Exchange(call, mint.next(), clock.now())
         call.response.header(REQUEST_ID_HEADER, exchange.id.value)
+        // A caller that reuses its connection would otherwise lose its next request when the process ends.
+        if (tracker.isDraining) call.response.header(HttpHeaders.Connection, "close")
         if (!tracker.tryBegin()) {
             reject(exchange, Rejection(RejectionReason.DRAINING, "this entry is shutting down", DEFAULT_RETRY_AFTER))
             return
         }
         try {
-            serve(exchange)
+            serveOrReportFault(exchange, serve)
         } finally {
             tracker.end()
         }
     }
 
+    @Suppress("TooGenericExceptionCaught") // a fault of one request is told to its caller and ends nothing else
+    private suspend fun serveOrReportFault(exchange: Exchange, serve: suspend (Exchange) -> Unit) {
+        try {
+            serve(exchange)
+        } catch (cancellation: CancellationException) {
+            throw cancellation
+        } catch (fault: Exception) {
+            log.error(fault) { "callers: request ${exchange.id} failed inside the entry" }
+            if (!exchange.call.response.isCommitted) refuse(exchange, internalError(exchange.id))
+        }
+    }
+
     private suspend fun giveTicket(exchange: Exchange) {
         val head = reader.readHead(exchange.call).getOrElse { return reject(exchange, it) }
         val location = keys.newLocation(head).getOrElse { return reject(exchange, it) }
--- a/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
@@ -15,7 +15,7 @@
 import org.bilberryhead.core.common.TableVersion
 import org.bilberryhead.core.execution.RequestIdMint
 import org.bilberryhead.core.retry.RetryBudget
-import org.bilberryhead.core.routing.LeastInFlightSelector
+import org.bilberryhead.core.routing.PolicySelector
 import org.bilberryhead.daemon.newMeterRegistry
 import org.bilberryhead.daemon.operationsRoutes
 import org.bilberryhead.platform.HttpPlatform
@@ -35,7 +35,7 @@
     private val platform = HttpPlatform(settings.platformUrl)
     private val tableLog = TableLog(platform)
     private val control = ControlPlane(settings, tableLog, clock, scope, TableSnapshots(platform), platform)
-    private val selector = LeastInFlightSelector(control.directory, Random.Default)
+    private val selector = PolicySelector(control.directory, settings.dataCentre, Random.Default)
     private val tokens = Tokens(settings.clientAccounts, settings.operators)
     private val tracker = RequestTracker()
     private val registry = newMeterRegistry()
--- a/entry/src/main/kotlin/org/bilberryhead/entry/Problem.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/Problem.kt
@@ -74,6 +74,12 @@
     }
 }
 
+/** Returns the refusal that stands for a fault of the entry itself, at which the request may have been dispatched. */
+internal fun internalError(id: RequestId): Refusal {
+    val status = HttpStatusCode.InternalServerError
+    return Refusal(problemOf(id, status, "INTERNAL_ERROR", UNKNOWN_DETAIL, OUTCOME_UNKNOWN, repeatable = false), null)
+}
+
 private fun problemOf(
     id: RequestId,
     status: HttpStatusCode,
--- a/entry/src/test/kotlin/org/bilberryhead/entry/CallerRoutesTest.kt
+++ b/entry/src/test/kotlin/org/bilberryhead/entry/CallerRoutesTest.kt
@@ -178,6 +178,18 @@
                 callers.registry.find("bilberry.requests").tag("result", "in_time").timer().shouldNotBeNull()
             }
 
+            it("is told that it may have taken effect when the entry itself fails") {
+                val callers = CallerInterface(FakeLinks { error("broken on purpose") })
+
+                callers.exchange("/v1/requests/refill", configure = { jsonBody("{}") }) { response ->
+                    val problem = problemOf(response)
+                    problem.status shouldBe 500
+                    problem.outcome shouldBe OUTCOME_UNKNOWN
+                    problem.repeatable shouldBe false
+                }
+                callers.tracker.requestsInFlight shouldBe 0
+            }
+
             it("is told to come back when no sidecar would run it") {
                 val callers =
                     CallerInterface(FakeLinks { listOf(Refused(it.attempt, RefusalReason.QUEUE_FULL, 2_500)) })
