--- a/daemon/src/main/kotlin/org/bilberryhead/daemon/DaemonCommand.kt
+++ b/daemon/src/main/kotlin/org/bilberryhead/daemon/DaemonCommand.kt
@@ -32,6 +32,7 @@
             echo("settings: no fault found")
             return
         }
+        disableServerShutdownHook()
         serveOrExit(settings)
     }
 
@@ -44,6 +45,11 @@
         Runtime.getRuntime().halt(EXIT_CAN_NOT_SERVE)
     }
 
+    /** Ktor would stop its servers as soon as the process is asked to end, with requests in flight. */
+    private fun disableServerShutdownHook() {
+        System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
+    }
+
     /** Runs the daemon until it is told to stop. */
     abstract suspend fun serve(settings: T)
 }
