--- a/core/src/main/kotlin/org/bilberryhead/core/execution/AttemptLedger.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/execution/AttemptLedger.kt
@@ -4,6 +4,8 @@
 import org.bilberryhead.core.common.ClientAccount
 import org.bilberryhead.core.common.Payload
 import org.bilberryhead.core.message.AttemptLocation
+import org.bilberryhead.core.message.AttemptOutcome
+import org.bilberryhead.core.message.OutcomeReport
 import org.bilberryhead.core.message.RefusalReason
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
@@ -85,6 +87,18 @@
     /** Returns whether [attempt] may have been here and is no longer remembered. */
     fun isForgotten(attempt: AttemptId): Boolean = attempt !in entries && forgotten.mayContain(attempt)
 
+    /** Returns what is known of [attempt] for a caller that asks; nothing changes by it. */
+    fun outcomeOf(attempt: AttemptId): OutcomeReport = when (val known = entries[attempt]) {
+        null -> {
+            val outcome = if (isForgotten(attempt)) AttemptOutcome.FORGOTTEN else AttemptOutcome.NEVER_SEEN
+            OutcomeReport(attempt, outcome)
+        }
+        is LedgerEntry.Tombstone -> OutcomeReport(attempt, AttemptOutcome.NOT_RUN, known.movedTo)
+        is LedgerEntry.Accepted -> OutcomeReport(attempt, AttemptOutcome.RUNNING)
+        is LedgerEntry.Finished -> OutcomeReport(attempt, AttemptOutcome.ANSWERED)
+        is LedgerEntry.Failed -> OutcomeReport(attempt, AttemptOutcome.FAILED)
+    }
+
     /** Records that [attempt] is accepted. */
     fun accept(attempt: AttemptId, fingerprint: AttemptFingerprint) {
         check(attempt !in entries) { "attempt $attempt is in the ledger" }
--- a/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
@@ -13,21 +13,25 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.execution.RequestIdMint
 import org.bilberryhead.core.retry.RetryBudget
 import org.bilberryhead.core.routing.LeastInFlightSelector
 import org.bilberryhead.daemon.newMeterRegistry
 import org.bilberryhead.daemon.operationsRoutes
 import org.bilberryhead.platform.HttpPlatform
 import org.bilberryhead.platform.TableLog
+import org.bilberryhead.platform.TableServiceClaimStore
 import org.bilberryhead.platform.TableSnapshots
+import java.util.UUID
 import kotlin.random.Random
 import kotlin.time.Clock
 
 private val log = KotlinLogging.logger("entry")
 
 /** Wires the parts of an entry together and runs them. */
-class EntryDaemon(private val settings: EntrySettings, clock: Clock) {
+class EntryDaemon(private val settings: EntrySettings, private val clock: Clock) {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val run = UUID.randomUUID().toString()
     private val platform = HttpPlatform(settings.platformUrl)
     private val tableLog = TableLog(platform)
     private val control = ControlPlane(settings, tableLog, clock, scope, TableSnapshots(platform), platform)
@@ -36,15 +40,16 @@
     private val tracker = RequestTracker()
     private val registry = newMeterRegistry()
     private val metrics = EntryMetrics(registry)
-    private val claims = NoClaimStore
+    private val claims = TableServiceClaimStore(platform, clock, scope)
     private val callers = CallerRoutes(
         reader = CallerRequestReader({ control.tables }, tokens, settings.maximumBodyBytes),
-        keys = KeyResolver(selector, claims, clock, scope),
+        keys = KeyResolver(selector, claims, clock, scope, RequestIdMint("$run-tickets")),
         outcomes = OutcomeLookup(control.directory, claims),
         runner = RequestRunner(control.directory, selector, clock, RetryBudget(), metrics),
         tracker = tracker,
         metrics = metrics,
         clock = clock,
+        mint = RequestIdMint(run),
     )
     private val server = embeddedServer(Netty, settings.listen.port, settings.listen.host) { module() }
 
@@ -65,12 +70,13 @@
      * the requests in flight end.
      */
     suspend fun drain() {
-        log.info { "entry: draining with ${tracker.inFlight} requests in flight" }
+        log.info { "entry: draining with ${tracker.requestsInFlight} requests in flight" }
         tracker.startDraining()
         delay(settings.drainDelay)
         tracker.close()
         withTimeoutOrNull(settings.drainLimit) { tracker.awaitIdle() }
-            ?: log.warn { "entry: ${tracker.inFlight} requests are cut off at the drain limit" }
+            ?: log.warn { "entry: ${tracker.requestsInFlight} requests are cut off at the drain limit" }
+        control.stop()
         server.stop(STOP_GRACE_MILLIS, STOP_LIMIT_MILLIS)
         log.info { "entry: stopped" }
     }
@@ -80,7 +86,7 @@
         routing {
             operationsRoutes(registry) { whyNotReady() }
             callers.install(this)
-            OperatorRoutes(control, tableLog, tokens, EntryActivity.Tracked(tracker)).install(this)
+            OperatorRoutes(control, tableLog, tokens, tracker).install(this)
         }
     }
 
@@ -91,8 +97,11 @@
     }
 
     private fun showGauges() {
-        metrics.gauge("bilberry.requests.in.flight", "Requests in flight") { tracker.inFlight }
+        metrics.gauge("bilberry.requests.in.flight", "Requests in flight") { tracker.requestsInFlight }
         metrics.gauge("bilberry.table.version", "Version of the tables in force") { control.tables.version.value }
+        metrics.gauge("bilberry.table.age.seconds", "Time since the tables were last known to be the newest") {
+            (clock.now() - control.currentAt).inWholeMilliseconds / MILLIS_PER_SECOND
+        }
         metrics.gauge("bilberry.store.reachable", "1 when the table service answers") {
             if (control.isStoreReachable) 1 else 0
         }
@@ -108,6 +117,7 @@
     }
 
     private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
         const val STOP_GRACE_MILLIS = 100L
         const val STOP_LIMIT_MILLIS = 2_000L
     }
--- a/entry/src/test/kotlin/org/bilberryhead/entry/LoopbackTables.kt
+++ b/entry/src/test/kotlin/org/bilberryhead/entry/LoopbackTables.kt
@@ -32,12 +32,14 @@
 import org.bilberryhead.core.testing.TestClock
 import org.bilberryhead.core.testing.testRoute
 import org.bilberryhead.daemon.MonotonicClock
+import org.bilberryhead.daemon.newMeterRegistry
 import org.bilberryhead.operator.ChangeAnswer
 import org.bilberryhead.operator.OperatorPaths
 import org.bilberryhead.platform.TableLog
 import org.bilberryhead.platform.testing.FakeTableService
 import org.bilberryhead.sidecar.EndpointCaller
 import org.bilberryhead.sidecar.SidecarDaemon
+import org.bilberryhead.sidecar.SidecarMetrics
 import org.bilberryhead.sidecar.SidecarSettings
 import java.net.ServerSocket
 import java.security.MessageDigest
@@ -139,6 +141,8 @@
             Incarnation("run-$index"),
             MonotonicClock(),
             EndpointCaller(settings.endpointUrl),
+            SidecarMetrics(newMeterRegistry()),
+            onBrokenInvariant = { error("an invariant of sidecar $index is broken") },
         )
     }
 
