Keep Ktor from stopping an entry that drains

Cause: SIGTERM of an entry with 8 orders in flight cut off all 8. The entry's log shows "the caller went away" for each in the instant of the signal: Ktor registers a shutdown hook of its own, which stops the server beside the drain that waits for its requests. Ruled out: the request tracker, which counted 8, and the sidecars, which went on.

Change: TerminationSignal switches Ktor's hook off; it is made before any server. The tests of entry faults start a stopped entry again after each test, so that one failure does not cause others.

--- a/daemon/src/main/kotlin/org/bilberryhead/daemon/TerminationSignal.kt
+++ b/daemon/src/main/kotlin/org/bilberryhead/daemon/TerminationSignal.kt
@@ -13,6 +13,8 @@
     private val released = CountDownLatch(1)
 
     init {
+        // Ktor's own hook would stop the server at once, and with it the requests that the drain waits for.
+        System.setProperty(KTOR_SHUTDOWN_HOOK, "false")
         Runtime.getRuntime().addShutdownHook(
             Thread {
                 requested.complete(Unit)
@@ -26,4 +28,8 @@
 
     /** Lets the process end. */
     fun release() = released.countDown()
+
+    private companion object {
+        const val KTOR_SHUTDOWN_HOOK = "io.ktor.server.engine.ShutdownHook"
+    }
 }
--- a/system-tests/src/test/kotlin/org/bilberryhead/system/EntryFaultTest.kt
+++ b/system-tests/src/test/kotlin/org/bilberryhead/system/EntryFaultTest.kt
@@ -14,7 +14,11 @@
         val system = TestSystem(ordersPlan(orders = 2, serviceTime = "1s"))
         beforeSpec { system.start() }
         beforeTest { system.clearEffects() }
-        afterTest { system.storeFault("NONE") }
+        afterTest {
+            system.storeFault("NONE")
+            system.entries.indices.filterNot { system.entries[it].isAlive }.forEach { system.startEntry(it) }
+            system.entries.indices.forEach { system.awaitEntry(it) }
+        }
         afterSpec { system.close() }
 
         describe("an entry that is asked to end under load") {
@@ -29,8 +33,6 @@
 
                 answers.filterNot { it.isAnswered }.shouldBeEmpty()
                 Judge.check(answers, system.effects(), listOf("record"), ONCE)
-                system.startEntry(1)
-                system.awaitEntry(1)
             }
         }
 
