Route by predicted completion in the entry and measure single operations

Cause: the entry still chose by attempts in flight and let every request in; the slopes for docs/CAPACITY.md had no command. Change: EntryDaemon uses PolicySelector and AdmissionControl.Predictive; bilberry-load bench. Not run over real processes yet.

--- a/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
@@ -12,9 +12,10 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import org.bilberryhead.core.admission.AdmissionControl
 import org.bilberryhead.core.common.TableVersion
 import org.bilberryhead.core.retry.RetryBudget
-import org.bilberryhead.core.routing.LeastInFlightSelector
+import org.bilberryhead.core.routing.PolicySelector
 import org.bilberryhead.daemon.newMeterRegistry
 import org.bilberryhead.daemon.operationsRoutes
 import org.bilberryhead.platform.HttpPlatform
@@ -31,7 +32,7 @@
     private val platform = HttpPlatform(settings.platformUrl)
     private val tableLog = TableLog(platform)
     private val control = ControlPlane(settings, tableLog, clock, scope, TableSnapshots(platform), platform)
-    private val selector = LeastInFlightSelector(control.directory, Random.Default)
+    private val selector = PolicySelector(control.directory, settings.dataCentre, Random.Default)
     private val tokens = Tokens(settings.clientAccounts, settings.operators)
     private val tracker = RequestTracker()
     private val registry = newMeterRegistry()
@@ -41,7 +42,14 @@
         reader = CallerRequestReader({ control.tables }, tokens, settings.maximumBodyBytes),
         keys = KeyResolver(selector, claims, clock, scope),
         outcomes = OutcomeLookup(control.directory, claims),
-        runner = RequestRunner(control.directory, selector, clock, RetryBudget(), metrics),
+        runner = RequestRunner(
+            control.directory,
+            selector,
+            clock,
+            RetryBudget(),
+            metrics,
+            AdmissionControl.Predictive(selector),
+        ),
         tracker = tracker,
         metrics = metrics,
         clock = clock,
--- a/entry/src/main/kotlin/org/bilberryhead/entry/RequestRunner.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/RequestRunner.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.bilberryhead.core.admission.AdmissionControl
 import org.bilberryhead.core.common.StageName
 import org.bilberryhead.core.message.AttemptMessage
 import org.bilberryhead.core.message.Dispatch
@@ -33,6 +34,7 @@
     private val clock: Clock,
     private val budget: RetryBudget,
     private val metrics: EntryMetrics,
+    private val admission: AdmissionControl = AdmissionControl.Open,
 ) {
     /**
      * Runs [request] to its end; parts of a streamed answer go to [deliver], which must return at once. When the
@@ -44,7 +46,7 @@
         tables: Tables,
         deliver: (RequestAction.Deliver) -> Unit,
     ): RequestOutcome = coroutineScope {
-        val execution = RequestExecution(request, route, tables, selector, budget)
+        val execution = RequestExecution(request, route, tables, selector, budget, admission = admission)
         val running = RunningRequest(this, execution, request, deliver)
         try {
             running.runToEnd()
--- a/load/src/main/kotlin/org/bilberryhead/load/Main.kt
+++ b/load/src/main/kotlin/org/bilberryhead/load/Main.kt
@@ -3,6 +3,7 @@
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
+import org.bilberryhead.load.bench.BenchCommand
 import org.bilberryhead.load.policy.PolicyCommand
 
 /** Load and experiments, `bilberry-load`. */
@@ -11,4 +12,4 @@
 }
 
 /** Runs the load tool. */
-fun main(arguments: Array<String>) = LoadCommand().subcommands(PolicyCommand()).main(arguments)
+fun main(arguments: Array<String>) = LoadCommand().subcommands(PolicyCommand(), BenchCommand()).main(arguments)
