--- a/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import org.bilberryhead.core.admission.AdmissionControl
 import org.bilberryhead.core.common.TableVersion
 import org.bilberryhead.core.execution.RequestIdMint
 import org.bilberryhead.core.retry.RetryBudget
@@ -45,7 +46,14 @@
         reader = CallerRequestReader({ control.tables }, tokens, settings.maximumBodyBytes),
         keys = KeyResolver(selector, claims, clock, scope, RequestIdMint("$run-tickets")),
         outcomes = OutcomeLookup(control.directory, claims),
-        runner = RequestRunner(control.directory, selector, clock, RetryBudget(), metrics),
+        runner = RequestRunner(
+            control.directory,
+            selector,
+            clock,
+            RetryBudget(),
+            metrics,
+            AdmissionControl.Predictive(selector),
+        ),
         tracker = tracker,
         metrics = metrics,
         clock = clock,
