Compare the length of an endpoint's answer with the announced one

Cause: the HTTP client's copy of a body may end without an error when the original fails between two reads (found by reading; no run showed it). Change: an answer that is shorter or longer than its Content-Length is a failure. Conclusion: a second check beside the closing cause of the body.

--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/EndpointCaller.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/EndpointCaller.kt
@@ -11,6 +11,7 @@
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsChannel
 import io.ktor.http.ContentType
+import io.ktor.http.contentLength
 import io.ktor.http.contentType
 import io.ktor.http.isSuccess
 import io.ktor.utils.io.readAvailable
@@ -141,6 +142,8 @@
             take(buffer.copyOf(count))
         }
         body.closedCause?.let { throw IOException("answer is cut off", it) }
+        val announced = response.contentLength() ?: total
+        if (total != announced) throw IOException("answer is cut off at $total of $announced bytes")
     }
 
     private fun isConnectFailure(failure: Exception): Boolean =
