Send open-loop load to real entries

Cause: bilberry-load could only run the policy in virtual time; the figures for outages and added latency over real processes had no tool.

--- a/load/src/main/kotlin/org/bilberryhead/load/Main.kt
+++ b/load/src/main/kotlin/org/bilberryhead/load/Main.kt
@@ -5,6 +5,7 @@
 import com.github.ajalt.clikt.core.subcommands
 import org.bilberryhead.load.bench.BenchCommand
 import org.bilberryhead.load.policy.PolicyCommand
+import org.bilberryhead.load.run.RunCommand
 
 /** Load and experiments, `bilberry-load`. */
 class LoadCommand : CliktCommand("bilberry-load") {
@@ -12,4 +13,5 @@
 }
 
 /** Runs the load tool. */
-fun main(arguments: Array<String>) = LoadCommand().subcommands(PolicyCommand(), BenchCommand()).main(arguments)
+fun main(arguments: Array<String>) =
+    LoadCommand().subcommands(RunCommand(), PolicyCommand(), BenchCommand()).main(arguments)
