--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/ExecutionTimings.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/ExecutionTimings.kt
@@ -17,4 +17,12 @@
     val askInterval: Duration = 200.milliseconds,
     val maximumFreeRetries: Int = 3,
     val maximumMoves: Int = 8,
-)
+) {
+    /** Returns the cancel margin of a request that has [remaining] time. */
+    fun marginWithin(remaining: Duration): Duration = minOf(cancelMargin, remaining / MARGIN_DIVISOR)
+
+    private companion object {
+        /** The cancel margin is at most this part of the time that a request has. */
+        const val MARGIN_DIVISOR = 4
+    }
+}
--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
@@ -51,7 +51,7 @@
     private val timings: ExecutionTimings = ExecutionTimings(),
     private val admission: AdmissionControl = AdmissionControl.Open,
 ) {
-    private val attempts = LinkedHashMap<AttemptId, AttemptRecord>()
+    private val attempts = RequestAttempts(request, route)
     private val actions = mutableListOf<RequestAction>()
     private var stageIndex = 0
     private var input = request.payload
@@ -89,8 +89,8 @@
     }
 
     private fun start(now: Instant) {
-        val margin = minOf(timings.cancelMargin, (request.deadline - now) / MARGIN_DIVISOR)
-        actions += RequestAction.SetTimer(RequestTimer.CANCEL_BEFORE_DEADLINE, request.deadline - margin)
+        val withdrawAt = request.deadline - timings.marginWithin(request.deadline - now)
+        actions += RequestAction.SetTimer(RequestTimer.CANCEL_BEFORE_DEADLINE, withdrawAt)
         actions += RequestAction.SetTimer(RequestTimer.DEADLINE, request.deadline)
         startStage(now)
     }
@@ -136,7 +136,7 @@
 
     /** Asks what became of an attempt that another request may have sent, without sending it. */
     private fun attach(location: AttemptLocation, now: Instant) {
-        attempts[location.attempt] = AttemptRecord(location, stageIndex, now, isShared = true)
+        attempts.add(AttemptRecord(location, stageIndex, now, isShared = true))
         selector.recordDispatch(location.endpoint, now)
         step(location.attempt, AttemptEvent.CONNECTION_LOST, now)
     }
@@ -157,7 +157,7 @@
             return null
         }
         val attempt = AttemptId("${request.id.value}$ATTEMPT_SEPARATOR$stageIndex$ATTEMPT_SEPARATOR${attemptCount++}")
-        val unseen = attempts.values.filter { it.wasNeverSeen }.map { it.location.endpoint }.toSet()
+        val unseen = attempts.endpointsNeverReached()
         return when (val selection = selector.chooseOrGoBack(selectionRequest(pool, now), unseen, now)) {
             is Selection.Chosen -> {
                 val candidate = selection.candidate
@@ -178,13 +178,13 @@
         pool = pool,
         remaining = stageLimit(now),
         objective = route.objective,
-        avoid = attempts.values.filter { it.stageIndex == stageIndex }.map { it.location.endpoint }.toSet(),
+        avoid = attempts.endpointsTried(stageIndex),
         mayProbe = stage.idempotent,
         mayRefuse = stageIndex == 0,
     )
 
     private fun dispatch(location: AttemptLocation, why: String, candidates: Int, now: Instant) {
-        attempts[location.attempt] = AttemptRecord(location, stageIndex, now, isShared = isTicketed)
+        attempts.add(AttemptRecord(location, stageIndex, now, isShared = isTicketed))
         selector.recordDispatch(location.endpoint, now)
         logDecision(location.attempt, candidates, location.endpoint, why)
         val message = messages.dispatch(location, stageIndex, input, stageLimit(now))
@@ -367,12 +367,9 @@
 
     private fun hedge(now: Instant) {
         val canHedge = stage.hedged && stage.idempotent && leader == null && openAttempts().size == 1
-        if (canHedge && isHedgeWorthwhile(now) && budget.tryTakeHedge()) dispatchToChosen(now)
-    }
-
-    private fun isHedgeWorthwhile(now: Instant): Boolean {
         val predicted = tables.poolOf(stage)?.let { selector.predict(it, now) }
-        return HedgePolicy.isWorthwhile(predicted, selector.stageTimes(stage.pool))
+        val isWorthwhile = HedgePolicy.isWorthwhile(predicted, selector.stageTimes(stage.pool))
+        if (canHedge && isWorthwhile && budget.tryTakeHedge()) dispatchToChosen(now)
     }
 
     private fun askAgain(now: Instant) {
@@ -387,21 +384,11 @@
     }
 
     private fun end(reason: FailureReason, retryAfter: Duration?, now: Instant) {
-        val mayHaveRun = attempts.values.filter { it.mayHaveRun }
+        val outcome = attempts.outcome(reason, retryAfter)
         openAttempts().forEach { step(it.location.attempt, AttemptEvent.ABANDON, now) }
-        complete(
-            if (mayHaveRun.isEmpty() && !isTicketUnasked()) {
-                RequestOutcome.NotRun(reason, retryAfter)
-            } else {
-                val repeatable = !isTicketUnasked() && mayHaveRun.all { route.stages[it.stageIndex].idempotent }
-                RequestOutcome.Unknown(reason, repeatable, retryAfter)
-            },
-        )
+        complete(outcome)
     }
 
-    /** An earlier submission may have run under a ticket that this one has not asked about. */
-    private fun isTicketUnasked(): Boolean = request.ticket != null && attempts.values.none { it.isShared }
-
     private fun complete(outcome: RequestOutcome) {
         isComplete = true
         actions += RequestAction.Complete(outcome)
@@ -415,14 +402,7 @@
     private fun recordEnd(record: AttemptRecord, now: Instant) =
         selector.recordEnd(record.location.endpoint, record.result, now - record.sentAt, now)
 
-    private fun openAttempts(): List<AttemptRecord> = attempts.values.filter {
-        it.isOpen && it.stageIndex == stageIndex
-    }
+    private fun openAttempts(): List<AttemptRecord> = attempts.open(stageIndex)
 
     private fun hasOpenAttempt(): Boolean = openAttempts().isNotEmpty()
-
-    private companion object {
-        /** The cancel margin is at most this part of the time that a request has. */
-        const val MARGIN_DIVISOR = 4
-    }
 }
--- a/system-tests/src/test/kotlin/org/bilberryhead/system/ConnectionFaultTest.kt
+++ b/system-tests/src/test/kotlin/org/bilberryhead/system/ConnectionFaultTest.kt
@@ -10,14 +10,13 @@
 
 class ConnectionFaultTest :
     DescribeSpec({
-        val system = TestSystem(ordersPlan(orders = 2, relayed = true, serviceTime = "1s"))
-        beforeSpec { system.start() }
-        beforeTest { system.clearEffects() }
-        afterTest {
-            system.sidecars.keys.forEach { system.relay(it, "PASS") }
-            system.entries.indices.forEach { system.awaitEntry(it) }
+        // A system of its own for each test: an entry that has met a fault avoids the endpoint in the tests that follow.
+        lateinit var system: TestSystem
+        beforeEach {
+            system = TestSystem(ordersPlan(orders = 2, relayed = true, serviceTime = "1s"))
+            system.start()
         }
-        afterSpec { system.close() }
+        afterEach { system.close() }
 
         /** Sends orders, switches the relay once the endpoint works on one, and lets bytes pass again after [until]. */
         suspend fun sendUnder(mode: String, until: suspend () -> Unit): List<CallerAnswer> = coroutineScope {
--- a/system-tests/src/test/kotlin/org/bilberryhead/system/DaemonProcess.kt
+++ b/system-tests/src/test/kotlin/org/bilberryhead/system/DaemonProcess.kt
@@ -30,10 +30,11 @@
         ProcessBuilder("kill", "-${signal.name}", pid.toString()).inheritIO().start().waitFor()
     }
 
-    /** Waits until the process has ended. */
-    fun awaitEnd() {
-        val hasEnded = checkNotNull(process).waitFor(END_LIMIT_SECONDS, TimeUnit.SECONDS)
-        check(hasEnded) { "$name has not ended" }
+    /** Waits until the process has ended and returns its status. */
+    fun awaitEnd(): Int {
+        val ending = checkNotNull(process)
+        check(ending.waitFor(END_LIMIT_SECONDS, TimeUnit.SECONDS)) { "$name has not ended" }
+        return ending.exitValue()
     }
 
     /** Kills the process and waits until it is gone; a stopped one too. */
--- a/system-tests/src/test/kotlin/org/bilberryhead/system/TestSystem.kt
+++ b/system-tests/src/test/kotlin/org/bilberryhead/system/TestSystem.kt
@@ -94,6 +94,10 @@
     /** Starts entry [number]. */
     fun startEntry(number: Int) = entries[number].start(entrySettings(number))
 
+    /** Starts a second process with the settings, and so the addresses, of entry [number]. */
+    fun startTwinOf(number: Int): DaemonProcess =
+        DaemonProcess(folder, "twin-of-entry-$number", "bilberry-entry").also { it.start(entrySettings(number)) }
+
     /** Waits until entry [number] has tables and every sidecar serves it. */
     suspend fun awaitEntry(number: Int) {
         awaitReady(entryPorts[number])
