--- a/system-tests/src/test/kotlin/org/bilberryhead/system/ConnectionFaultTest.kt
+++ b/system-tests/src/test/kotlin/org/bilberryhead/system/ConnectionFaultTest.kt
@@ -10,7 +10,7 @@
 
 class ConnectionFaultTest :
     DescribeSpec({
-        // A system of its own for each test: an entry that has met a fault avoids the endpoint in the tests that follow.
+        // Each test has its own system: an entry that has met a fault avoids the endpoint afterwards.
         lateinit var system: TestSystem
         beforeEach {
             system = TestSystem(ordersPlan(orders = 2, relayed = true, serviceTime = "1s"))
