Give the system tests ports that outgoing connections can not take

Cause: one full run failed in "Before Spec" of EndpointFaultTest: the system was not ready in 60 s. What the processes had logged was not kept, so the cause is not certain. Two weak spots of the start were found by reading. Ports came from the range that the kernel also gives to outgoing connections, so that a connection could take a port before its process listened. The first change of the tables was made anew for each try, so that a first try whose answer was lost or "not accepted yet" made every later one lose the race. Ruled out: the fault switches of the test (none is set at that point), an overlap between specs (they run one by one). Change: FreePorts in core-testing hands out ports below that range, each once; the first change keeps its id and waits until both entries answer; a failed start prints whether each process runs and the last lines of its log. If a start fails again, the message tells which process and why.

--- a/entry/src/test/kotlin/org/bilberryhead/entry/LoopbackTables.kt
+++ b/entry/src/test/kotlin/org/bilberryhead/entry/LoopbackTables.kt
@@ -29,6 +29,7 @@
 import org.bilberryhead.core.tables.Endpoint
 import org.bilberryhead.core.tables.Pool
 import org.bilberryhead.core.tables.TableChange
+import org.bilberryhead.core.testing.FreePorts
 import org.bilberryhead.core.testing.TestClock
 import org.bilberryhead.core.testing.testRoute
 import org.bilberryhead.daemon.MonotonicClock
@@ -41,7 +42,6 @@
 import org.bilberryhead.sidecar.SidecarDaemon
 import org.bilberryhead.sidecar.SidecarMetrics
 import org.bilberryhead.sidecar.SidecarSettings
-import java.net.ServerSocket
 import java.security.MessageDigest
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -54,8 +54,8 @@
 internal class LoopbackTables {
     private val json = Json { encodeDefaults = true }
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val entryPorts = List(2) { freePort() }
-    private val sidecarPorts = List(SIDECARS) { freePort() }
+    private val entryPorts = List(2) { FreePorts.next() }
+    private val sidecarPorts = List(SIDECARS) { FreePorts.next() }
     private val tokens = Tokens(emptyList(), listOf(OperatorToken("ann", digest(TOKEN))))
     val store = FakeTableService()
     val entries = List(2) { entry(it) }
@@ -151,8 +151,6 @@
 
     private fun address(port: Int) = SocketAddress("127.0.0.1", port)
 
-    private fun freePort(): Int = ServerSocket(0).use { it.localPort }
-
     private fun digest(token: String) =
         MessageDigest.getInstance("SHA-256").digest(token.encodeToByteArray()).toHexString()
 }
--- a/sidecar/src/test/kotlin/org/bilberryhead/sidecar/EndpointCallerTest.kt
+++ b/sidecar/src/test/kotlin/org/bilberryhead/sidecar/EndpointCallerTest.kt
@@ -15,10 +15,9 @@
 import org.bilberryhead.core.common.Payload
 import org.bilberryhead.core.gate.GateEvent
 import org.bilberryhead.core.message.Dispatch
+import org.bilberryhead.core.testing.FreePorts
 import java.io.IOException
 import java.io.OutputStream
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.util.Collections
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Semaphore
@@ -107,9 +106,9 @@
 
         describe("a call that did not run") {
             it("is one whose connection is refused") {
-                val closedPort = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
-
-                eventsOf("http://127.0.0.1:$closedPort").single().shouldBeInstanceOf<GateEvent.EndpointDidNotRun>()
+                eventsOf(
+                    "http://127.0.0.1:${FreePorts.next()}",
+                ).single().shouldBeInstanceOf<GateEvent.EndpointDidNotRun>()
             }
 
             it("is one that the endpoint says it did not begin") {
--- a/system-tests/src/test/kotlin/org/bilberryhead/system/DaemonProcess.kt
+++ b/system-tests/src/test/kotlin/org/bilberryhead/system/DaemonProcess.kt
@@ -2,6 +2,8 @@
 
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
+import kotlin.io.path.exists
+import kotlin.io.path.readLines
 import kotlin.io.path.writeText
 
 /** Signals that the tests send. */
@@ -24,6 +26,13 @@
             .start()
     }
 
+    /** Returns whether the process runs and the last lines of its log, for the message of a failed test. */
+    fun report(): String {
+        val log = folder.resolve("$name.log")
+        val lines = if (log.exists()) log.readLines().takeLast(REPORTED_LINES) else emptyList()
+        return (listOf("$name: ${if (isAlive) "running" else "not running"}") + lines).joinToString("\n  ")
+    }
+
     /** Sends [signal] to the process. */
     fun signal(signal: Signal) {
         val pid = checkNotNull(process) { "$name was never started" }.pid()
@@ -45,5 +54,6 @@
     private companion object {
         const val PROGRAMS = "../dist/target/bilberryhead/bin"
         const val END_LIMIT_SECONDS = 90L
+        const val REPORTED_LINES = 5
     }
 }
--- a/system-tests/src/test/kotlin/org/bilberryhead/system/TestSystem.kt
+++ b/system-tests/src/test/kotlin/org/bilberryhead/system/TestSystem.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
 import io.ktor.http.HttpMethod
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
@@ -16,12 +17,11 @@
 import org.bilberryhead.core.tables.Route
 import org.bilberryhead.core.tables.TableChange
 import org.bilberryhead.core.tables.Tables
+import org.bilberryhead.core.testing.FreePorts
 import org.bilberryhead.operator.ChangeAnswer
 import org.bilberryhead.operator.EndpointState
 import org.bilberryhead.operator.EntryStatus
 import org.bilberryhead.operator.OperatorPaths
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
 import java.security.MessageDigest
@@ -63,9 +63,9 @@
     private val http = HttpCalls()
     private val json = Json { ignoreUnknownKeys = true }
     private val standin = DaemonProcess(folder, "standin", "bilberry-standin")
-    private val standinPort = freePort()
-    private val entryPorts = List(ENTRIES) { freePort() }
-    private val peerPorts = List(ENTRIES) { freePort() }
+    private val standinPort = FreePorts.next()
+    private val entryPorts = List(ENTRIES) { FreePorts.next() }
+    private val peerPorts = List(ENTRIES) { FreePorts.next() }
     private val ports = plan.pools.flatMap { (pool, size) -> List(size) { "$pool-$it" to portsOf(pool) } }.toMap()
 
     /** The entries. */
@@ -74,17 +74,29 @@
     /** The sidecars by the names of their endpoints. */
     val sidecars = ports.keys.associateWith { DaemonProcess(folder, "sidecar-$it", "bilberry-sidecar") }
 
+    private val processes = entries + sidecars.values + standin
+
     /** Names of the endpoints of [pool]. */
     fun endpointsOf(pool: String): List<String> = ports.filterValues { it.pool == pool }.keys.toList()
 
     /** Starts every process and puts the planned tables in force. */
     suspend fun start() {
+        try {
+            startAll()
+        } catch (failure: AssertionError) {
+            throw AssertionError("the system did not start\n" + processes.joinToString("\n") { it.report() }, failure)
+        }
+    }
+
+    private suspend fun startAll() {
         standin.start(standinSettings())
         awaitReady(standinPort)
         sidecars.keys.forEach(::startSidecar)
         entries.indices.forEach(::startEntry)
-        awaitLive(0)
-        eventually(EVENT_LIMIT) { (propose(firstChange()) is ChangeAnswer.Accepted) shouldBe true }
+        entries.indices.forEach { awaitLive(it) }
+        // The same change each time: another one would lose to the first whose answer was not "accepted".
+        val change = firstChange()
+        eventually(EVENT_LIMIT) { propose(change).shouldBeInstanceOf<ChangeAnswer.Accepted>() }
         entries.indices.forEach { awaitEntry(it) }
     }
 
@@ -182,7 +194,7 @@
     )
 
     override fun close() {
-        (entries + sidecars.values + standin).forEach { it.kill() }
+        processes.forEach { it.kill() }
         http.close()
     }
 
@@ -228,8 +240,8 @@
     )
 
     private fun portsOf(pool: String): EndpointPorts {
-        val listen = freePort()
-        return EndpointPorts(pool, if (plan.relayed) freePort() else listen, listen, freePort())
+        val listen = FreePorts.next()
+        return EndpointPorts(pool, if (plan.relayed) FreePorts.next() else listen, listen, FreePorts.next())
     }
 
     private fun standinSettings(): String {
@@ -280,8 +292,6 @@
         const val ENTRIES = 2
         const val OK = 200
 
-        fun freePort(): Int = ServerSocket(0, 1, InetAddress.getByName(LOOPBACK)).use { it.localPort }
-
         fun digest(token: String): String =
             MessageDigest.getInstance("SHA-256").digest(token.encodeToByteArray()).toHexString()
     }
