Send heartbeats where work waits, and few on idle connections

Cause: a heartbeat each 500 ms on every connection passes 4 KB/s with 8 connections; an entry of today has up to 28. Change: ConnectionWatch in core decides by a state chart. Silence is counted from the moment an answer is awaited: an open attempt, a question, an unanswered heartbeat, a change of the tables that the other end lacks. Idle connections of a process share 2 KB/s (HeartbeatBudget). The accepting end answers heartbeats and sends none of its own. Ruled out: a fixed long interval (work on a silent connection would wait past its deadline), a probe with each attempt (20 KB/s at size, estimated). ConnectionWatchTest shows the count of heartbeats and the 2 s in virtual time. The load of an endpoint that an entry sends nothing to is now up to an idle interval old.

--- /dev/null
+++ b/core/src/main/kotlin/org/bilberryhead/core/connection/ConnectionChart.kt
@@ -0,0 +1,19 @@
+package org.bilberryhead.core.connection
+
+import org.bilberryhead.core.statechart.StateChart
+
+/** What one end knows of a connection that it opened. */
+enum class ConnectionPhase { IDLE, WATCHED, LOST }
+
+/** What can happen to an open connection. */
+enum class ConnectionEvent { ANSWER_AWAITED, NOTHING_AWAITED, HEARTBEAT_DUE, SILENT }
+
+/** What to do about a connection. */
+enum class ConnectionAction { SEND_HEARTBEAT, GIVE_UP }
+
+/** The chart that every connection follows. */
+object ConnectionChart {
+    /** Read once from its file. */
+    val chart: StateChart<ConnectionPhase, ConnectionEvent, ConnectionAction> =
+        StateChart.load("/statecharts/connection.yaml")
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/bilberryhead/core/connection/ConnectionWatchTest.kt
@@ -0,0 +1,108 @@
+package org.bilberryhead.core.connection
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.comparables.shouldBeGreaterThanOrEqualTo
+import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+private val openedAt = Instant.fromEpochSeconds(1_000)
+private val idleInterval = 10.seconds
+
+/** Runs a watch whose other end answers heartbeats until [silentFrom]; times are counted from the opening. */
+private class WatchedConnection(private val silentFrom: Duration = Duration.INFINITE, firstHeartbeat: Duration) {
+    private val watch = ConnectionWatch(openedAt, openedAt + firstHeartbeat)
+    private var now = openedAt
+    private var heardAt = openedAt
+    val heartbeats = mutableListOf<Duration>()
+    var lostAt: Duration? = null
+
+    /** Lets time pass until [end] with answers awaited in [awaited]. */
+    fun runUntil(end: Duration, awaited: ClosedRange<Duration> = Duration.INFINITE..Duration.INFINITE) {
+        while (lostAt == null && now - openedAt < end) {
+            val step = watch.step(now - openedAt in awaited, heardAt, idleInterval, now)
+            when (step.action) {
+                ConnectionAction.SEND_HEARTBEAT -> sendHeartbeat()
+                ConnectionAction.GIVE_UP -> lostAt = now - openedAt
+                null -> Unit
+            }
+            // Work wakes the watch, as a message that is sent does.
+            val workAt = (openedAt + awaited.start).takeIf { it > now }
+            now = listOfNotNull(step.nextAt, workAt).min()
+        }
+    }
+
+    private fun sendHeartbeat() {
+        heartbeats += now - openedAt
+        if (now - openedAt < silentFrom) heardAt = now
+    }
+}
+
+class ConnectionWatchTest :
+    DescribeSpec({
+        it("reaches every state of its chart") {
+            ConnectionChart.chart.reachableStates() shouldBe ConnectionPhase.entries.toSet()
+        }
+
+        describe("a connection on which nothing is awaited") {
+            it("costs one heartbeat each idle interval") {
+                val connection = WatchedConnection(firstHeartbeat = 3.seconds)
+
+                connection.runUntil(40.seconds)
+
+                connection.heartbeats shouldContainExactly listOf(3.seconds, 13.seconds, 23.seconds, 33.seconds)
+                connection.lostAt shouldBe null
+            }
+
+            it("is given up at the silence limit after the first heartbeat without an answer") {
+                val connection = WatchedConnection(silentFrom = 4.seconds, firstHeartbeat = 3.seconds)
+
+                connection.runUntil(40.seconds)
+
+                connection.lostAt shouldBe 15.seconds
+            }
+        }
+
+        describe("a connection on which an answer is awaited") {
+            it("is asked for a sign of life until the answer is there, and then idle again") {
+                val connection = WatchedConnection(firstHeartbeat = 9.seconds)
+
+                connection.runUntil(8.seconds, awaited = 1.seconds..2.seconds)
+
+                connection.heartbeats shouldContainExactly listOf(1_500.milliseconds, 2.seconds)
+            }
+
+            it("is given up at the silence limit after the work began, however long it was idle") {
+                val connection = WatchedConnection(silentFrom = 1.seconds, firstHeartbeat = 9.seconds)
+
+                connection.runUntil(40.seconds, awaited = 5.seconds..60.seconds)
+
+                connection.lostAt shouldBe 7.seconds
+            }
+        }
+
+        describe("the interval of idle heartbeats") {
+            it("keeps all connections together within the budget, up to the longest interval") {
+                checkAll(PropTestConfig(seed = 1), Arb.int(4..220)) { connections ->
+                    val bytes = connections * HeartbeatBudget.BYTES_PER_EXCHANGE /
+                        (HeartbeatBudget.idleInterval(connections) / 1.seconds)
+
+                    bytes shouldBeLessThanOrEqualTo HeartbeatBudget.BYTES_PER_SECOND + 1.0
+                }
+            }
+
+            it("never shrinks as connections are added") {
+                (1..500).zipWithNext { fewer, more ->
+                    HeartbeatBudget.idleInterval(more) shouldBeGreaterThanOrEqualTo HeartbeatBudget.idleInterval(fewer)
+                }
+            }
+        }
+    })
--- a/entry/src/main/kotlin/org/bilberryhead/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/ControlPlane.kt
@@ -18,6 +18,7 @@
 import org.bilberryhead.core.common.Incarnation
 import org.bilberryhead.core.common.TableVersion
 import org.bilberryhead.core.common.VmId
+import org.bilberryhead.core.connection.HeartbeatBudget
 import org.bilberryhead.core.membership.EndpointSubset
 import org.bilberryhead.core.membership.ListedState
 import org.bilberryhead.core.message.Heartbeat
@@ -79,11 +80,11 @@
     private val linkCount = AtomicLong()
     private val loads = ConcurrentHashMap<EndpointId, LoadReport>()
     private val acceptances = HashMap<TableVersion, MutableList<CompletableDeferred<Int>>>()
-    private val peers = PeerLinks(settings, Incarnation(UUID.randomUUID().toString()), this, selectors, scope)
+    private val peers = PeerLinks(settings, Incarnation(UUID.randomUUID().toString()), this, selectors, scope, clock)
     private var wake: Job? = null
 
     /** Links to the sidecars of the endpoints that this entry connects to. */
-    val directory = SidecarDirectory(this, selectors, scope, subsetOf(settings))
+    val directory = SidecarDirectory(this, selectors, scope, clock, subsetOf(settings))
 
     /** The selector that learns from load reports; set once while the entry is wired. */
     lateinit var selector: EndpointSelector
@@ -105,6 +106,10 @@
 
     override val shownVersion: TableVersion get() = tables.version
 
+    /** Each pair of peers has two connections, one that either opened. */
+    override val idleInterval: Duration
+        get() = HeartbeatBudget.idleInterval(directory.all.size + 2 * settings.peers.size)
+
     /** Begins to follow the table log, the peers and the VM list. */
     suspend fun start() {
         peers.start()
--- a/entry/src/main/kotlin/org/bilberryhead/entry/PeerLinks.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/PeerLinks.kt
@@ -24,6 +24,8 @@
 import org.bilberryhead.protocol.MessageServer
 import org.bilberryhead.protocol.ProtocolError
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Clock
+import kotlin.time.Duration
 
 private val log = KotlinLogging.logger("control")
 
@@ -32,6 +34,9 @@
     /** The tables' version to show. */
     val shownVersion: TableVersion
 
+    /** Time between two heartbeats on a connection on which nothing is awaited. */
+    val idleInterval: Duration
+
     /** A connection is open; [send] queues a message on it. */
     suspend fun linkOpened(link: LinkId, daemon: DaemonId, version: TableVersion, send: (Message) -> Boolean)
 
@@ -55,6 +60,7 @@
     private val exchange: TableExchange,
     selectors: SelectorManager,
     scope: CoroutineScope,
+    private val clock: Clock,
 ) {
     private val outgoing = settings.peers.map { OutgoingLink(it, selectors, scope) }
     private val server = MessageServer(settings.peerListen, IncomingLinks(), scope)
@@ -82,7 +88,7 @@
     private inner class OutgoingLink(val address: SocketAddress, selectors: SelectorManager, scope: CoroutineScope) :
         ClientHandler {
         private val link = LinkId("to $address")
-        val client = MessageClient(address, this, selectors, scope)
+        val client = MessageClient(address, this, selectors, scope, clock)
 
         @Volatile
         var daemon: DaemonId? = null
@@ -90,6 +96,14 @@
         @Volatile
         var isOpen = false
 
+        @Volatile
+        private var versionOfPeer = TableVersion.NONE
+
+        /** A peer that lacks a change is sent it, and shows the version once it has it. */
+        override val isAnswerAwaited: Boolean get() = versionOfPeer < exchange.shownVersion
+
+        override val idleInterval: Duration get() = exchange.idleInterval
+
         override fun hello(): Hello = this@PeerLinks.hello()
 
         override fun heartbeat() = Heartbeat(exchange.shownVersion)
@@ -98,11 +112,13 @@
             log.info { "control: connected to peer ${welcome.sender} at $address" }
             daemon = welcome.sender
             isOpen = true
+            versionOfPeer = welcome.tableVersion
             exchange.linkOpened(link, welcome.sender, welcome.tableVersion, client::trySend)
         }
 
         override suspend fun received(message: Message) {
             val sender = daemon ?: return
+            if (message is Heartbeat) versionOfPeer = message.tableVersion
             tableEvent(link, sender, message)?.let { exchange.exchange(it) }
         }
 
--- a/entry/src/main/kotlin/org/bilberryhead/entry/SidecarDirectory.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/SidecarDirectory.kt
@@ -17,6 +17,7 @@
 import org.bilberryhead.core.tables.Pool
 import org.bilberryhead.core.tables.Tables
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Clock
 
 private val log = KotlinLogging.logger("membership")
 
@@ -28,6 +29,7 @@
     private val owner: LinkOwner,
     private val selectors: SelectorManager,
     private val scope: CoroutineScope,
+    private val clock: Clock,
     private val subset: EndpointSubset? = null,
 ) : CandidateSource,
     LinkSource {
@@ -87,7 +89,7 @@
     }
 
     private fun add(endpoint: Endpoint) {
-        val link = SidecarLink(endpoint, owner, selectors, scope)
+        val link = SidecarLink(endpoint, owner, selectors, scope, clock)
         links[endpoint.id] = link
         link.start()
     }
--- a/entry/src/main/kotlin/org/bilberryhead/entry/SidecarLink.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/SidecarLink.kt
@@ -29,6 +29,8 @@
 import org.bilberryhead.protocol.MessageClient
 import org.bilberryhead.protocol.ProtocolError
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Clock
+import kotlin.time.Duration
 
 private val log = KotlinLogging.logger("entry")
 
@@ -40,6 +42,9 @@
     /** Returns the heartbeat to send now. */
     fun heartbeat(): Heartbeat
 
+    /** Time between two heartbeats on a connection on which nothing is awaited. */
+    val idleInterval: Duration
+
     /** The sidecar behind [link] has answered the hello. */
     suspend fun opened(link: SidecarLink, welcome: Welcome)
 
@@ -86,11 +91,12 @@
     private val owner: LinkOwner,
     selectors: SelectorManager,
     scope: CoroutineScope,
+    clock: Clock,
 ) : ClientHandler,
     AttemptLink {
     private data class OpenAttempt(val incarnation: Incarnation, val subscriber: AttemptSubscriber)
 
-    private val client = MessageClient(endpoint.sidecar, this, selectors, scope)
+    private val client = MessageClient(endpoint.sidecar, this, selectors, scope, clock)
     private val openAttempts = ConcurrentHashMap<AttemptId, Set<OpenAttempt>>()
     private val questions = ConcurrentHashMap<AttemptLocation, CompletableDeferred<OutcomeReport>>()
 
@@ -100,6 +106,14 @@
     @Volatile
     private var leaving = false
 
+    @Volatile
+    private var shownVersion = TableVersion.NONE
+
+    override val isAnswerAwaited: Boolean
+        get() = openAttempts.isNotEmpty() || questions.isNotEmpty() || shownVersion < owner.heartbeat().tableVersion
+
+    override val idleInterval: Duration get() = owner.idleInterval
+
     /** The run of the sidecar that takes work now, or null. */
     val servingIncarnation: Incarnation? get() = connected.takeUnless { leaving }
 
@@ -167,6 +181,7 @@
         log.info { "entry: connected to sidecar of ${endpoint.id}, run ${welcome.incarnation}" }
         leaving = welcome.leaving
         connected = welcome.incarnation
+        shownVersion = welcome.tableVersion
         welcome.load?.let { owner.loadReported(endpoint, it) }
         owner.opened(this, welcome)
         deliverToAll { attempt, open ->
@@ -183,6 +198,7 @@
             }
             is Heartbeat -> {
                 message.load?.let { owner.loadReported(endpoint, it) }
+                shownVersion = message.tableVersion
                 owner.versionShown(this, message.tableVersion)
             }
             is Leaving -> {
--- a/protocol/src/main/kotlin/org/bilberryhead/protocol/MessageClient.kt
+++ b/protocol/src/main/kotlin/org/bilberryhead/protocol/MessageClient.kt
@@ -9,18 +9,27 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.connection.ConnectionAction
+import org.bilberryhead.core.connection.ConnectionPhase
+import org.bilberryhead.core.connection.ConnectionWatch
 import org.bilberryhead.core.message.Heartbeat
 import org.bilberryhead.core.message.Hello
 import org.bilberryhead.core.message.Message
 import org.bilberryhead.core.message.Welcome
 import kotlin.random.Random
+import kotlin.time.Clock
+import kotlin.time.Duration
 
 private val log = KotlinLogging.logger("protocol")
 
@@ -32,6 +41,12 @@
     /** Returns the heartbeat to send now. */
     fun heartbeat(): Heartbeat
 
+    /** Whether something that was sent waits for an answer, so that silence matters. Must return at once. */
+    val isAnswerAwaited: Boolean
+
+    /** Time between two heartbeats while nothing is awaited. */
+    val idleInterval: Duration
+
     /** The other process has answered the hello. */
     suspend fun opened(welcome: Welcome)
 
@@ -48,11 +63,20 @@
     private val handler: ClientHandler,
     private val selectors: SelectorManager,
     private val scope: CoroutineScope,
+    private val clock: Clock,
     private val timings: ProtocolTimings = ProtocolTimings(),
     private val random: Random = Random.Default,
 ) {
+    private val workSent = Channel<Unit>(Channel.CONFLATED)
+
     @Volatile
     private var connection: MessageConnection? = null
+
+    @Volatile
+    private var isIdle = true
+
+    @Volatile
+    private var heardAt = clock.now()
     private var job: Job? = null
 
     /** Begins to connect; returns at once. */
@@ -67,7 +91,11 @@
     }
 
     /** Queues [message]; false means that no byte of it was or will be written. */
-    fun trySend(message: Message): Boolean = connection?.trySend(message) ?: false
+    fun trySend(message: Message): Boolean {
+        val isQueued = connection?.trySend(message) ?: false
+        if (isQueued && isIdle) workSent.trySend(Unit)
+        return isQueued
+    }
 
     private suspend fun connectLoop() {
         var pause = timings.reconnectDelay
@@ -99,15 +127,14 @@
         }
     }
 
-    private suspend fun serve(opened: MessageConnection, welcome: Welcome) = coroutineScope {
+    private suspend fun serve(opened: MessageConnection, welcome: Welcome) {
+        heardAt = clock.now()
         connection = opened
-        val heartbeats = launch { heartbeatLoop(opened) }
         var error: ProtocolError = ProtocolError.Closed("stopped")
         try {
             handler.opened(welcome)
-            error = receiveLoop(opened)
+            error = receiveUntilLost(opened)
         } finally {
-            heartbeats.cancel()
             connection = null
             opened.close()
             log.info { "protocol: connection to $address lost: $error" }
@@ -121,7 +148,7 @@
                 noDelay =
                     true
             }
-            MessageConnection(socket, scope, timings.silenceLimit)
+            MessageConnection(socket, scope)
         }
     } catch (failure: IOException) {
         log.debug { "protocol: no connection to $address: ${failure.message}" }
@@ -130,23 +157,47 @@
 
     private suspend fun greet(opened: MessageConnection): Welcome? {
         opened.trySend(handler.hello())
-        val answer = opened.receive().getOrElse {
+        val answer = opened.receive(timings.helloLimit).getOrElse {
             log.info { "protocol: no welcome from $address: $it" }
             return null
         }
         return answer as? Welcome
     }
 
+    private suspend fun receiveUntilLost(opened: MessageConnection): ProtocolError = coroutineScope {
+        val receiving = async { receiveLoop(opened) }
+        val watching = async { watchLoop(opened) }
+        val error = select {
+            receiving.onAwait { it }
+            watching.onAwait { it }
+        }
+        coroutineContext.cancelChildren()
+        error
+    }
+
     private suspend fun receiveLoop(opened: MessageConnection): ProtocolError {
         while (true) {
-            handler.received(opened.receive().getOrElse { return it })
+            val message = opened.receive().getOrElse { return it }
+            heardAt = clock.now()
+            handler.received(message)
         }
     }
 
-    private suspend fun heartbeatLoop(opened: MessageConnection) {
-        while (!opened.isClosed) {
-            delay(timings.heartbeatInterval)
-            opened.trySend(handler.heartbeat())
+    /** Sends heartbeats until the connection goes silent. */
+    private suspend fun watchLoop(opened: MessageConnection): ProtocolError {
+        val openedAt = clock.now()
+        val watch = ConnectionWatch(openedAt, openedAt + handler.idleInterval * random.nextDouble(), timings.watch)
+        while (true) {
+            // Set before the handler is asked: work that is sent from here on wakes this loop.
+            isIdle = true
+            val step = watch.step(handler.isAnswerAwaited, heardAt, handler.idleInterval, clock.now())
+            isIdle = watch.phase == ConnectionPhase.IDLE
+            when (step.action) {
+                ConnectionAction.SEND_HEARTBEAT -> opened.trySend(handler.heartbeat())
+                ConnectionAction.GIVE_UP -> return ProtocolError.Silent
+                null -> Unit
+            }
+            withTimeoutOrNull(step.nextAt - clock.now()) { workSent.receive() }
         }
     }
 
--- a/protocol/src/main/kotlin/org/bilberryhead/protocol/MessageConnection.kt
+++ b/protocol/src/main/kotlin/org/bilberryhead/protocol/MessageConnection.kt
@@ -27,14 +27,8 @@
 /**
  * One TCP connection that carries length-prefixed messages both ways. Messages that are sent together are flushed
  * together. Safe for use by several threads, but for [receive], which one coroutine calls.
- *
- * @param silenceLimit time without any message after which the connection counts as lost
  */
-class MessageConnection(
-    private val socket: Socket,
-    private val scope: CoroutineScope,
-    private val silenceLimit: Duration,
-) {
+class MessageConnection(private val socket: Socket, scope: CoroutineScope) {
     private val input = socket.openReadChannel()
     private val output = ByteChannel(autoFlush = false)
     private val socketWriter = socket.attachForWriting(output)
@@ -68,10 +62,14 @@
     /**
      * Waits for the next message; an error means that the connection is of no more use.
      *
+     * @param limit time without a message after which the connection counts as silent
      * @param maximumBytes largest message that is accepted
      */
-    suspend fun receive(maximumBytes: Int = MessageCodec.MAXIMUM_MESSAGE_BYTES): Result<Message, ProtocolError> = try {
-        withTimeoutOrNull(silenceLimit) { receiveOne(maximumBytes) } ?: Err(ProtocolError.Silent)
+    suspend fun receive(
+        limit: Duration = Duration.INFINITE,
+        maximumBytes: Int = MessageCodec.MAXIMUM_MESSAGE_BYTES,
+    ): Result<Message, ProtocolError> = try {
+        withTimeoutOrNull(limit) { receiveOne(maximumBytes) } ?: Err(ProtocolError.Silent)
     } catch (failure: CancellationException) {
         throw failure
     } catch (failure: IOException) {
--- a/protocol/src/main/kotlin/org/bilberryhead/protocol/MessageServer.kt
+++ b/protocol/src/main/kotlin/org/bilberryhead/protocol/MessageServer.kt
@@ -35,7 +35,7 @@
     /** Returns the answer to [hello]. */
     fun welcome(hello: Hello): Welcome
 
-    /** Returns the heartbeat to send now. */
+    /** Returns the heartbeat with which to answer one. */
     fun heartbeat(): Heartbeat
 
     /**
@@ -114,7 +114,7 @@
     }
 
     private suspend fun serve(socket: Socket) {
-        val connection = MessageConnection(socket, scope, timings.silenceLimit)
+        val connection = MessageConnection(socket, scope)
         try {
             val hello = greet(connection)
             if (hello != null) serve(numbers.incrementAndGet(), connection, hello)
@@ -124,7 +124,7 @@
     }
 
     private suspend fun greet(connection: MessageConnection): Hello? {
-        val first = connection.receive(MAXIMUM_HELLO_BYTES).getOrElse { return refuse(it) }
+        val first = connection.receive(timings.helloLimit, MAXIMUM_HELLO_BYTES).getOrElse { return refuse(it) }
         val hello = first as? Hello ?: return refuse(ProtocolError.Malformed("the first message is not a hello"))
         if (hello.protocolVersion != MessageCodec.PROTOCOL_VERSION) {
             return refuse(ProtocolError.WrongVersion(hello.protocolVersion))
@@ -137,15 +137,13 @@
         return null
     }
 
-    private suspend fun serve(number: Long, connection: MessageConnection, hello: Hello) = coroutineScope {
+    private suspend fun serve(number: Long, connection: MessageConnection, hello: Hello) {
         open[number] = connection
-        val heartbeats = launch { heartbeatLoop(connection) }
         try {
             connection.trySend(handler.welcome(hello))
             handler.opened(number, hello) { sendOrClose(connection, it) }
             receiveLoop(number, connection)
         } finally {
-            heartbeats.cancel()
             open.remove(number)
             connection.close()
             withContext(NonCancellable) { handler.closed(number) }
@@ -160,18 +158,12 @@
 
     private suspend fun receiveLoop(number: Long, connection: MessageConnection) {
         while (!connection.isClosed) {
-            val message = connection.receive().getOrElse {
+            val message = connection.receive(timings.clientSilenceLimit).getOrElse {
                 log.info { "protocol: connection $number ended: $it" }
                 return
             }
             handler.received(number, message)
-        }
-    }
-
-    private suspend fun heartbeatLoop(connection: MessageConnection) {
-        while (!connection.isClosed) {
-            delay(timings.heartbeatInterval)
-            connection.trySend(handler.heartbeat())
+            if (message is Heartbeat) connection.trySend(handler.heartbeat())
         }
     }
 
--- a/protocol/src/main/kotlin/org/bilberryhead/protocol/ProtocolTimings.kt
+++ b/protocol/src/main/kotlin/org/bilberryhead/protocol/ProtocolTimings.kt
@@ -1,5 +1,7 @@
 package org.bilberryhead.protocol
 
+import org.bilberryhead.core.connection.HeartbeatBudget
+import org.bilberryhead.core.connection.WatchTimings
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -7,15 +9,18 @@
 /**
  * Timings of the connections between processes.
  *
- * @property heartbeatInterval how often each end sends a heartbeat
- * @property silenceLimit time without a message after which a connection is given up
+ * @property watch when the end that opened a connection asks for a sign of life, and when it gives the connection up
+ * @property helloLimit time allowed for the first message of either end
+ * @property clientSilenceLimit time without a message after which the accepting end closes a connection; longer than
+ *   any pause between two heartbeats of the other end
  * @property connectTimeout time allowed for opening a connection
  * @property reconnectDelay least pause between two tries to connect; doubled after each failure
  * @property maximumReconnectDelay longest such pause
  */
 data class ProtocolTimings(
-    val heartbeatInterval: Duration = 500.milliseconds,
-    val silenceLimit: Duration = 2.seconds,
+    val watch: WatchTimings = WatchTimings(),
+    val helloLimit: Duration = 2.seconds,
+    val clientSilenceLimit: Duration = HeartbeatBudget.LONGEST_INTERVAL * 2,
     val connectTimeout: Duration = 1.seconds,
     val reconnectDelay: Duration = 50.milliseconds,
     val maximumReconnectDelay: Duration = 2.seconds,
--- a/protocol/src/test/kotlin/org/bilberryhead/protocol/MessageTransportTest.kt
+++ b/protocol/src/test/kotlin/org/bilberryhead/protocol/MessageTransportTest.kt
@@ -19,6 +19,7 @@
 import org.bilberryhead.core.common.Payload
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.connection.WatchTimings
 import org.bilberryhead.core.message.Frame
 import org.bilberryhead.core.message.Heartbeat
 import org.bilberryhead.core.message.Hello
@@ -30,12 +31,15 @@
 import java.net.ServerSocket
 import java.net.Socket
 import kotlin.random.Random
+import kotlin.time.Clock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 private val timings = ProtocolTimings(
-    heartbeatInterval = 50.milliseconds,
-    silenceLimit = 400.milliseconds,
+    watch = WatchTimings(watchedInterval = 50.milliseconds, silenceLimit = 400.milliseconds),
+    helloLimit = 400.milliseconds,
+    clientSilenceLimit = 400.milliseconds,
     connectTimeout = 1.seconds,
     reconnectDelay = 10.milliseconds,
     maximumReconnectDelay = 50.milliseconds,
@@ -73,7 +77,10 @@
     }
 }
 
-private class RecordingClient : ClientHandler {
+private class RecordingClient(
+    override val isAnswerAwaited: Boolean = false,
+    override val idleInterval: Duration = 50.milliseconds,
+) : ClientHandler {
     val opened = Channel<Welcome>(Channel.UNLIMITED)
     val messages = Channel<Message>(Channel.UNLIMITED)
     val lost = Channel<ProtocolError>(Channel.UNLIMITED)
@@ -138,7 +145,7 @@
             MessageServer(anyFreePort, handler, scope, timings).also { it.start() }
 
         fun clientTo(address: SocketAddress, handler: ClientHandler): MessageClient =
-            MessageClient(address, handler, selectors, scope, timings, Random(1)).also { it.start() }
+            MessageClient(address, handler, selectors, scope, Clock.System, timings, Random(1)).also { it.start() }
 
         describe("a connection between two processes") {
             it("carries messages both ways in order") {
--- a/sidecar/src/test/kotlin/org/bilberryhead/sidecar/SidecarDaemonTest.kt
+++ b/sidecar/src/test/kotlin/org/bilberryhead/sidecar/SidecarDaemonTest.kt
@@ -39,6 +39,7 @@
 import org.bilberryhead.protocol.MessageCodec
 import org.bilberryhead.protocol.ProtocolError
 import java.util.concurrent.CountDownLatch
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 private val loopback = SocketAddress("127.0.0.1", 0)
@@ -47,12 +48,16 @@
 private class TestEntry(address: SocketAddress, selectors: SelectorManager, scope: CoroutineScope) : ClientHandler {
     val opened = Channel<Welcome>(Channel.UNLIMITED)
     val messages = Channel<Message>(Channel.UNLIMITED)
-    val client = MessageClient(address, this, selectors, scope).also { it.start() }
+    val client = MessageClient(address, this, selectors, scope, MonotonicClock()).also { it.start() }
 
     override fun hello() = Hello(MessageCodec.PROTOCOL_VERSION, DaemonId("entry-1"), TableVersion.NONE)
 
     override fun heartbeat() = Heartbeat(TableVersion.NONE)
 
+    override val isAnswerAwaited get() = false
+
+    override val idleInterval get() = 500.milliseconds
+
     override suspend fun opened(welcome: Welcome) = opened.send(welcome)
 
     override suspend fun received(message: Message) {
