Open a link on demand to the endpoint that a ticket names

Cause: an entry has links to its subset of the endpoints only. Change: SidecarDirectory opens such a link when it is asked for, leaves it out of the choice of endpoints, and closes it after a minute without use. A request with a ticket, and a question for an outcome, wait for the first opening of the link (0.5 s and 1 s at the longest). The heartbeat budget counts these links, and takes 280 B for an exchange. Ruled out: links to all endpoints (heartbeats), passing the request on to the entry that gave the ticket out (it may be gone). Figures: an attempt of an endpoint outside the subset: before no link, outcome unknown; after, SidecarDirectoryTest gets "answered" over a real connection.

--- a/core/src/main/kotlin/org/bilberryhead/core/connection/HeartbeatBudget.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/connection/HeartbeatBudget.kt
@@ -9,8 +9,8 @@
     /** Bytes that one process spends on the heartbeats of its idle connections, both ways, in one second. */
     const val BYTES_PER_SECOND = 2_000
 
-    /** Bytes of a heartbeat and its answer with their packet headers. */
-    const val BYTES_PER_EXCHANGE = 272
+    /** Bytes of a heartbeat, its answer and the acknowledgement of TCP, with IP and TCP headers. */
+    const val BYTES_PER_EXCHANGE = 280
 
     /** Interval at which few connections need no saving. */
     val SHORTEST_INTERVAL: Duration = 500.milliseconds
--- a/entry/src/main/kotlin/org/bilberryhead/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/ControlPlane.kt
@@ -108,7 +108,7 @@
 
     /** Each pair of peers has two connections, one that either opened. */
     override val idleInterval: Duration
-        get() = HeartbeatBudget.idleInterval(directory.all.size + 2 * settings.peers.size)
+        get() = HeartbeatBudget.idleInterval(directory.linkCount + 2 * settings.peers.size)
 
     /** Begins to follow the table log, the peers and the VM list. */
     suspend fun start() {
--- a/entry/src/main/kotlin/org/bilberryhead/entry/OutcomeLookup.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/OutcomeLookup.kt
@@ -73,7 +73,10 @@
 
     private suspend fun ask(location: AttemptLocation): OutcomeReport? {
         val link = links.link(location.endpoint) ?: return null
-        return withTimeoutOrNull(timeout) { link.askOutcome(location) }
+        return withTimeoutOrNull(timeout) {
+            link.awaitFirstOpening(timeout)
+            link.askOutcome(location)
+        }
     }
 
     private companion object {
--- a/entry/src/main/kotlin/org/bilberryhead/entry/RequestRunner.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/RequestRunner.kt
@@ -24,6 +24,7 @@
 import org.bilberryhead.core.tables.Route
 import org.bilberryhead.core.tables.Tables
 import kotlin.time.Clock
+import kotlin.time.Duration.Companion.milliseconds
 
 private val log = KotlinLogging.logger("routing")
 
@@ -46,6 +47,7 @@
         tables: Tables,
         deliver: (RequestAction.Deliver) -> Unit,
     ): RequestOutcome = coroutineScope {
+        request.ticket?.let { links.link(it.endpoint)?.awaitFirstOpening(OPENING_LIMIT) }
         val execution = RequestExecution(request, route, tables, selector, budget, admission = admission)
         val running = RunningRequest(this, execution, request, deliver)
         try {
@@ -58,6 +60,11 @@
         }
     }
 
+    private companion object {
+        /** Time that a request with a ticket leaves for the first connection to the sidecar of its ticket. */
+        val OPENING_LIMIT = 500.milliseconds
+    }
+
     private inner class RunningRequest(
         private val scope: CoroutineScope,
         private val execution: RequestExecution,
--- a/entry/src/main/kotlin/org/bilberryhead/entry/SidecarDirectory.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/SidecarDirectory.kt
@@ -18,12 +18,15 @@
 import org.bilberryhead.core.tables.Tables
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Clock
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Instant
 
 private val log = KotlinLogging.logger("membership")
 
 /**
  * Keeps one link to the sidecar of every endpoint that this entry is to connect to. Changed by the control thread,
- * read by traffic.
+ * read by traffic. An endpoint outside that subset gets a link on demand, because a ticket that another entry gave out
+ * may name it; such a link is not used for the choice of endpoints and is closed when it has not been asked for lately.
  */
 class SidecarDirectory(
     private val owner: LinkOwner,
@@ -34,6 +37,7 @@
 ) : CandidateSource,
     LinkSource {
     private val links = ConcurrentHashMap<EndpointId, SidecarLink>()
+    private val onDemand = ConcurrentHashMap<EndpointId, OnDemandLink>()
     private val retired = ConcurrentHashMap.newKeySet<SidecarLink>()
     private var tables = Tables()
     private var listed = emptyMap<VmId, ListedState>()
@@ -41,15 +45,23 @@
     @Volatile
     private var membership = Membership()
 
-    /** All links, for status. */
+    @Volatile
+    private var listedInTables = emptyMap<EndpointId, Endpoint>()
+
+    /** The links to the subset of endpoints that this entry chooses from. */
     val all: Collection<SidecarLink> get() = links.values
 
+    /** Number of open links of any kind. */
+    val linkCount: Int get() = links.size + onDemand.size + retired.size
+
     /** Opens links to endpoints that are new in [tables] and retires those of endpoints that are gone. */
     fun update(tables: Tables) {
         this.tables = tables
         membership = Membership(tables, listed)
+        listedInTables = tables.pools.values.flatMap { it.endpoints }.associateBy { it.id }
         val wanted = tables.pools.values.flatMap { subset?.choose(it) ?: it.endpoints }.associateBy { it.id }
         links.values.filter { wanted[it.endpoint.id] != it.endpoint }.forEach { retire(it) }
+        onDemand.values.map { it.link }.filter { isObsolete(it, wanted) }.forEach { retireOnDemand(it) }
         wanted.values.filter { !links.containsKey(it.id) }.forEach { add(it) }
     }
 
@@ -61,8 +73,10 @@
         log.info { "membership: VM list shows ${listed.values.count { it == ListedState.LEAVING }} leaving VMs" }
     }
 
-    /** Closes links to endpoints that left the tables once no attempt waits on them; returns those closed. */
+    /** Closes links that are no longer needed once no attempt waits on them; returns those closed. */
     fun closeIdle(): List<SidecarLink> {
+        val unusedSince = clock.now() - ON_DEMAND_TIME
+        onDemand.values.filter { it.usedAt < unusedSince }.forEach { retireOnDemand(it.link) }
         val idle = retired.filter { it.isIdle }
         retired.removeAll(idle.toSet())
         idle.forEach { it.stop() }
@@ -71,7 +85,7 @@
 
     /** Returns the link to [endpoint], or null when it has none. An endpoint that left the tables keeps it a while. */
     override fun link(endpoint: EndpointId): SidecarLink? =
-        links[endpoint] ?: retired.find { it.endpoint.id == endpoint }
+        links[endpoint] ?: listedInTables[endpoint]?.let(::linkOnDemand) ?: retired.find { it.endpoint.id == endpoint }
 
     /** Returns whether [endpoint] may get new work as a member of [pool], or why not. */
     fun eligibility(endpoint: EndpointId, pool: PoolName): Eligibility =
@@ -89,14 +103,40 @@
     }
 
     private fun add(endpoint: Endpoint) {
-        val link = SidecarLink(endpoint, owner, selectors, scope, clock)
+        val link = newLink(endpoint)
         links[endpoint.id] = link
         link.start()
     }
 
+    private fun linkOnDemand(endpoint: Endpoint): SidecarLink {
+        val entry = onDemand.computeIfAbsent(endpoint.id) { OnDemandLink(newLink(endpoint).also { it.start() }) }
+        entry.usedAt = clock.now()
+        return entry.link
+    }
+
+    private fun newLink(endpoint: Endpoint) = SidecarLink(endpoint, owner, selectors, scope, clock)
+
+    private fun isObsolete(link: SidecarLink, wanted: Map<EndpointId, Endpoint>): Boolean =
+        link.endpoint.id in wanted || listedInTables[link.endpoint.id] != link.endpoint
+
+    private fun retireOnDemand(link: SidecarLink) {
+        onDemand.remove(link.endpoint.id)
+        retired.add(link)
+    }
+
     private fun retire(link: SidecarLink) {
         links.remove(link.endpoint.id)
         retired.add(link)
         log.info { "membership: endpoint ${link.endpoint.id} gets no new work, it left the tables" }
     }
+
+    private inner class OnDemandLink(val link: SidecarLink) {
+        @Volatile
+        var usedAt: Instant = clock.now()
+    }
+
+    private companion object {
+        /** Time without use after which a link on demand is closed. */
+        val ON_DEMAND_TIME = 1.minutes
+    }
 }
--- a/entry/src/main/kotlin/org/bilberryhead/entry/SidecarLink.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/SidecarLink.kt
@@ -4,6 +4,7 @@
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.withTimeoutOrNull
 import org.bilberryhead.core.common.AttemptId
 import org.bilberryhead.core.common.EndpointId
 import org.bilberryhead.core.common.Incarnation
@@ -75,13 +76,16 @@
     /** Delivers nothing more for [attempt] to [subscriber]. */
     fun forget(attempt: AttemptId, subscriber: AttemptSubscriber)
 
+    /** Waits until the link has been open once, for [limit] at the longest. */
+    suspend fun awaitFirstOpening(limit: Duration)
+
     /** Waits for what the sidecar knows of the attempt at [location]. */
     suspend fun askOutcome(location: AttemptLocation): OutcomeReport
 }
 
 /** Finds the link to the sidecar of an endpoint. */
 fun interface LinkSource {
-    /** Returns the link to [endpoint], or null when it is not in the tables. */
+    /** Returns the link to [endpoint], or null when it is not in the tables. The link may open only now. */
     fun link(endpoint: EndpointId): AttemptLink?
 }
 
@@ -100,6 +104,8 @@
     private val openAttempts = ConcurrentHashMap<AttemptId, Set<OpenAttempt>>()
     private val questions = ConcurrentHashMap<AttemptLocation, CompletableDeferred<OutcomeReport>>()
 
+    private val firstOpening = CompletableDeferred<Unit>()
+
     @Volatile
     private var connected: Incarnation? = null
 
@@ -117,8 +123,8 @@
     /** The run of the sidecar that takes work now, or null. */
     val servingIncarnation: Incarnation? get() = connected.takeUnless { leaving }
 
-    /** Whether no attempt waits for an answer on this link. */
-    val isIdle: Boolean get() = openAttempts.isEmpty()
+    /** Whether no attempt and no question waits for an answer on this link. */
+    val isIdle: Boolean get() = openAttempts.isEmpty() && questions.isEmpty()
 
     /** What this link shows of its sidecar. */
     val connection: ConnectionState
@@ -156,6 +162,10 @@
         }
     }
 
+    override suspend fun awaitFirstOpening(limit: Duration) {
+        withTimeoutOrNull(limit) { firstOpening.await() }
+    }
+
     override suspend fun askOutcome(location: AttemptLocation): OutcomeReport {
         val current = connected
         if (current != null && current != location.incarnation) {
@@ -182,6 +192,7 @@
         leaving = welcome.leaving
         connected = welcome.incarnation
         shownVersion = welcome.tableVersion
+        firstOpening.complete(Unit)
         welcome.load?.let { owner.loadReported(endpoint, it) }
         owner.opened(this, welcome)
         deliverToAll { attempt, open ->
--- a/entry/src/test/kotlin/org/bilberryhead/entry/FakeLinks.kt
+++ b/entry/src/test/kotlin/org/bilberryhead/entry/FakeLinks.kt
@@ -14,6 +14,7 @@
 import org.bilberryhead.core.pipeline.RequestEvent
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.time.Duration
 
 /** Plays the sidecars of all endpoints: records what is sent and answers each dispatch with [respond]. */
 internal class FakeLinks(var respond: (Dispatch) -> List<AttemptMessage> = { answer(it, "{\"done\":true}") }) :
@@ -39,6 +40,8 @@
 
         override fun forget(attempt: AttemptId, subscriber: AttemptSubscriber) = Unit
 
+        override suspend fun awaitFirstOpening(limit: Duration) = Unit
+
         override suspend fun askOutcome(location: AttemptLocation): OutcomeReport =
             outcomes[location] ?: OutcomeReport(location.attempt, AttemptOutcome.NEVER_SEEN)
     }
--- /dev/null
+++ b/entry/src/test/kotlin/org/bilberryhead/entry/SidecarDirectoryTest.kt
@@ -0,0 +1,152 @@
+package org.bilberryhead.entry
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldNotContain
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.runBlocking
+import org.bilberryhead.core.common.AttemptId
+import org.bilberryhead.core.common.DaemonId
+import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.common.EndpointId
+import org.bilberryhead.core.common.Incarnation
+import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.membership.EndpointSubset
+import org.bilberryhead.core.membership.SubsetLimits
+import org.bilberryhead.core.message.AskOutcome
+import org.bilberryhead.core.message.AttemptLocation
+import org.bilberryhead.core.message.AttemptOutcome
+import org.bilberryhead.core.message.Heartbeat
+import org.bilberryhead.core.message.Hello
+import org.bilberryhead.core.message.LoadReport
+import org.bilberryhead.core.message.Message
+import org.bilberryhead.core.message.OutcomeReport
+import org.bilberryhead.core.message.Welcome
+import org.bilberryhead.core.tables.Endpoint
+import org.bilberryhead.core.tables.Pool
+import org.bilberryhead.core.tables.Tables
+import org.bilberryhead.core.testing.TestClock
+import org.bilberryhead.protocol.ConnectionHandler
+import org.bilberryhead.protocol.MessageCodec
+import org.bilberryhead.protocol.MessageServer
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+private val run = Incarnation("run-1")
+
+/** A sidecar that knows of every attempt that it has answered it. */
+private class AnsweringSidecar : ConnectionHandler {
+    private val senders = HashMap<Long, (Message) -> Boolean>()
+
+    override fun welcome(hello: Hello) = Welcome(DaemonId("sidecar"), run, TableVersion.NONE)
+
+    override fun heartbeat() = Heartbeat(TableVersion.NONE)
+
+    override suspend fun opened(connection: Long, hello: Hello, send: (Message) -> Boolean) {
+        senders[connection] = send
+    }
+
+    override suspend fun received(connection: Long, message: Message) {
+        if (message !is AskOutcome) return
+        senders.getValue(connection)(OutcomeReport(message.attempt, AttemptOutcome.ANSWERED))
+    }
+
+    override suspend fun closed(connection: Long) = Unit
+}
+
+private object QuietOwner : LinkOwner {
+    override val idleInterval = 1.minutes
+
+    override fun hello() = Hello(MessageCodec.PROTOCOL_VERSION, DaemonId("entry"), TableVersion.NONE)
+
+    override fun heartbeat() = Heartbeat(TableVersion.NONE)
+
+    override suspend fun opened(link: SidecarLink, welcome: Welcome) = Unit
+
+    override suspend fun versionShown(link: SidecarLink, version: TableVersion) = Unit
+
+    override suspend fun tablesMessage(link: SidecarLink, message: Message) = Unit
+
+    override suspend fun lost(link: SidecarLink) = Unit
+
+    override fun loadReported(endpoint: Endpoint, load: LoadReport) = Unit
+}
+
+class SidecarDirectoryTest :
+    DescribeSpec({
+        val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+        val selectors = SelectorManager(Dispatchers.IO)
+        val server = MessageServer(SocketAddress("127.0.0.1", 0), AnsweringSidecar(), scope)
+        beforeSpec { runBlocking { server.start() } }
+        afterSpec {
+            server.stop()
+            selectors.close()
+            scope.cancel()
+        }
+
+        fun pool(): Pool {
+            val endpoints = List(8) { Endpoint(EndpointId("orders-$it"), DataCentre("nashua"), server.listening) }
+            return Pool(PoolName("orders"), endpoints)
+        }
+
+        fun directory(clock: TestClock = TestClock()): SidecarDirectory {
+            val subset = EndpointSubset("one", setOf("one", "other"), SubsetLimits(1, 1))
+            return SidecarDirectory(QuietOwner, selectors, scope, clock, subset)
+                .apply { update(Tables(pools = mapOf(PoolName("orders") to pool()))) }
+        }
+
+        fun foreignEndpoint(directory: SidecarDirectory): EndpointId {
+            val own = directory.all.map { it.endpoint.id }
+            return pool().endpoints.map { it.id }.first { it !in own }
+        }
+
+        describe("an endpoint of another entry's subset") {
+            it("can be asked about an attempt, through a link that opens on demand") {
+                val directory = directory()
+                val foreign = foreignEndpoint(directory)
+                val link = directory.link(foreign).shouldNotBeNull()
+
+                link.awaitFirstOpening(30.seconds)
+                val report = link.askOutcome(AttemptLocation(foreign, run, AttemptId("a")))
+
+                report.outcome shouldBe AttemptOutcome.ANSWERED
+                directory.link(foreign) shouldBe link
+            }
+
+            it("is never chosen for new work") {
+                val directory = directory()
+                val foreign = foreignEndpoint(directory)
+
+                directory.link(foreign).shouldNotBeNull().awaitFirstOpening(30.seconds)
+
+                directory.candidates(pool()).map { it.endpoint } shouldNotContain foreign
+            }
+
+            it("loses its link once it has not been asked for lately") {
+                val clock = TestClock()
+                val directory = directory(clock)
+                val link = directory.link(foreignEndpoint(directory))
+
+                directory.closeIdle().shouldBeEmpty()
+                clock.advance(2.minutes)
+
+                directory.closeIdle() shouldContainExactly listOf(link)
+            }
+        }
+
+        describe("an endpoint that is in no table") {
+            it("has no link") {
+                directory().link(EndpointId("orders-99")).shouldBeNull()
+            }
+        }
+    })
