--- a/core/src/main/kotlin/org/bilberryhead/core/lease/LeaseHolder.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/lease/LeaseHolder.kt
@@ -17,7 +17,10 @@
  */
 class LeaseHolder(private val validity: Duration = 5.seconds) {
     private var number: FencingNumber? = null
-    private var validUntil = Instant.DISTANT_PAST
+
+    /** When the number must be confirmed again. */
+    var usableUntil: Instant = Instant.DISTANT_PAST
+        private set
 
     /** What is known of the lease. */
     var state: LeaseState = LeaseChart.chart.initial
@@ -27,14 +30,14 @@
     fun taken(taken: FencingNumber, begun: Instant) {
         if (LeaseChart.chart.isFinal(state)) return
         number = taken
-        validUntil = begun + validity
+        usableUntil = begun + validity
         apply(LeaseEvent.TAKEN)
     }
 
     /** Records that a read which began at [begun] showed [stored]; validity counts from the begin of the read. */
     fun read(stored: FencingNumber, begun: Instant) {
         if (stored == number) {
-            if (apply(LeaseEvent.CONFIRMED) == LeaseAction.EXTEND) validUntil = maxOf(validUntil, begun + validity)
+            if (apply(LeaseEvent.CONFIRMED) == LeaseAction.EXTEND) usableUntil = maxOf(usableUntil, begun + validity)
         } else {
             apply(LeaseEvent.SUPERSEDED)
         }
@@ -42,7 +45,7 @@
 
     /** Returns the number to use at [now], or null when the lease must be confirmed first or is lost. */
     fun usableNumber(now: Instant): FencingNumber? {
-        if (state == LeaseState.HELD && now >= validUntil) apply(LeaseEvent.LAPSED)
+        if (state == LeaseState.HELD && now >= usableUntil) apply(LeaseEvent.LAPSED)
         return number.takeIf { state == LeaseState.HELD }
     }
 
