Give engine orders from the sidecar

Cause: The loop of engine orders stood in core, and nothing drove it. Change: The sidecar runs the loop on its control thread, takes its number by FenceStore, asks the engine by GET /engine and gives orders by POST /orders, with a log line for each decision, counters and settings. A sidecar whose store is down has no number and serves requests. An endpoint without an engine row is never asked. The stand-in keeps what an engine has loaded, and can fail orders before or after their effect or hold them until they are released. Conclusion: The path is whole; its faults are not proved yet.

--- a/core/src/main/kotlin/org/bilberryhead/core/order/EngineOrderChart.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/order/EngineOrderChart.kt
@@ -23,6 +23,7 @@
 enum class EngineOrderTrigger {
     START,
     WANTED,
+    UNWANTED,
     TAKEN,
     STORE_FAILED,
     CONFIRMED,
@@ -49,6 +50,7 @@
     WAIT_FOR_SLOT,
     BACK_OFF,
     WAIT_TO_RECONCILE,
+    REST,
     STOP,
 }
 
--- a/core/src/main/kotlin/org/bilberryhead/core/order/EngineOrderEvent.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/order/EngineOrderEvent.kt
@@ -1,6 +1,8 @@
 package org.bilberryhead.core.order
 
+import org.bilberryhead.core.common.EndpointId
 import org.bilberryhead.core.common.FencingNumber
+import org.bilberryhead.core.tables.Tables
 import kotlin.time.Duration
 import kotlin.time.Instant
 
@@ -22,7 +24,16 @@
      * @property wanted null when the pool's row asks for nothing
      * @property sidecars number of endpoints whose rows ask for something, which share the rate of weight loads
      */
-    data class Wanted(val wanted: WantedEngine?, val sidecars: Int) : EngineOrderEvent
+    data class Wanted(val wanted: WantedEngine?, val sidecars: Int) : EngineOrderEvent {
+        companion object {
+            /** Returns what [tables] ask of [endpoint]. */
+            fun of(tables: Tables, endpoint: EndpointId): Wanted {
+                val ordered = tables.pools.values.filter { it.engine != null }
+                val row = ordered.find { pool -> pool.endpoints.any { it.id == endpoint } }?.engine
+                return Wanted(row?.let(WantedEngine::of), ordered.sumOf { it.endpoints.size })
+            }
+        }
+    }
 
     /** [number] is taken, by a call that began at [begun]. */
     data class NumberTaken(override val turn: Turn, val number: FencingNumber, val begun: Instant) : EngineOrderEvent
--- a/core/src/main/kotlin/org/bilberryhead/core/order/EngineOrderLoop.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/order/EngineOrderLoop.kt
@@ -50,14 +50,20 @@
     var state: EngineOrderState = EngineOrderChart.chart.initial
         private set
 
-    /** Whether the engine had everything that is wanted when it was last asked. */
-    var isSettled: Boolean = false
+    /** Whether the engine had everything that is wanted when it was last asked; true when nothing is wanted. */
+    var isSettled: Boolean = true
         private set
 
     /** Takes [event], which happened at [now], and returns what to do. */
     fun handle(event: EngineOrderEvent, now: Instant): List<EngineOrderAction> {
         if (event.turn != null && event.turn != turn) return emptyList()
         val trigger = triggerOf(event, now) ?: return emptyList()
+        val actions = apply(trigger, now)
+        val isNew = trigger == EngineOrderTrigger.TAKEN && wanted != null
+        return if (isNew) actions + apply(EngineOrderTrigger.WANTED, now) else actions
+    }
+
+    private fun apply(trigger: EngineOrderTrigger, now: Instant): List<EngineOrderAction> {
         val transition = EngineOrderChart.chart.next(state, trigger)
         state = transition.target
         return listOfNotNull(transition.action?.let { actionFor(it, now) })
@@ -83,9 +89,9 @@
         sidecars = event.sidecars
         if (event.wanted == wanted) return null
         wanted = event.wanted
-        isSettled = false
+        isSettled = wanted == null
         backoff.reset()
-        return EngineOrderTrigger.WANTED
+        return if (wanted == null) EngineOrderTrigger.UNWANTED else EngineOrderTrigger.WANTED
     }
 
     private fun numberTaken(event: EngineOrderEvent.NumberTaken): EngineOrderTrigger {
@@ -101,21 +107,23 @@
     }
 
     private fun plan(loaded: LoadedEngine, now: Instant): EngineOrderTrigger {
-        val order = wanted?.let { EngineOrderPlanner.next(it, loaded) }
+        val target = wanted ?: return EngineOrderTrigger.UNWANTED
+        val order = EngineOrderPlanner.next(target, loaded)
         planned = order
         isSettled = order == null
         return when {
-            order == null -> {
-                limit.release()
-                backoff.reset()
-                EngineOrderTrigger.EQUAL
-            }
+            order == null -> EngineOrderTrigger.EQUAL.also { settled() }
             order.loadsWeights && limit.waitBeforeLoad(now, sidecars).isPositive() -> EngineOrderTrigger.LOAD_LIMITED
             else -> EngineOrderTrigger.DIFFERENT
         }
     }
 
-    private fun actionFor(step: EngineOrderStep, now: Instant): EngineOrderAction {
+    private fun settled() {
+        limit.release()
+        backoff.reset()
+    }
+
+    private fun actionFor(step: EngineOrderStep, now: Instant): EngineOrderAction? {
         turn = Turn(turn.value + 1)
         return when (step) {
             EngineOrderStep.TAKE_NUMBER -> EngineOrderAction.TakeNumber(turn)
@@ -125,6 +133,7 @@
             EngineOrderStep.WAIT_FOR_SLOT -> startTimer(limit.waitBeforeLoad(now, sidecars), WaitReason.LOAD_SLOT)
             EngineOrderStep.BACK_OFF -> startTimer(backoff.nextDelay(), WaitReason.RETRY)
             EngineOrderStep.WAIT_TO_RECONCILE -> startTimer(reconcileDelay(), WaitReason.RECONCILE)
+            EngineOrderStep.REST -> null
             EngineOrderStep.STOP -> stop()
         }
     }
--- a/core/src/test/kotlin/org/bilberryhead/core/order/EngineOrderLoopTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/order/EngineOrderLoopTest.kt
@@ -130,6 +130,21 @@
                 driven.loaded(withoutRole)
                 driven.loop.isSettled shouldBe true
             }
+            it("leaves an engine alone that nothing is wanted of") {
+                val driven = Driven()
+                driven.give(EngineOrderEvent.Started)
+                val taken = EngineOrderEvent.NumberTaken(driven.turn(), FencingNumber(7), start)
+
+                driven.loop.handle(taken, start).shouldBeEmpty()
+                driven.loop.isSettled shouldBe true
+            }
+            it("gives no order for a row that is taken back before the number is confirmed") {
+                val driven = Driven().toConfirming()
+                val read = EngineOrderEvent.NumberRead(driven.turn(), FencingNumber(7), start)
+
+                driven.loop.handle(EngineOrderEvent.Wanted(null, sidecars = 0), start).shouldBeEmpty()
+                driven.loop.handle(read, start).shouldBeEmpty()
+            }
             it("waits for its slot before it loads weights") {
                 val driven = Driven()
                 driven.give(EngineOrderEvent.Wanted(wanted, sidecars = 1_000))
--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/EndpointCaller.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/EndpointCaller.kt
@@ -1,9 +1,5 @@
 package org.bilberryhead.sidecar
 
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.okhttp.OkHttp
-import io.ktor.client.engine.okhttp.OkHttpConfig
-import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.plugins.timeout
 import io.ktor.client.request.header
 import io.ktor.client.request.preparePost
@@ -18,17 +14,11 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
-import okhttp3.ConnectionPool
-import okhttp3.Dispatcher
 import org.bilberryhead.core.common.Payload
 import org.bilberryhead.core.gate.GateEvent
 import org.bilberryhead.core.message.Dispatch
 import java.io.ByteArrayOutputStream
 import java.io.IOException
-import java.net.ConnectException
-import java.net.NoRouteToHostException
-import java.net.UnknownHostException
-import java.util.concurrent.TimeUnit
 
 /** Name of the header that tells the endpoint the request's id. */
 const val REQUEST_ID_HEADER = "X-Request-Id"
@@ -49,12 +39,7 @@
  */
 class EndpointCaller(private val baseUrl: String, private val maximumAnswerBytes: Int = DEFAULT_ANSWER_BYTES) :
     AutoCloseable {
-    private val client = HttpClient(OkHttp) {
-        expectSuccess = false
-        followRedirects = false
-        install(HttpTimeout)
-        engine { configure() }
-    }
+    private val client = EndpointHttp.client()
 
     /** Makes the call and reports each part of the answer, and its end, through [report]. */
     @Suppress("TooGenericExceptionCaught") // an attempt without an end would hold its place for ever
@@ -65,32 +50,12 @@
             currentCoroutineContext().ensureActive()
             report(failed(dispatch, failure))
         } catch (failure: Exception) {
-            report(if (isConnectFailure(failure)) notRun(dispatch, failure) else failed(dispatch, failure))
+            report(if (EndpointHttp.isConnectFailure(failure)) notRun(dispatch, failure) else failed(dispatch, failure))
         }
     }
 
     override fun close() = client.close()
 
-    private fun OkHttpConfig.configure() = config {
-        retryOnConnectionFailure(false)
-        followRedirects(false)
-        followSslRedirects(false)
-        dispatcher(
-            Dispatcher().apply {
-                maxRequests = MAXIMUM_CALLS
-                maxRequestsPerHost = MAXIMUM_CALLS
-            },
-        )
-        connectionPool(ConnectionPool(IDLE_CONNECTIONS, IDLE_SECONDS, TimeUnit.SECONDS))
-        connectTimeout(CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-        readTimeout(0, TimeUnit.MILLISECONDS)
-        writeTimeout(0, TimeUnit.MILLISECONDS)
-        // OkHttp repeats a call that is answered with status 503 and "Retry-After: 0".
-        addNetworkInterceptor { chain ->
-            chain.proceed(chain.request()).newBuilder().removeHeader("Retry-After").build()
-        }
-    }
-
     private suspend fun prepare(dispatch: Dispatch) = client.preparePost("$baseUrl/stages/${dispatch.stage.value}") {
         header(REQUEST_ID_HEADER, dispatch.request.value)
         header(ATTEMPT_ID_HEADER, dispatch.attempt.value)
@@ -146,9 +111,6 @@
         if (total != announced) throw IOException("answer is cut off at $total of $announced bytes")
     }
 
-    private fun isConnectFailure(failure: Exception): Boolean =
-        failure is ConnectException || failure is NoRouteToHostException || failure is UnknownHostException
-
     private fun notRun(dispatch: Dispatch, failure: Exception) =
         GateEvent.EndpointDidNotRun(dispatch.attempt, "no connection: ${failure.message}")
 
@@ -167,11 +129,5 @@
 
         /** Time after the deadline for which an answer is still awaited, so that the ledger learns the outcome. */
         private const val ANSWER_GRACE_MILLIS = 10_000L
-
-        /** Calls that the HTTP client lets run at once; the gate sets the real limit. */
-        private const val MAXIMUM_CALLS = 4_096
-        private const val IDLE_CONNECTIONS = 64
-        private const val IDLE_SECONDS = 60L
-        private const val CONNECT_TIMEOUT_MILLIS = 1_000L
     }
 }
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/EndpointHttp.kt
@@ -0,0 +1,53 @@
+package org.bilberryhead.sidecar
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.okhttp.OkHttp
+import io.ktor.client.engine.okhttp.OkHttpConfig
+import io.ktor.client.plugins.HttpTimeout
+import okhttp3.ConnectionPool
+import okhttp3.Dispatcher
+import java.net.ConnectException
+import java.net.NoRouteToHostException
+import java.net.UnknownHostException
+import java.util.concurrent.TimeUnit
+
+/** HTTP to an endpoint: one request on the wire for each call, and never a second one. */
+internal object EndpointHttp {
+    /** Calls that the HTTP client lets run at once; the gate sets the real limit. */
+    private const val MAXIMUM_CALLS = 4_096
+    private const val IDLE_CONNECTIONS = 64
+    private const val IDLE_SECONDS = 60L
+    private const val CONNECT_TIMEOUT_MILLIS = 1_000L
+
+    /** Returns a new client. */
+    fun client(): HttpClient = HttpClient(OkHttp) {
+        expectSuccess = false
+        followRedirects = false
+        install(HttpTimeout)
+        engine { configure() }
+    }
+
+    /** Returns whether [failure] proves that the endpoint saw nothing of the call. */
+    fun isConnectFailure(failure: Exception): Boolean =
+        failure is ConnectException || failure is NoRouteToHostException || failure is UnknownHostException
+
+    private fun OkHttpConfig.configure() = config {
+        retryOnConnectionFailure(false)
+        followRedirects(false)
+        followSslRedirects(false)
+        dispatcher(
+            Dispatcher().apply {
+                maxRequests = MAXIMUM_CALLS
+                maxRequestsPerHost = MAXIMUM_CALLS
+            },
+        )
+        connectionPool(ConnectionPool(IDLE_CONNECTIONS, IDLE_SECONDS, TimeUnit.SECONDS))
+        connectTimeout(CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        readTimeout(0, TimeUnit.MILLISECONDS)
+        writeTimeout(0, TimeUnit.MILLISECONDS)
+        // OkHttp repeats a call that is answered with status 503 and "Retry-After: 0".
+        addNetworkInterceptor { chain ->
+            chain.proceed(chain.request()).newBuilder().removeHeader("Retry-After").build()
+        }
+    }
+}
--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/Main.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/Main.kt
@@ -10,6 +10,7 @@
 import org.bilberryhead.daemon.TerminationSignal
 import org.bilberryhead.daemon.newMeterRegistry
 import org.bilberryhead.daemon.operationsRoutes
+import org.bilberryhead.platform.HttpPlatform
 import java.util.UUID
 
 /** The command `bilberry-sidecar`. */
@@ -18,12 +19,20 @@
         val signal = TerminationSignal(settings.drainLimit)
         val incarnation = Incarnation(UUID.randomUUID().toString())
         val registry = newMeterRegistry()
+        val clock = MonotonicClock()
         val daemon = SidecarDaemon(
             settings = settings,
             incarnation = incarnation,
-            clock = MonotonicClock(),
+            clock = clock,
             caller = EndpointCaller(settings.endpointUrl, settings.maximumAnswerBytes),
             metrics = SidecarMetrics(registry),
+            engineCalls = EngineOrderCalls(
+                endpoint = settings.endpoint,
+                incarnation = incarnation,
+                store = HttpPlatform(settings.platformUrl),
+                engine = EngineCaller(settings.endpointUrl, settings.engineOrders.orderTimeout),
+                clock = clock,
+            ),
             onBrokenInvariant = { Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT) },
         )
         val operations = embeddedServer(Netty, settings.operations.port, settings.operations.host) {
--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarDaemon.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarDaemon.kt
@@ -50,6 +50,7 @@
     private val clock: Clock,
     private val caller: EndpointCaller,
     private val metrics: SidecarMetrics,
+    engineCalls: EngineOrderCalls,
     private val timings: ProtocolTimings = ProtocolTimings(),
     onBrokenInvariant: () -> Unit,
 ) {
@@ -62,6 +63,7 @@
     private val calls = HashMap<AttemptId, Job>()
     private val stopped = Job()
     private val server = MessageServer(settings.listen, Handler(), scope, timings)
+    private val orders = EngineOrders(settings, incarnation, clock, engineCalls, metrics, scope, control)
 
     @Volatile
     private var isServing = false
@@ -82,18 +84,21 @@
         handle(GateEvent.Ready)
         isServing = true
         scope.launch { tickLoop() }
+        orders.start()
         log.info { "sidecar: serving endpoint ${settings.endpoint} on ${server.listening} as run $incarnation" }
     }
 
     /** Takes no new work, waits until accepted work has ended and its answers are sent, and stops. */
     suspend fun drain() {
         log.info { "sidecar: leaving with ${status.load.running} running and ${status.load.queued} queued" }
+        orders.leave()
         handle(GateEvent.Leave)
         // What entries sent before they heard of the leaving still gets its refusal.
         delay(LEAVING_NOTICE)
         stopped.join()
         server.finish(FLUSH_LIMIT)
         caller.close()
+        orders.close()
         log.info { "sidecar: stopped" }
     }
 
@@ -236,6 +241,7 @@
         tableVersion = replica.version
         val pool = replica.tables.pools.values.find { pool -> pool.endpoints.any { it.id == settings.endpoint } }
         if (pool != null) gate.changeLimits(GateLimits(pool.concurrency, settings.queueCapacity))
+        orders.tablesChanged(replica.tables)
         log.info { "sidecar: tables are at version $tableVersion" }
     }
 
--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarMetrics.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarMetrics.kt
@@ -6,6 +6,8 @@
 import io.micrometer.core.instrument.Timer
 import org.bilberryhead.core.common.StageName
 import org.bilberryhead.core.message.RefusalReason
+import org.bilberryhead.core.order.Order
+import org.bilberryhead.core.order.WaitReason
 import kotlin.time.Duration
 import kotlin.time.toJavaDuration
 
@@ -24,6 +26,24 @@
     CANCELLED,
 }
 
+/** How an order to the engine ended. */
+enum class OrderResult {
+    /** The engine carried it out. */
+    DONE,
+
+    /** The engine refused its fencing number. */
+    REFUSED,
+
+    /** It provably had no effect. */
+    FAILED,
+
+    /** It may have had its effect, or may still have it. */
+    UNKNOWN,
+
+    /** It was not sent, because its time had passed. */
+    WITHHELD,
+}
+
 /**
  * Counts what a sidecar does. The total time of `bilberry.endpoint.calls` is the cost of a stage in endpoint-seconds.
  */
@@ -47,6 +67,25 @@
             .increment()
     }
 
+    /** Counts an order to the engine that ended. */
+    fun countOrder(order: Order, result: OrderResult) {
+        Counter.builder("bilberry.engine.orders")
+            .description("Orders to the engine by order and result")
+            .tag("order", order.label)
+            .tag("result", result.name.lowercase())
+            .register(registry)
+            .increment()
+    }
+
+    /** Counts a wait of the orders. */
+    fun countOrderWait(reason: WaitReason) {
+        Counter.builder("bilberry.engine.order.waits")
+            .description("Waits before an order or a look at the engine, by reason")
+            .tag("reason", reason.name.lowercase())
+            .register(registry)
+            .increment()
+    }
+
     /** Shows what [read] returns as the gauge [name]. */
     fun gauge(name: String, description: String, read: () -> Number) {
         Gauge.builder(name, read).description(description).register(registry)
--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarSettings.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarSettings.kt
@@ -8,6 +8,8 @@
 import org.bilberryhead.daemon.CheckedSettings
 import org.bilberryhead.daemon.SettingsError
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -20,6 +22,7 @@
  * @property queueCapacity attempts that may wait
  * @property maximumAnswerBytes a longer answer counts as a failure of the endpoint
  * @property drainLimit longest time that a graceful shutdown may take
+ * @property engineOrders how orders to the engine are given
  */
 @Serializable
 data class SidecarSettings(
@@ -33,6 +36,7 @@
     val queueCapacity: Int = 64,
     val maximumAnswerBytes: Int = EndpointCaller.DEFAULT_ANSWER_BYTES,
     @Serializable(with = DurationTextSerializer::class) val drainLimit: Duration = 60.seconds,
+    val engineOrders: EngineOrderSettings = EngineOrderSettings(),
 ) : CheckedSettings {
     override fun check(): List<SettingsError> = buildList {
         if (!endpointUrl.startsWith("http")) add(SettingsError("endpointUrl", "'$endpointUrl' is not an HTTP address"))
@@ -40,5 +44,35 @@
         if (maximumAnswerBytes < 1) add(SettingsError("maximumAnswerBytes", "$maximumAnswerBytes is less than 1"))
         if (!drainLimit.isPositive()) add(SettingsError("drainLimit", "$drainLimit is not positive"))
         if (queueCapacity < 1) add(SettingsError("queueCapacity", "$queueCapacity is less than 1"))
+        addAll(engineOrders.check("engineOrders"))
+    }
+}
+
+/**
+ * Settings of the orders to an engine.
+ *
+ * @property orderTimeout longest time that an engine may take for one order, such as the load of a model
+ * @property reconcileInterval longest time between two looks at what the engine has loaded
+ * @property weightLoadsPerSecond weight loads that all sidecars together may begin in a second
+ */
+@Serializable
+data class EngineOrderSettings(
+    @Serializable(with = DurationTextSerializer::class) val orderTimeout: Duration = 10.minutes,
+    @Serializable(with = DurationTextSerializer::class) val reconcileInterval: Duration = 30.seconds,
+    val weightLoadsPerSecond: Double = 10.0,
+) {
+    /** Returns what is wrong with the settings, which stand at [path]. */
+    internal fun check(path: String): List<SettingsError> = buildList {
+        if (!orderTimeout.isPositive()) add(SettingsError("$path.orderTimeout", "$orderTimeout is not positive"))
+        if (reconcileInterval < SHORTEST_RECONCILE_INTERVAL) {
+            add(SettingsError("$path.reconcileInterval", "$reconcileInterval is under $SHORTEST_RECONCILE_INTERVAL"))
+        }
+        if (weightLoadsPerSecond <= 0) {
+            add(SettingsError("$path.weightLoadsPerSecond", "$weightLoadsPerSecond is not positive"))
+        }
+    }
+
+    private companion object {
+        val SHORTEST_RECONCILE_INTERVAL = 100.milliseconds
     }
 }
--- a/sidecar/src/test/kotlin/org/bilberryhead/sidecar/SidecarDaemonTest.kt
+++ b/sidecar/src/test/kotlin/org/bilberryhead/sidecar/SidecarDaemonTest.kt
@@ -34,6 +34,7 @@
 import org.bilberryhead.core.message.Running
 import org.bilberryhead.core.message.Welcome
 import org.bilberryhead.daemon.MonotonicClock
+import org.bilberryhead.platform.HttpPlatform
 import org.bilberryhead.protocol.ClientHandler
 import org.bilberryhead.protocol.MessageClient
 import org.bilberryhead.protocol.MessageCodec
@@ -103,6 +104,13 @@
                 clock = MonotonicClock(),
                 caller = EndpointCaller(endpoint.url),
                 metrics = SidecarMetrics(SimpleMeterRegistry()),
+                engineCalls = EngineOrderCalls(
+                    endpoint = EndpointId("record-0"),
+                    incarnation = TEST_RUN,
+                    store = HttpPlatform("http://127.0.0.1:1"),
+                    engine = EngineCaller("http://127.0.0.1:1"),
+                    clock = MonotonicClock(),
+                ),
                 onBrokenInvariant = { throw AssertionError("broken invariant") },
             )
             daemon.start()
--- a/standin/src/main/kotlin/org/bilberryhead/standin/Faults.kt
+++ b/standin/src/main/kotlin/org/bilberryhead/standin/Faults.kt
@@ -93,6 +93,30 @@
     val calls: Int = 0,
 )
 
+/** What is wrong with an engine that takes orders. */
+@Serializable
+enum class EngineFaultKind {
+    /** The engine works. */
+    NONE,
+
+    /** Orders fail at once without taking effect. */
+    FAIL_BEFORE_EFFECT,
+
+    /** Orders take effect and then fail. */
+    FAIL_AFTER_EFFECT,
+
+    /** Orders take effect only once they are released, whatever becomes of the connection. */
+    HOLD,
+}
+
+/**
+ * A fault to set on an engine.
+ *
+ * @property calls number of orders that are hit before the engine works again; 0 for all
+ */
+@Serializable
+data class EngineFault(val kind: EngineFaultKind, val calls: Int = 0)
+
 /** Holds a fault and counts the calls that it hits. Safe for use by several threads. */
 class FaultSwitch<T : Any>(private val none: T) {
     private var current = none
--- a/standin/src/test/kotlin/org/bilberryhead/standin/StandinStateTest.kt
+++ b/standin/src/test/kotlin/org/bilberryhead/standin/StandinStateTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
+import org.bilberryhead.core.order.ModelVersion
 import org.bilberryhead.platform.ListedVm
 import org.bilberryhead.platform.VmState
 import kotlin.time.Duration
@@ -55,6 +56,13 @@
                 engines.record("checking", number = 1, order = "old").accepted shouldBe false
             }
 
+            it("loads what an accepted order asks for, and nothing for a refused one") {
+                engines.record("checking", number = 2, order = """{"type":"load_model","model":"a"}""")
+                engines.record("checking", number = 1, order = """{"type":"load_model","model":"b"}""")
+
+                engines.loaded("checking").models shouldBe setOf(ModelVersion("a"))
+            }
+
             it("differs from one that ignores them") {
                 engines.record("ignoring", number = 2, order = "new").accepted shouldBe true
                 engines.record("ignoring", number = 1, order = "old").accepted shouldBe true
