Prove engine orders under faults in virtual time

Cause: The loop of engine orders had tests of single events, and none of pauses, successors and lost answers. Change: core-testing runs the loops of several holders over a model of store and engine, strikes 11 faults at 16 points, plain and after 5 preludes, and judges seven promises by what happened. Three golden sessions.

--- a/core-testing/src/test/kotlin/org/bilberryhead/core/testing/model/GoldenSessionTest.kt
+++ b/core-testing/src/test/kotlin/org/bilberryhead/core/testing/model/GoldenSessionTest.kt
@@ -3,6 +3,12 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
+import org.bilberryhead.core.testing.order.OrderCell
+import org.bilberryhead.core.testing.order.OrderFault
+import org.bilberryhead.core.testing.order.OrderInjection
+import org.bilberryhead.core.testing.order.OrderJudge
+import org.bilberryhead.core.testing.order.OrderPoint
+import org.bilberryhead.core.testing.order.OrderSession
 import java.io.File
 
 /** Compares whole sessions with files. `bin/record-golden` writes the files anew. */
@@ -31,6 +37,17 @@
                 compare("order-withdrawn", Cell(Scenario.CROWDED, SEED, listOf(straggler)))
             }
         }
+        describe("a session of engine orders") {
+            val late = OrderInjection(OrderFault.PAUSE_AND_TAKEOVER, OrderPoint.ORDER_CHECKED, occurrence = 2)
+
+            it("is as recorded") { compareOrders("orders-normal", OrderCell(checks = true, SEED, emptyList())) }
+            it("with a late order to a checking engine is as recorded") {
+                compareOrders("orders-late-checked", OrderCell(checks = true, SEED, listOf(late)))
+            }
+            it("with a late order to an engine that ignores numbers is as recorded") {
+                compareOrders("orders-late-ignored", OrderCell(checks = false, SEED, listOf(late)))
+            }
+        }
     }) {
     private companion object {
         const val SEED = 1
@@ -53,7 +70,17 @@
         fun compare(name: String, cell: Cell) {
             val session = ModelSession(cell.scenario, cell.seed, cell.injections).run()
             Judge(session).verdict().shouldBeEmpty()
-            val text = (listOf("# $cell") + session.lines).joinToString("\n", postfix = "\n")
+            compareLines(name, listOf("# $cell") + session.lines)
+        }
+
+        fun compareOrders(name: String, cell: OrderCell) {
+            val session = OrderSession(cell).run()
+            OrderJudge(session, cell).verdict().shouldBeEmpty()
+            compareLines(name, listOf("# $cell") + session.lines)
+        }
+
+        fun compareLines(name: String, lines: List<String>) {
+            val text = lines.joinToString("\n", postfix = "\n")
             val file = File(DIRECTORY, "${name.lowercase().replace('_', '-')}.txt")
             if (IS_RECORDING) file.writeText(text)
             file.readText() shouldBe text
--- /dev/null
+++ b/core-testing/src/test/kotlin/org/bilberryhead/core/testing/order/OrderMatrixTest.kt
@@ -0,0 +1,48 @@
+package org.bilberryhead.core.testing.order
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import org.bilberryhead.core.order.EngineOrderChart
+import org.bilberryhead.core.order.EngineOrderState
+import kotlin.random.Random
+
+class OrderMatrixTest :
+    DescribeSpec({
+        val states = mutableSetOf<EngineOrderState>()
+        val points = mutableSetOf<OrderPoint>()
+
+        listOf(true, false).forEach { checks ->
+            val engine = if (checks) "an engine that checks numbers" else "an engine that ignores numbers"
+            describe("orders to $engine") {
+                it("keep every promise under one fault at every point") {
+                    val matrix = OrderMatrix(checks)
+                    matrix.runSingles()
+                    println(matrix.summary("engine orders, one fault, $engine"))
+                    states += matrix.states
+                    points += matrix.points
+                    withClue(matrix.failures.take(SHOWN).joinToString("\n")) { matrix.failures.size shouldBe 0 }
+                }
+                it("keep every promise under two faults in a seeded sample") {
+                    val matrix = OrderMatrix(checks)
+                    matrix.runPairs(Random(PAIR_SEED), PAIRS)
+                    println(matrix.summary("engine orders, pairs, $engine"))
+                    withClue(matrix.failures.take(SHOWN).joinToString("\n")) { matrix.failures.size shouldBe 0 }
+                }
+            }
+        }
+        describe("the matrix") {
+            it("strikes at every point, and in every state in which a holder does anything") {
+                val idle = EngineOrderChart.chart.finalStates + EngineOrderChart.chart.initial
+                (OrderPoint.entries - points).shouldBeEmpty()
+                (EngineOrderState.entries - states - idle).shouldBeEmpty()
+            }
+        }
+    }) {
+    private companion object {
+        const val PAIR_SEED = 1
+        const val PAIRS = 1_000
+        const val SHOWN = 3
+    }
+}
