Prove engine orders over real processes

Cause: The promises of engine orders were shown in virtual time only. Change: EngineOrderTest drives whole processes: a row's model reaches the engine once with its number; a sidecar that starts while the store is down serves requests and gives no order; a paused sidecar with an order on its way, beside a successor, changes nothing at an engine that checks numbers and is corrected at one that ignores them.

--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/EngineOrderCalls.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/EngineOrderCalls.kt
@@ -14,15 +14,19 @@
 import org.bilberryhead.platform.HttpPlatform
 import kotlin.time.Clock
 
-/** Carries out what the orders ask for, with the platform's table service and the engine. Safe for several threads. */
+/**
+ * Carries out what the orders ask for, with the platform's table service and the engine. Safe for several threads.
+ *
+ * @param closeStore ends the client of the table service
+ */
 class EngineOrderCalls(
     private val endpoint: EndpointId,
     private val incarnation: Incarnation,
-    private val store: HttpPlatform,
+    private val fences: FenceStore,
     private val engine: EngineCaller,
     private val clock: Clock,
+    private val closeStore: () -> Unit = {},
 ) : AutoCloseable {
-    private val fences = FenceStore(store)
 
     /** Carries [action] out and returns what came of it; null when nothing is to be reported. */
     suspend fun perform(action: EngineOrderAction): EngineOrderEvent? = when (action) {
@@ -38,7 +42,7 @@
     }
 
     override fun close() {
-        store.close()
+        closeStore()
         engine.close()
     }
 
@@ -86,4 +90,19 @@
     } catch (failure: Exception) {
         EngineOrderEvent.StoreFailed(turn, "call failed: ${failure.message}")
     }
+
+    companion object {
+        /** Returns the calls of the run [incarnation] of a sidecar with [settings]. */
+        fun of(settings: SidecarSettings, incarnation: Incarnation, clock: Clock): EngineOrderCalls {
+            val platform = HttpPlatform(settings.platformUrl)
+            return EngineOrderCalls(
+                endpoint = settings.endpoint,
+                incarnation = incarnation,
+                fences = FenceStore(platform),
+                engine = EngineCaller(settings.endpointUrl, settings.engineOrders.orderTimeout),
+                clock = clock,
+                closeStore = platform::close,
+            )
+        }
+    }
 }
--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/Main.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/Main.kt
@@ -10,7 +10,6 @@
 import org.bilberryhead.daemon.TerminationSignal
 import org.bilberryhead.daemon.newMeterRegistry
 import org.bilberryhead.daemon.operationsRoutes
-import org.bilberryhead.platform.HttpPlatform
 import java.util.UUID
 
 /** The command `bilberry-sidecar`. */
@@ -26,13 +25,7 @@
             clock = clock,
             caller = EndpointCaller(settings.endpointUrl, settings.maximumAnswerBytes),
             metrics = SidecarMetrics(registry),
-            engineCalls = EngineOrderCalls(
-                endpoint = settings.endpoint,
-                incarnation = incarnation,
-                store = HttpPlatform(settings.platformUrl),
-                engine = EngineCaller(settings.endpointUrl, settings.engineOrders.orderTimeout),
-                clock = clock,
-            ),
+            engineCalls = EngineOrderCalls.of(settings, incarnation, clock),
             onBrokenInvariant = { Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT) },
         )
         val operations = embeddedServer(Netty, settings.operations.port, settings.operations.host) {
--- a/sidecar/src/test/kotlin/org/bilberryhead/sidecar/SidecarDaemonTest.kt
+++ b/sidecar/src/test/kotlin/org/bilberryhead/sidecar/SidecarDaemonTest.kt
@@ -34,7 +34,6 @@
 import org.bilberryhead.core.message.Running
 import org.bilberryhead.core.message.Welcome
 import org.bilberryhead.daemon.MonotonicClock
-import org.bilberryhead.platform.HttpPlatform
 import org.bilberryhead.protocol.ClientHandler
 import org.bilberryhead.protocol.MessageClient
 import org.bilberryhead.protocol.MessageCodec
@@ -91,26 +90,21 @@
                 release.await()
                 ScriptedEndpoint.response("200 OK", "done".encodeToByteArray())(output)
             }
+            val settings = SidecarSettings(
+                endpoint = EndpointId("record-0"),
+                dataCentre = DataCentre("nashua"),
+                listen = loopback,
+                operations = loopback,
+                endpointUrl = endpoint.url,
+                platformUrl = "http://127.0.0.1:1",
+            )
             daemon = SidecarDaemon(
-                settings = SidecarSettings(
-                    endpoint = EndpointId("record-0"),
-                    dataCentre = DataCentre("nashua"),
-                    listen = loopback,
-                    operations = loopback,
-                    endpointUrl = endpoint.url,
-                    platformUrl = "http://127.0.0.1:1",
-                ),
+                settings = settings,
                 incarnation = TEST_RUN,
                 clock = MonotonicClock(),
                 caller = EndpointCaller(endpoint.url),
                 metrics = SidecarMetrics(SimpleMeterRegistry()),
-                engineCalls = EngineOrderCalls(
-                    endpoint = EndpointId("record-0"),
-                    incarnation = TEST_RUN,
-                    store = HttpPlatform("http://127.0.0.1:1"),
-                    engine = EngineCaller("http://127.0.0.1:1"),
-                    clock = MonotonicClock(),
-                ),
+                engineCalls = EngineOrderCalls.of(settings, TEST_RUN, MonotonicClock()),
                 onBrokenInvariant = { throw AssertionError("broken invariant") },
             )
             daemon.start()
--- a/system-tests/src/test/kotlin/org/bilberryhead/system/DaemonProcess.kt
+++ b/system-tests/src/test/kotlin/org/bilberryhead/system/DaemonProcess.kt
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
+import kotlin.io.path.readText
 import kotlin.io.path.writeText
 
 /** Signals that the tests send. */
@@ -14,6 +15,9 @@
     /** Whether the process runs. */
     val isAlive: Boolean get() = process?.isAlive == true
 
+    /** What the process has logged. */
+    val log: String get() = folder.resolve("$name.log").readText()
+
     /** Starts the process with [settings], in YAML. */
     fun start(settings: String) {
         val file = folder.resolve("$name.yaml")
--- a/system-tests/src/test/kotlin/org/bilberryhead/system/TestSystem.kt
+++ b/system-tests/src/test/kotlin/org/bilberryhead/system/TestSystem.kt
@@ -46,6 +46,8 @@
  *
  * @property pools number of endpoints of each pool
  * @property relayed whether a relay stands between the entries and each sidecar
+ * @property checking pools whose endpoints refuse orders with old fencing numbers
+ * @property sidecarSettings further lines of every sidecar's settings
  */
 internal data class SystemPlan(
     val routes: List<Route>,
@@ -53,6 +55,8 @@
     val relayed: Boolean = false,
     val serviceTime: String = "20ms",
     val streamedStages: List<String> = emptyList(),
+    val checking: Set<String> = emptySet(),
+    val sidecarSettings: String = "",
 )
 
 /** The whole system as separate processes: stand-ins, two entries and a sidecar for each endpoint. */
@@ -74,6 +78,8 @@
     /** The sidecars by the names of their endpoints. */
     val sidecars = ports.keys.associateWith { DaemonProcess(folder, "sidecar-$it", "bilberry-sidecar") }
 
+    private val successors = mutableListOf<DaemonProcess>()
+
     /** Names of the endpoints of [pool]. */
     fun endpointsOf(pool: String): List<String> = ports.filterValues { it.pool == pool }.keys.toList()
 
@@ -91,6 +97,15 @@
     /** Starts the sidecar of [endpoint]. */
     fun startSidecar(endpoint: String) = sidecars.getValue(endpoint).start(sidecarSettings(endpoint))
 
+    /** Starts another sidecar of [endpoint] beside the first, and returns it with its address. */
+    fun startSuccessorOf(endpoint: String): Pair<DaemonProcess, SocketAddress> {
+        val successorPorts = portsOf(ports.getValue(endpoint).pool)
+        val successor = DaemonProcess(folder, "successor-$endpoint", "bilberry-sidecar")
+        successors += successor
+        successor.start(sidecarSettings(endpoint, successorPorts))
+        return successor to SocketAddress(LOOPBACK, successorPorts.listen)
+    }
+
     /** Starts entry [number]. */
     fun startEntry(number: Int) = entries[number].start(entrySettings(number))
 
@@ -147,6 +162,10 @@
         http.call(HttpMethod.Post, "${standinUrl()}/faults/$path", body).status shouldBe OK
     }
 
+    /** Calls [path] of the stand-in and returns its answer. */
+    suspend fun standin(method: HttpMethod, path: String): String =
+        http.call(method, standinUrl() + path).also { it.status shouldBe OK }.body
+
     /** Sets the fault [kind] of [endpoint]. */
     suspend fun endpointFault(endpoint: String, kind: String, more: String = "") =
         fault("endpoints/$endpoint", """{"kind":"$kind"$more}""")
@@ -173,16 +192,13 @@
         changeAnswer(operatorCall(HttpMethod.Get, OperatorPaths.CHANGE.replace("{id}", id.value), entry))
 
     /** Returns a change of [tables] that puts [route] and nothing else. */
-    fun changeOf(tables: Tables, route: Route) = TableChange(
-        id = ChangeId(UUID.randomUUID().toString()),
-        baseVersion = tables.version,
-        author = "",
-        madeAt = Clock.System.now(),
-        putRoutes = listOf(route),
-    )
+    fun changeOf(tables: Tables, route: Route) = emptyChange(tables).copy(putRoutes = listOf(route))
+
+    /** Returns a change of [tables] that puts [pool] and nothing else. */
+    fun changeOf(tables: Tables, pool: Pool) = emptyChange(tables).copy(putPools = listOf(pool))
 
     override fun close() {
-        (entries + sidecars.values + standin).forEach { it.kill() }
+        (entries + sidecars.values + successors + standin).forEach { it.kill() }
         http.close()
     }
 
@@ -209,14 +225,21 @@
 
     private fun standinUrl() = "http://$LOOPBACK:$standinPort"
 
-    private fun firstChange() = TableChange(
+    private fun emptyChange(tables: Tables) = TableChange(
         id = ChangeId(UUID.randomUUID().toString()),
-        baseVersion = Tables().version,
+        baseVersion = tables.version,
         author = "",
         madeAt = Clock.System.now(),
+    )
+
+    private fun firstChange() = emptyChange(Tables()).copy(
         putRoutes = plan.routes,
         putPools = plan.pools.keys.map { pool ->
-            Pool(PoolName(pool), ports.filterValues { it.pool == pool }.map { (id, ports) -> endpoint(id, ports) })
+            Pool(
+                name = PoolName(pool),
+                endpoints = ports.filterValues { it.pool == pool }.map { (id, ports) -> endpoint(id, ports) },
+                checksFencing = pool in plan.checking,
+            )
         },
     )
 
@@ -245,20 +268,23 @@
             listen: {host: $LOOPBACK, port: $standinPort}
             serviceTime: ${plan.serviceTime}
             streamedStages: ${plan.streamedStages}
+            endpoints: ${checkingEndpoints()}
         """.trimIndent() + if (relays.isEmpty()) "" else relays.joinToString("\n", prefix = "\nrelays:\n")
     }
 
-    private fun sidecarSettings(endpoint: String): String {
-        val ports = ports.getValue(endpoint)
-        return """
+    private fun checkingEndpoints(): List<String> =
+        ports.filterValues { it.pool in plan.checking }.keys.map { "{id: $it, checksFencing: true}" }
+
+    private fun sidecarSettings(endpoint: String, ports: EndpointPorts = this.ports.getValue(endpoint)): String =
+        """
             endpoint: $endpoint
             dataCentre: nashua
             listen: {host: $LOOPBACK, port: ${ports.listen}}
             operations: {host: $LOOPBACK, port: ${ports.operations}}
             endpointUrl: ${standinUrl()}/endpoints/$endpoint
             platformUrl: ${standinUrl()}
+            ${plan.sidecarSettings}
         """.trimIndent()
-    }
 
     private fun entrySettings(number: Int): String {
         val peers = peerPorts.filterIndexed { index, _ -> index != number }.map { "{host: $LOOPBACK, port: $it}" }
