--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/Main.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/Main.kt
@@ -18,12 +18,14 @@
         val signal = TerminationSignal(settings.drainLimit)
         val incarnation = Incarnation(UUID.randomUUID().toString())
         val registry = newMeterRegistry()
+        val clock = MonotonicClock()
         val daemon = SidecarDaemon(
             settings = settings,
             incarnation = incarnation,
-            clock = MonotonicClock(),
+            clock = clock,
             caller = EndpointCaller(settings.endpointUrl, settings.maximumAnswerBytes),
             metrics = SidecarMetrics(registry),
+            engineCalls = EngineOrderCalls.of(settings, incarnation, clock),
             onBrokenInvariant = { Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT) },
         )
         val operations = embeddedServer(Netty, settings.operations.port, settings.operations.host) {
--- a/sidecar/src/test/kotlin/org/bilberryhead/sidecar/SidecarDaemonTest.kt
+++ b/sidecar/src/test/kotlin/org/bilberryhead/sidecar/SidecarDaemonTest.kt
@@ -95,19 +95,21 @@
                 release.await()
                 ScriptedEndpoint.response("200 OK", "done".encodeToByteArray())(output)
             }
+            val settings = SidecarSettings(
+                endpoint = EndpointId("record-0"),
+                dataCentre = DataCentre("nashua"),
+                listen = loopback,
+                operations = loopback,
+                endpointUrl = endpoint.url,
+                platformUrl = "http://127.0.0.1:1",
+            )
             daemon = SidecarDaemon(
-                settings = SidecarSettings(
-                    endpoint = EndpointId("record-0"),
-                    dataCentre = DataCentre("nashua"),
-                    listen = loopback,
-                    operations = loopback,
-                    endpointUrl = endpoint.url,
-                    platformUrl = "http://127.0.0.1:1",
-                ),
+                settings = settings,
                 incarnation = TEST_RUN,
                 clock = MonotonicClock(),
                 caller = EndpointCaller(endpoint.url),
                 metrics = SidecarMetrics(SimpleMeterRegistry()),
+                engineCalls = EngineOrderCalls.of(settings, TEST_RUN, MonotonicClock()),
                 onBrokenInvariant = { throw AssertionError("broken invariant") },
             )
             daemon.start()
