Read tokens and TLS keys from files that change without a restart

Cause: Client accounts and operators stood in the settings only, so that each new one needed a restart of every entry, and 24,000 of them would not fit there. Callers and operators were served without TLS. Change: clientAccountsFile and operatorsFile name YAML files of hashed tokens, tls names a PEM chain and key. They are checked at a fixed interval and read again when they change; faulty ones leave the former content in force, are logged with their paths and show in bilberry_files_valid. Digests are found by hash and compared in constant time. Record 0008 says why connections between processes have no TLS. Conclusion: Tokens and certificates change without a restart. Between processes TLS is not built.

--- a/cli/src/main/kotlin/org/bilberryhead/cli/client/OperatorClient.kt
+++ b/cli/src/main/kotlin/org/bilberryhead/cli/client/OperatorClient.kt
@@ -34,13 +34,20 @@
 import org.bilberryhead.operator.OperatorPaths
 import java.io.IOException
 import java.net.ConnectException
+import javax.net.ssl.SSLHandshakeException
+import javax.net.ssl.SSLPeerUnverifiedException
 
 /**
  * Calls the operators' interface of the entries. A read goes to the next entry when one does not answer; a change goes
  * to the next entry only when no connection was made, so that it is never sent twice.
+ *
+ * @param authority who may sign the entries' certificates; null for those that the Java runtime trusts
  */
-class OperatorClient(private val entries: List<String>, private val token: String) :
-    ChangeCalls,
+class OperatorClient(
+    private val entries: List<String>,
+    private val token: String,
+    authority: CertificateAuthority? = null,
+) : ChangeCalls,
     AutoCloseable {
     private val json = Json { ignoreUnknownKeys = true }
     private val client = HttpClient(OkHttp) {
@@ -50,7 +57,12 @@
             requestTimeoutMillis = REQUEST_TIMEOUT_MILLIS
             socketTimeoutMillis = REQUEST_TIMEOUT_MILLIS
         }
-        engine { config { retryOnConnectionFailure(false) } }
+        engine {
+            config {
+                retryOnConnectionFailure(false)
+                authority?.let { sslSocketFactory(it.socketFactory(), it.trustManager) }
+            }
+        }
     }
 
     /** Returns the tables in force. */
@@ -124,6 +136,10 @@
         classify(entry, EntryResponse(response.status, response.bodyAsText()))
     } catch (failure: ConnectException) {
         Err(CallError.NoEntryReachable("$entry: ${failure.message}"))
+    } catch (failure: SSLHandshakeException) {
+        Err(CallError.NoEntryReachable("$entry: no TLS connection: ${failure.message}"))
+    } catch (failure: SSLPeerUnverifiedException) {
+        Err(CallError.NoEntryReachable("$entry: no TLS connection: ${failure.message}"))
     } catch (failure: IOException) {
         Err(CallError.AnswerLost("$entry: ${failure.message}"))
     }
--- a/cli/src/main/kotlin/org/bilberryhead/cli/commands/BilberryCommand.kt
+++ b/cli/src/main/kotlin/org/bilberryhead/cli/commands/BilberryCommand.kt
@@ -9,7 +9,9 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.enum
 import com.github.ajalt.clikt.parameters.types.path
+import com.github.michaelbull.result.getOrElse
 import org.bilberryhead.cli.ExitCode
+import org.bilberryhead.cli.client.CertificateAuthority
 import org.bilberryhead.cli.client.OperatorClient
 import java.nio.file.Path
 import kotlin.io.path.readText
@@ -24,6 +26,11 @@
     private val tokenFile by option("--token-file", help = "File with the operator's token.")
         .path(mustExist = true, canBeDir = false, mustBeReadable = true)
     private val token by option(envvar = "BILBERRY_TOKEN", names = arrayOf("--token"), hidden = true)
+    private val authorityFile by option(
+        "--certificate-authority",
+        envvar = "BILBERRY_CERTIFICATE_AUTHORITY",
+        help = "File with the certificates, in PEM, that may sign those of the entries.",
+    ).path(mustExist = true, canBeDir = false, mustBeReadable = true)
     private val output by option("--output", help = "Form of the output.").enum<OutputFormat> { it.name.lowercase() }
         .default(OutputFormat.TEXT)
 
@@ -34,7 +41,7 @@
     }
 
     override fun run() {
-        currentContext.obj = Session(entries, tokenFile, token, output)
+        currentContext.obj = Session(entries, tokenFile, token, authorityFile, output)
     }
 }
 
@@ -43,6 +50,7 @@
     private val entries: List<String>,
     private val tokenFile: Path?,
     private val token: String?,
+    private val authorityFile: Path?,
     val output: OutputFormat,
 ) {
     /** Returns a client of the named entries; fails when an option that it needs is missing. */
@@ -50,6 +58,9 @@
         if (entries.isEmpty()) throw UsageError("name an entry with --entry or BILBERRY_ENTRY")
         val text = tokenFile?.readText() ?: token
         if (text.isNullOrBlank()) throw UsageError("give a token with --token-file or BILBERRY_TOKEN")
-        return OperatorClient(entries, text.trim())
+        val authority = authorityFile?.let { file ->
+            CertificateAuthority.read(file).getOrElse { throw UsageError(it) }
+        }
+        return OperatorClient(entries, text.trim(), authority)
     }
 }
--- a/daemon/src/main/kotlin/org/bilberryhead/daemon/DaemonCommand.kt
+++ b/daemon/src/main/kotlin/org/bilberryhead/daemon/DaemonCommand.kt
@@ -24,10 +24,9 @@
     private val checkOnly by option("--check-settings", help = "Check the settings and stop.").flag()
 
     override fun run() {
-        val settings = SettingsReader.read(settingsFile, serializer).getOrElse { errors ->
-            errors.forEach { echo("settings: $it", err = true) }
-            throw ProgramResult(EXIT_BAD_SETTINGS)
-        }
+        val settings = SettingsReader.read(settingsFile, serializer).getOrElse { exitOn(it) }
+        val fileErrors = checkFiles(settings)
+        if (fileErrors.isNotEmpty()) exitOn(fileErrors)
         if (checkOnly) {
             echo("settings: no fault found")
             return
@@ -36,6 +35,11 @@
         serveOrExit(settings)
     }
 
+    private fun exitOn(errors: List<SettingsError>): Nothing {
+        errors.forEach { echo("settings: $it", err = true) }
+        throw ProgramResult(EXIT_BAD_SETTINGS)
+    }
+
     /** Ends the process when the daemon can not start, whatever threads it has started by then. */
     private fun serveOrExit(settings: T) = try {
         runBlocking { serve(settings) }
@@ -50,6 +54,9 @@
         System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
     }
 
+    /** Reads the files that [settings] name and returns every fault of theirs. Called once, before [serve]. */
+    protected open fun checkFiles(settings: T): List<SettingsError> = emptyList()
+
     /** Runs the daemon until it is told to stop. */
     abstract suspend fun serve(settings: T)
 }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bilberryhead/daemon/ReloadGauges.kt
@@ -0,0 +1,18 @@
+package org.bilberryhead.daemon
+
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.MeterRegistry
+import kotlin.time.Clock
+import kotlin.time.DurationUnit
+
+/** Shows whether the files of [value] are free of faults, and how old what is in force is. */
+fun MeterRegistry.showReloads(value: ReloadedValue<*>, clock: Clock) {
+    Gauge.builder("bilberry.files.valid") { if (value.isValid) 1 else 0 }
+        .description("1 when the files named by the setting hold what is in force, 0 when they have faults")
+        .tag("setting", value.setting)
+        .register(this)
+    Gauge.builder("bilberry.files.age.seconds") { (clock.now() - value.loadedAt).toDouble(DurationUnit.SECONDS) }
+        .description("Time since the files that hold what is in force were read")
+        .tag("setting", value.setting)
+        .register(this)
+}
--- a/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
@@ -3,20 +3,20 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.server.application.Application
 import io.ktor.server.application.install
-import io.ktor.server.engine.embeddedServer
 import io.ktor.server.http.HttpRequestLifecycle
-import io.ktor.server.netty.Netty
 import io.ktor.server.routing.routing
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.bilberryhead.core.admission.AdmissionControl
 import org.bilberryhead.core.common.TableVersion
 import org.bilberryhead.core.execution.RequestIdMint
 import org.bilberryhead.core.retry.RetryBudget
 import org.bilberryhead.core.routing.PolicySelector
+import org.bilberryhead.daemon.httpServer
 import org.bilberryhead.daemon.newMeterRegistry
 import org.bilberryhead.daemon.operationsRoutes
 import org.bilberryhead.platform.HttpPlatform
@@ -30,20 +30,19 @@
 private val log = KotlinLogging.logger("entry")
 
 /** Wires the parts of an entry together and runs them. */
-class EntryDaemon(private val settings: EntrySettings, private val clock: Clock) {
+class EntryDaemon(private val settings: EntrySettings, private val clock: Clock, private val files: EntryFiles) {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val run = UUID.randomUUID().toString()
     private val platform = HttpPlatform(settings.platformUrl)
     private val tableLog = TableLog(platform)
     private val control = ControlPlane(settings, tableLog, clock, scope, TableSnapshots(platform), platform)
     private val selector = PolicySelector(control.directory, settings.dataCentre, Random.Default)
-    private val tokens = Tokens(settings.clientAccounts, settings.operators)
     private val tracker = RequestTracker()
     private val registry = newMeterRegistry()
     private val metrics = EntryMetrics(registry)
     private val claims = TableServiceClaimStore(platform, clock, scope)
     private val callers = CallerRoutes(
-        reader = CallerRequestReader({ control.tables }, tokens, settings.maximumBodyBytes),
+        reader = CallerRequestReader({ control.tables }, files.tokens, settings.maximumBodyBytes),
         keys = KeyResolver(selector, claims, clock, scope, RequestIdMint("$run-tickets")),
         outcomes = OutcomeLookup(control.directory, claims),
         runner = RequestRunner(
@@ -59,7 +58,7 @@
         clock = clock,
         mint = RequestIdMint(run),
     )
-    private val server = embeddedServer(Netty, settings.listen.port, settings.listen.host) { module() }
+    private val server = httpServer(settings.listen, files.tls) { module() }
 
     init {
         control.selector = selector
@@ -69,8 +68,11 @@
     /** Begins to serve. */
     suspend fun start() {
         control.start()
+        scope.launch(Dispatchers.IO) { files.follow(settings.fileCheckInterval) }
         server.start()
-        log.info { "entry: ${settings.id} is serving on ${settings.listen}" }
+        log.info {
+            "entry: ${settings.id} is serving on ${settings.listen}${if (files.tls == null) "" else " by HTTPS"}"
+        }
     }
 
     /**
@@ -94,7 +96,7 @@
         routing {
             operationsRoutes(registry) { whyNotReady() }
             callers.install(this)
-            OperatorRoutes(control, tableLog, tokens, tracker).install(this)
+            OperatorRoutes(control, tableLog, files.tokens, tracker).install(this)
         }
     }
 
@@ -105,6 +107,7 @@
     }
 
     private fun showGauges() {
+        files.showGauges(registry, clock)
         metrics.gauge("bilberry.requests.in.flight", "Requests in flight") { tracker.requestsInFlight }
         metrics.gauge("bilberry.table.version", "Version of the tables in force") { control.tables.version.value }
         metrics.gauge("bilberry.table.age.seconds", "Time since the tables were last known to be the newest") {
--- a/entry/src/main/kotlin/org/bilberryhead/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/EntrySettings.kt
@@ -8,12 +8,13 @@
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.daemon.CheckedSettings
 import org.bilberryhead.daemon.SettingsError
+import org.bilberryhead.daemon.TlsSettings
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Length of a SHA-256 digest in hexadecimal digits. */
-private const val SHA256_HEX_DIGITS = 64
+/** Shortest time between two looks at the files that the settings name. */
+private val MINIMUM_FILE_CHECK_INTERVAL = 100.milliseconds
 
 /**
  * Settings of an entry.
@@ -23,6 +24,10 @@
  * @property peers where other entries listen for this one
  * @property clientAccounts who may send requests
  * @property operators who may read and change the tables
+ * @property clientAccountsFile file with further client accounts, read again when it changes
+ * @property operatorsFile file with further operators, read again when it changes
+ * @property tls certificate and key with which [listen] is served by HTTPS; null to serve it by HTTP
+ * @property fileCheckInterval how often the files that these settings name are looked at for changes
  * @property pollInterval how often the table service is asked for changes
  * @property drainDelay time from the failing readiness check to the first refused request, for the balancer to notice
  * @property drainLimit longest time that a graceful shutdown may take, from the end of [drainDelay] on
@@ -38,6 +43,10 @@
     val peers: List<SocketAddress> = emptyList(),
     val clientAccounts: List<AccountToken> = emptyList(),
     val operators: List<OperatorToken> = emptyList(),
+    val clientAccountsFile: String? = null,
+    val operatorsFile: String? = null,
+    val tls: TlsSettings? = null,
+    @Serializable(with = DurationTextSerializer::class) val fileCheckInterval: Duration = 5.seconds,
     @Serializable(with = DurationTextSerializer::class) val pollInterval: Duration = 500.milliseconds,
     @Serializable(with = DurationTextSerializer::class) val drainDelay: Duration = 2.seconds,
     @Serializable(with = DurationTextSerializer::class) val drainLimit: Duration = 60.seconds,
@@ -49,15 +58,16 @@
         if (!drainLimit.isPositive()) add(SettingsError("drainLimit", "$drainLimit is not positive"))
         if (maximumBodyBytes < 1) add(SettingsError("maximumBodyBytes", "$maximumBodyBytes is less than 1"))
         if (pollInterval < 50.milliseconds) add(SettingsError("pollInterval", "$pollInterval is less than 50ms"))
+        if (fileCheckInterval < MINIMUM_FILE_CHECK_INTERVAL) {
+            add(SettingsError("fileCheckInterval", "$fileCheckInterval is less than $MINIMUM_FILE_CHECK_INTERVAL"))
+        }
         clientAccounts.forEachIndexed { index, account -> checkDigest("clientAccounts[$index]", account.tokenSha256) }
         operators.forEachIndexed { index, operator -> checkDigest("operators[$index]", operator.tokenSha256) }
     }
 
     private fun MutableList<SettingsError>.checkDigest(path: String, digest: String) {
-        if (digest.length !=
-            SHA256_HEX_DIGITS
-        ) {
-            add(SettingsError("$path.tokenSha256", "not $SHA256_HEX_DIGITS hexadecimal digits"))
+        if (TokenDigest.parse(digest) == null) {
+            add(SettingsError("$path.tokenSha256", "not ${TokenDigest.HEX_DIGITS} hexadecimal digits"))
         }
     }
 }
--- /dev/null
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/TokenFileReader.kt
@@ -0,0 +1,105 @@
+package org.bilberryhead.entry
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import it.krzeminski.snakeyaml.engine.kmp.api.LoadSettings
+import it.krzeminski.snakeyaml.engine.kmp.api.lowlevel.Parse
+import it.krzeminski.snakeyaml.engine.kmp.events.Event
+import it.krzeminski.snakeyaml.engine.kmp.events.MappingEndEvent
+import it.krzeminski.snakeyaml.engine.kmp.events.MappingStartEvent
+import it.krzeminski.snakeyaml.engine.kmp.events.NodeEvent
+import it.krzeminski.snakeyaml.engine.kmp.events.ScalarEvent
+import it.krzeminski.snakeyaml.engine.kmp.events.SequenceEndEvent
+import it.krzeminski.snakeyaml.engine.kmp.events.SequenceStartEvent
+import it.krzeminski.snakeyaml.engine.kmp.exceptions.MarkedYamlEngineException
+import it.krzeminski.snakeyaml.engine.kmp.exceptions.YamlEngineException
+import org.bilberryhead.daemon.SettingsError
+import java.io.Reader
+
+/**
+ * Reads a list of hashed tokens and their owners from YAML. The file is read as a stream of events, since a tree of it
+ * would take most of the heap of an entry. No fault shows what the file holds.
+ *
+ * @param ownerKey key of the owner in each row, beside `tokenSha256`
+ * @param owner makes the owner from its text
+ */
+internal class TokenFileReader<T : Any>(private val ownerKey: String, private val owner: (String) -> T) {
+    private val knownKeys = setOf(ownerKey, DIGEST_KEY)
+
+    /** Returns the owners of all tokens in [input], or every fault. Faults of the YAML itself end the reading. */
+    fun read(input: Reader): Result<TokenOwners<T>, List<SettingsError>> {
+        val rows = Rows()
+        try {
+            rows.readAll(Parse(loadSettings).parse(input).iterator())
+        } catch (failure: MarkedYamlEngineException) {
+            rows.fault("", "line ${lineOf(failure)}: not well-formed YAML")
+        } catch (_: YamlEngineException) {
+            rows.fault("", "not well-formed YAML in UTF-8 of at most $MAXIMUM_CHARACTERS characters")
+        }
+        return if (rows.errors.isEmpty()) Ok(rows.owners) else Err(rows.errors)
+    }
+
+    private fun lineOf(failure: MarkedYamlEngineException) = (failure.problemMark?.line ?: 0) + 1
+
+    private inner class Rows {
+        val owners = HashMap<TokenDigest, T>()
+        val errors = mutableListOf<SettingsError>()
+        private val rowOf = HashMap<TokenDigest, Int>()
+
+        fun fault(path: String, problem: String) {
+            errors += SettingsError(path, problem)
+        }
+
+        fun readAll(events: Iterator<Event>) {
+            if (nextNode(events) !is SequenceStartEvent) return fault("", "must be a list of $ownerKey and $DIGEST_KEY")
+            var row = 0
+            var event = events.next()
+            while (event !is SequenceEndEvent) {
+                if (event !is MappingStartEvent) return fault("[$row]", "must be a map of $ownerKey and $DIGEST_KEY")
+                val fields = readRow("[$row]", events) ?: return
+                addRow(row, fields)
+                row++
+                event = events.next()
+            }
+            if (nextNode(events) != null) fault("", "must be one document")
+        }
+
+        private fun nextNode(events: Iterator<Event>): Event? = events.asSequence().firstOrNull { it is NodeEvent }
+
+        /** Returns the values of a row by their keys, or null when the rest of the file can not be understood. */
+        private fun readRow(path: String, events: Iterator<Event>): Map<String, String>? {
+            val fields = HashMap<String, String>()
+            while (true) {
+                val key = events.next()
+                if (key is MappingEndEvent) return fields
+                val value = events.next()
+                if (key !is ScalarEvent || value !is ScalarEvent) {
+                    fault(path, "must hold single values only")
+                    return null
+                }
+                if (key.value !in knownKeys) fault(path, "unknown key; known are $ownerKey, $DIGEST_KEY")
+                if (fields.put(key.value, value.value) != null) fault(path, "a key is given twice")
+            }
+        }
+
+        private fun addRow(row: Int, fields: Map<String, String>) {
+            val name = fields[ownerKey].orEmpty()
+            if (name.isBlank()) fault("[$row].$ownerKey", "is missing")
+            val digest = TokenDigest.parse(fields[DIGEST_KEY].orEmpty())
+            if (digest == null) return fault("[$row].$DIGEST_KEY", "not ${TokenDigest.HEX_DIGITS} hexadecimal digits")
+            val former = rowOf.putIfAbsent(digest, row)
+            if (former != null) fault("[$row].$DIGEST_KEY", "is the same as in [$former]")
+            owners[digest] = owner(name)
+        }
+    }
+
+    private companion object {
+        const val DIGEST_KEY = "tokenSha256"
+
+        /** Longest file that is read, in characters. */
+        const val MAXIMUM_CHARACTERS = 64 * 1024 * 1024
+
+        val loadSettings = LoadSettings(codePointLimit = MAXIMUM_CHARACTERS)
+    }
+}
--- /dev/null
+++ b/entry/src/test/kotlin/org/bilberryhead/entry/EntryTlsTest.kt
@@ -0,0 +1,117 @@
+package org.bilberryhead.entry
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.engine.spec.tempdir
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeout
+import org.bilberryhead.cli.client.CallError
+import org.bilberryhead.cli.client.CertificateAuthority
+import org.bilberryhead.cli.client.EntryAnswer
+import org.bilberryhead.cli.client.OperatorClient
+import org.bilberryhead.core.common.DaemonId
+import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.testing.TestClock
+import org.bilberryhead.daemon.MonotonicClock
+import org.bilberryhead.daemon.ReloadedValue
+import org.bilberryhead.daemon.ServerTls
+import org.bilberryhead.daemon.TlsSettings
+import java.net.ServerSocket
+import java.nio.file.Path
+import kotlin.io.path.copyTo
+import kotlin.io.path.writeText
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val OPERATOR_TOKEN = "operator-token"
+
+class EntryTlsTest :
+    DescribeSpec({
+        val directory = tempdir().toPath()
+        val chain = directory.resolve("chain.pem")
+        val key = directory.resolve("key.pem")
+        val tls = TlsSettings(chain.toString(), key.toString())
+        val first = TestAuthority("first")
+        val second = TestAuthority("second")
+
+        fun freePort() = ServerSocket(0).use { it.localPort }
+
+        fun settings() = EntrySettings(
+            id = DaemonId("entry-0"),
+            dataCentre = DataCentre("nashua"),
+            listen = SocketAddress("127.0.0.1", freePort()),
+            peerListen = SocketAddress("127.0.0.1", freePort()),
+            platformUrl = "http://127.0.0.1:1",
+            operators = listOf(OperatorToken("ann", digest(OPERATOR_TOKEN))),
+            tls = tls,
+            fileCheckInterval = 100.milliseconds,
+            drainDelay = Duration.ZERO,
+        )
+
+        suspend fun askStatus(settings: EntrySettings, authority: TestAuthority): EntryAnswer {
+            val file = directory.resolve("authority.pem").also { authority.writeCertificate(it) }
+            val client = OperatorClient(
+                listOf("https://${settings.listen}"),
+                OPERATOR_TOKEN,
+                CertificateAuthority.read(file).get(),
+            )
+            return client.use { it.statuses().single() }
+        }
+
+        describe("an entry with a certificate") {
+            it("answers by HTTPS those who trust its authority, and is refused by others, also after a change") {
+                first.issue(chain, key)
+                val settings = settings()
+                val files = EntryFiles.load(settings, MonotonicClock()).get().shouldNotBeNull()
+                val daemon = EntryDaemon(settings, MonotonicClock(), files)
+                daemon.start()
+
+                askStatus(settings, first).status.get()?.entry shouldBe DaemonId("entry-0")
+                val refused = askStatus(settings, second).status.getError()
+                refused.shouldBeInstanceOf<CallError.NoEntryReachable>().detail shouldContain "no TLS connection"
+
+                second.issue(chain, key)
+                withTimeout(20.seconds) {
+                    while (askStatus(settings, second).status.get() == null) delay(10.milliseconds)
+                }
+                askStatus(settings, first).status.getError().shouldBeInstanceOf<CallError.NoEntryReachable>()
+                daemon.drain()
+            }
+        }
+        describe("certificate and key in files") {
+            fun faultsOf(tls: TlsSettings) = ServerTls(tls).load().getError().orEmpty().map { it.path }
+
+            fun garbage(name: String): Path = directory.resolve(name).apply { writeText("no PEM") }
+
+            it("are told every fault with its path") {
+                faultsOf(TlsSettings("/none/chain.pem", "/none/key.pem")) shouldContainExactly
+                    listOf("tls.certificateChainFile", "tls.privateKeyFile")
+                faultsOf(TlsSettings(garbage("a").toString(), garbage("b").toString())) shouldContainExactly
+                    listOf("tls.certificateChainFile", "tls.privateKeyFile")
+            }
+            it("stay in force while only one of them is replaced") {
+                first.issue(chain, key)
+                val value = ReloadedValue.load(ServerTls(tls), TestClock()).get().shouldNotBeNull()
+                val former = value.current
+
+                val newChain = directory.resolve("new-chain.pem")
+                second.issue(newChain, key)
+                value.check()
+                value.current shouldBe former
+                value.isValid shouldBe false
+
+                newChain.copyTo(chain, overwrite = true)
+                value.check()
+                (value.current === former) shouldBe false
+                value.isValid shouldBe true
+            }
+        }
+    })
