--- a/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
@@ -60,6 +60,9 @@
     )
     private val server = httpServer(settings.listen, files.tls) { module() }
 
+    @Volatile
+    private var isWarm = false
+
     init {
         control.selector = selector
         showGauges()
@@ -70,11 +73,19 @@
         control.start()
         scope.launch(Dispatchers.IO) { files.follow(settings.fileCheckInterval) }
         server.start()
+        warmUp()
         log.info {
             "entry: ${settings.id} is serving on ${settings.listen}${if (files.tls == null) "" else " by HTTPS"}"
         }
     }
 
+    private suspend fun warmUp() {
+        val startedAt = clock.now()
+        val answered = WarmUp(clock).run()
+        isWarm = true
+        log.info { "entry: warmed up by $answered requests in ${(clock.now() - startedAt).inWholeMilliseconds} ms" }
+    }
+
     /**
      * Shuts down without cutting off a request: first the readiness check fails, then new requests are refused, then
      * the requests in flight end.
@@ -103,6 +114,7 @@
     private fun whyNotReady(): String? = when {
         tracker.isDraining -> "shutting down"
         control.tables.version == TableVersion.NONE -> "no tables yet"
+        !isWarm -> "warming up"
         else -> null
     }
 
--- a/entry/src/main/kotlin/org/bilberryhead/entry/RequestRunner.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/RequestRunner.kt
@@ -1,5 +1,6 @@
 package org.bilberryhead.entry
 
+import io.github.oshai.kotlinlogging.KLogger
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
@@ -25,9 +26,11 @@
 import org.bilberryhead.core.tables.Tables
 import kotlin.time.Clock
 
-private val log = KotlinLogging.logger("routing")
-
-/** Runs each request's [RequestExecution] in a coroutine of its own. */
+/**
+ * Runs each request's [RequestExecution] in a coroutine of its own.
+ *
+ * @param log takes a line for each routing decision
+ */
 class RequestRunner(
     private val links: LinkSource,
     private val selector: EndpointSelector,
@@ -35,6 +38,7 @@
     private val budget: RetryBudget,
     private val metrics: EntryMetrics,
     private val admission: AdmissionControl = AdmissionControl.Open,
+    private val log: KLogger = KotlinLogging.logger("routing"),
 ) {
     /**
      * Runs [request] to its end; parts of a streamed answer go to [deliver], which must return at once. When the
