Widen the table fault matrix and tell "not committed" only of a first submission

An entry that had not seen the first submission of a change answered "not committed" while the store was down, although the change could be in the log. A change for a version that the log lacks was called "not committed" without a seal. FakeTableService gets late effects. Operators' clients say with `first=true` that an id was never sent before; only then does a refusal by the store count as "not committed".

--- a/cli/src/main/kotlin/org/bilberryhead/cli/client/OperatorClient.kt
+++ b/cli/src/main/kotlin/org/bilberryhead/cli/client/OperatorClient.kt
@@ -73,6 +73,8 @@
         val unreachable = mutableListOf<String>()
         for (entry in entries) {
             val answer = call(entry, HttpMethod.Post, OperatorPaths.CHANGES) {
+                // An entry that could not be reached has not seen the change.
+                parameter(OperatorPaths.FIRST, true)
                 contentType(ContentType.Application.Json)
                 setBody(json.encodeToString(change))
             }
--- a/entry/src/main/kotlin/org/bilberryhead/entry/ChangeProposals.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/ChangeProposals.kt
@@ -15,8 +15,12 @@
 
 /** Takes operators' changes: checks them, commits them to the log and puts them in force. */
 class ChangeProposals(private val control: ControlPlane, private val tableLog: TableLog) {
-    /** Proposes [change] and returns what became of it. A change that is in the log already counts as accepted. */
-    suspend fun propose(change: TableChange): ChangeAnswer {
+    /**
+     * Proposes [change] and returns what became of it. A change that is in the log already counts as accepted.
+     *
+     * @param isFirst whether the operator has not sent the change's id before, to any entry
+     */
+    suspend fun propose(change: TableChange, isFirst: Boolean = false): ChangeAnswer {
         if (change.baseVersion > control.tables.version) control.refresh()
         val tables = control.tables
         if (change.baseVersion > tables.version) return answerUnknownBase(change)
@@ -24,7 +28,7 @@
             val problems = problemsOf(change, tables)
             if (problems.isNotEmpty()) return ChangeAnswer.Invalid(problems)
         }
-        return answer(change, tableLog.commit(change))
+        return answer(change, tableLog.commit(change, isFirst))
     }
 
     private fun problemsOf(change: TableChange, tables: Tables): List<TableProblem> {
@@ -51,7 +55,9 @@
         val record = tableLog.find(change.id).getOrElse { return ChangeAnswer.Unknown("$detail; ${it.detail}") }
         return when (record) {
             is ChangeRecord.InLog -> ChangeAnswer.Accepted(record.version, control.holders(record.version))
-            ChangeRecord.Sealed, ChangeRecord.Absent -> ChangeAnswer.NotCommitted(detail)
+            ChangeRecord.Sealed -> ChangeAnswer.NotCommitted(detail)
+            // An earlier submission may still be on its way to the log.
+            ChangeRecord.Absent -> answer(change, tableLog.settle(change, detail))
         }
     }
 
--- a/entry/src/main/kotlin/org/bilberryhead/entry/OperatorRoutes.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/OperatorRoutes.kt
@@ -76,7 +76,8 @@
         } catch (failure: SerializationException) {
             return reject("not a change of the tables: ${failure.message}", HttpStatusCode.BadRequest)
         }
-        respond(proposals.propose(change))
+        val isFirst = call.request.queryParameters[OperatorPaths.FIRST] == "true"
+        respond(proposals.propose(change, isFirst))
     }
 
     private suspend fun RoutingContext.respond(answer: ChangeAnswer) {
--- a/entry/src/test/kotlin/org/bilberryhead/entry/LoopbackTables.kt
+++ b/entry/src/test/kotlin/org/bilberryhead/entry/LoopbackTables.kt
@@ -77,8 +77,8 @@
         block()
     }
 
-    suspend fun ApplicationTestBuilder.propose(change: TableChange): ChangeAnswer {
-        val response = client.post(OperatorPaths.CHANGES) {
+    suspend fun ApplicationTestBuilder.propose(change: TableChange, isFirst: Boolean = true): ChangeAnswer {
+        val response = client.post("${OperatorPaths.CHANGES}?${OperatorPaths.FIRST}=$isFirst") {
             header(HttpHeaders.Authorization, "Bearer $TOKEN")
             setBody(json.encodeToString(change))
         }
--- a/entry/src/test/kotlin/org/bilberryhead/entry/OperatorRoutesTest.kt
+++ b/entry/src/test/kotlin/org/bilberryhead/entry/OperatorRoutesTest.kt
@@ -12,6 +12,7 @@
 import org.bilberryhead.core.common.TableVersion
 import org.bilberryhead.operator.ChangeAnswer
 import org.bilberryhead.operator.OperatorPaths
+import org.bilberryhead.platform.ChangeOutcome
 import org.bilberryhead.platform.TableLog
 import org.bilberryhead.platform.testing.FakeTableService
 import org.bilberryhead.platform.testing.StoreCall
@@ -69,6 +70,27 @@
                     }
                 }
             }
+            it("is unknown when it is sent again, maybe after another entry, while the table service is down") {
+                system.withOperators {
+                    with(system) {
+                        store.fault = StoreFault.DOWN
+
+                        propose(firstChange(), isFirst = false).shouldBeInstanceOf<ChangeAnswer.Unknown>()
+                    }
+                }
+            }
+            it("for a version that is not in the log is sealed, so that an earlier submission can not commit later") {
+                system.withOperators {
+                    with(system) {
+                        val change = change("early", base = 1, concurrency = 5)
+
+                        propose(change).shouldBeInstanceOf<ChangeAnswer.NotCommitted>()
+
+                        propose(firstChange())
+                        TableLog(store).commit(change).shouldBeInstanceOf<ChangeOutcome.NotCommitted>()
+                    }
+                }
+            }
             it("spreads without the store, which goes down right after the commit") {
                 system.withOperators {
                     with(system) {
--- a/operator-api/src/main/kotlin/org/bilberryhead/operator/OperatorPaths.kt
+++ b/operator-api/src/main/kotlin/org/bilberryhead/operator/OperatorPaths.kt
@@ -8,9 +8,15 @@
     /** GET with query parameter `limit`: the newest changes, newest first, as a list of `TableChange`. */
     const val HISTORY = "/v1/operator/history"
 
-    /** POST a `TableChange`: proposes it, answered with [ChangeAnswer]. */
+    /**
+     * POST a `TableChange`: proposes it, answered with [ChangeAnswer]. Query parameter [FIRST] tells that the id of the
+     * change was never sent before, so that an outage of the table service proves it to be not committed.
+     */
     const val CHANGES = "/v1/operator/changes"
 
+    /** Query parameter of [CHANGES]: `true` when the change is sent for the first time. */
+    const val FIRST = "first"
+
     /** GET: what became of the change with the id that follows, as [ChangeAnswer]. */
     const val CHANGE = "/v1/operator/changes/{id}"
 
--- a/platform-testing/src/main/kotlin/org/bilberryhead/platform/testing/FakeTableService.kt
+++ b/platform-testing/src/main/kotlin/org/bilberryhead/platform/testing/FakeTableService.kt
@@ -24,6 +24,9 @@
 
     /** The call has no effect and its answer is lost. */
     LOST_CALL,
+
+    /** The call's answer is lost, and its effect comes only with [FakeTableService.deliverLate]. */
+    LATE_EFFECT,
 }
 
 /** Kinds of calls that a fault can hit. */
@@ -32,6 +35,7 @@
 /** A table service in memory. Safe for use by several threads. */
 class FakeTableService : TableService {
     private val rows = TreeMap<String, StoredRow>()
+    private val late = ArrayDeque<() -> Unit>()
     private val planned = StoreCall.entries.associateWith { ArrayDeque<StoreFault>() }
 
     /** Hits every call that has no planned fault. */
@@ -61,6 +65,14 @@
     /** Writes [key] past all faults. */
     fun put(key: String, value: String) = synchronized(rows) { write(RowWrite(key, value)) }
 
+    /** Removes [key] past all faults, as a service does that was set back to an old state. */
+    fun remove(key: String) {
+        synchronized(rows) { rows.remove(key) }
+    }
+
+    /** Lets the calls that were hit by [StoreFault.LATE_EFFECT] take effect, as far as their conditions hold now. */
+    fun deliverLate() = synchronized(rows) { while (late.isNotEmpty()) late.removeFirst().invoke() }
+
     /** Returns the value of [key] past all faults. */
     fun valueOf(key: String): String? = synchronized(rows) { rows[key]?.value }
 
@@ -91,6 +103,10 @@
                 StoreFault.NONE -> work()
                 StoreFault.DOWN -> Err(StoreError.Refused("the table service is down"))
                 StoreFault.LOST_CALL -> Err(StoreError.OutcomeUnknown("the call was lost"))
+                StoreFault.LATE_EFFECT -> {
+                    late += { work() }
+                    Err(StoreError.OutcomeUnknown("no answer in time"))
+                }
                 StoreFault.LOST_ANSWER -> {
                     work()
                     Err(StoreError.OutcomeUnknown("the answer was lost"))
--- a/platform-testing/src/test/kotlin/org/bilberryhead/platform/TableCluster.kt
+++ b/platform-testing/src/test/kotlin/org/bilberryhead/platform/TableCluster.kt
@@ -30,19 +30,19 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Points of a change of the tables at which a fault can hit. */
-internal enum class ChangeStep { BEFORE_READ, AFTER_READ, AT_COMMIT, AFTER_COMMIT, BEFORE_PUSH, AFTER_PUSH }
-
 /** Two entries and two sidecars that run [TablePropagation] in virtual time over one table service. */
 internal class TableCluster(private val scope: TestScope, seed: Int) {
     val store = FakeTableService()
     val objects = FakeObjectStore()
+
+    /** The log as nobody's process reads it; each entry has one of its own. */
     val log = TableLog(store)
     val breaches = mutableListOf<String>()
     val reverts = mutableListOf<String>()
     private val random = Random(seed)
     private val processes = LinkedHashMap<String, TestProcess>()
-    private val cut = mutableSetOf<String>()
+    private val mute = mutableSetOf<String>()
+    private val deaf = mutableSetOf<String>()
     private val topology = mapOf(
         "entry-a" to listOf("entry-b", "sidecar-1", "sidecar-2"),
         "entry-b" to listOf("entry-a", "sidecar-1", "sidecar-2"),
@@ -65,17 +65,24 @@
         topology.getValue(name).forEach { processes[it]?.linkLost(name) }
     }
 
-    fun cut(name: String) {
-        cut += name
+    /** Loses what [name] sends, what it would receive, or both, until [mend]. */
+    fun cut(name: String, sends: Boolean = true, receives: Boolean = true) {
+        if (sends) mute += name
+        if (receives) deaf += name
     }
 
     fun mend(name: String) {
-        cut -= name
+        mute -= name
+        deaf -= name
     }
 
+    /** Delivers [message] to every neighbour of [from] as if it had been on its way for long. */
+    fun deliverStale(from: String, message: Message) =
+        topology.getValue(from).forEach { processes[it]?.receiveStale(from, message) }
+
     fun process(name: String): TestProcess? = processes[name]
 
-    private fun isConnected(from: String, to: String) = from !in cut && to !in cut && processes.containsKey(to)
+    private fun isConnected(from: String, to: String) = from !in mute && to !in deaf && processes.containsKey(to)
 
     /** One process: its decisions are those of core, its threads and sockets are coroutines in virtual time. */
     inner class TestProcess(val name: String, followsLog: Boolean) {
@@ -83,7 +90,8 @@
         private val processScope: CoroutineScope = scope.backgroundScope + job
         private val propagation =
             TablePropagation(Random(random.nextInt()), PropagationTimings(snapshotEvery = 2), followsLog)
-        private val reader = TableLogReader(log, TableSnapshots(objects), snapshotDistance = 2)
+        private val ownLog = TableLog(store)
+        private val reader = TableLogReader(ownLog, TableSnapshots(objects), snapshotDistance = 2)
         private val accepted = HashMap<TableVersion, CompletableDeferred<Int>>()
         private val heard = HashMap<String, Long>()
         private var wake: Job? = null
@@ -109,11 +117,15 @@
         }
 
         /** Runs the steps of a change as an entry does; [atStep] is called at each. */
-        suspend fun propose(change: TableChange, atStep: (ChangeStep) -> Unit): Pair<ChangeOutcome, Int> {
+        suspend fun propose(
+            change: TableChange,
+            isFirst: Boolean = true,
+            atStep: (ChangeStep) -> Unit = {},
+        ): Pair<ChangeOutcome, Int> {
             atStep(ChangeStep.BEFORE_READ)
             val answer = CompletableDeferred<Pair<ChangeOutcome, Int>>()
             processScope.launch {
-                val outcome = log.commit(change)
+                val outcome = ownLog.commit(change, isFirst)
                 frozen?.await()
                 if (outcome !is ChangeOutcome.Committed) {
                     answer.complete(outcome to 0)
@@ -130,6 +142,10 @@
             return answer.await()
         }
 
+        fun receiveStale(from: String, message: Message) {
+            if (frozen == null && name !in deaf) receive(from, message)
+        }
+
         fun linkLost(other: String) = handle(PropagationEvent.LinkClosed(LinkId(other)))
 
         private suspend fun heartbeats() {
--- a/platform-testing/src/test/kotlin/org/bilberryhead/platform/TableLogTest.kt
+++ b/platform-testing/src/test/kotlin/org/bilberryhead/platform/TableLogTest.kt
@@ -57,6 +57,31 @@
                 log.commit(change("a")) shouldBe ChangeOutcome.Committed(change("a"))
             }
         }
+        describe("a change whose first call may have been sent to another entry") {
+            it("is unknown while the store refuses calls, and not committed only when it is sent first") {
+                val store = FakeTableService()
+                store.plan(StoreCall.COMMIT, StoreFault.LATE_EFFECT)
+                store.plan(StoreCall.READ, StoreFault.NONE, StoreFault.NONE, StoreFault.DOWN)
+                TableLog(store).commit(change("a"), isFirst = true).shouldBeInstanceOf<ChangeOutcome.Unknown>()
+
+                store.fault = StoreFault.DOWN
+                TableLog(store).commit(change("a")).shouldBeInstanceOf<ChangeOutcome.Unknown>()
+                TableLog(store).commit(change("b"), isFirst = true).shouldBeInstanceOf<ChangeOutcome.NotCommitted>()
+
+                store.fault = StoreFault.NONE
+                store.deliverLate()
+                TableLog(store).commit(change("a")) shouldBe ChangeOutcome.Committed(change("a"))
+            }
+            it("is sealed before its transaction takes effect, and then never does") {
+                val store = FakeTableService()
+                store.plan(StoreCall.COMMIT, StoreFault.LATE_EFFECT)
+
+                TableLog(store).commit(change("a"), isFirst = true).shouldBeInstanceOf<ChangeOutcome.NotCommitted>()
+                store.deliverLate()
+
+                TableLog(store).head().orFail() shouldBe TableVersion.NONE
+            }
+        }
         describe("a change id that is in the log") {
             it("is accepted again without being written again") {
                 val store = FakeTableService()
--- a/system-tests/src/test/kotlin/org/bilberryhead/system/TestSystem.kt
+++ b/system-tests/src/test/kotlin/org/bilberryhead/system/TestSystem.kt
@@ -165,8 +165,10 @@
     }
 
     /** Proposes [change] at entry [entry]; null when no answer came. */
-    suspend fun propose(change: TableChange, entry: Int = 0): ChangeAnswer? =
-        changeAnswer(operatorCall(HttpMethod.Post, OperatorPaths.CHANGES, entry, Json.encodeToString(change)))
+    suspend fun propose(change: TableChange, entry: Int = 0, isFirst: Boolean = true): ChangeAnswer? {
+        val path = "${OperatorPaths.CHANGES}?${OperatorPaths.FIRST}=$isFirst"
+        return changeAnswer(operatorCall(HttpMethod.Post, path, entry, Json.encodeToString(change)))
+    }
 
     /** Asks entry [entry] what became of the change [id]. */
     suspend fun outcomeOf(id: ChangeId, entry: Int = 0): ChangeAnswer? =
