Let sidecars keep their tables by TablePropagation, and ask few processes at once

Cause: The sidecar had catch-up code of its own: a lost answer was asked again only with the next heartbeat, and it never asked another entry instead. A process that was behind asked everyone ahead of it at the same time, so an entry with 400 sidecars could be sent the same tables 400 times. Change: SidecarTables carries out core's TablePropagation. A process that does not follow the log passes tables on only when it is asked. At most two processes are asked at a time, in turn. Conclusion: entries and sidecars now follow one set of decisions.

--- a/core/src/main/kotlin/org/bilberryhead/core/propagation/TablePropagation.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/propagation/TablePropagation.kt
@@ -37,7 +37,8 @@
  *
  * Not safe for use by several threads.
  *
- * @param followsLog whether this process reads the log itself; a sidecar learns from entries only
+ * @param followsLog whether this process reads the log itself. A sidecar does not and learns from entries only; it
+ * passes tables on when it is asked, so that an entry is not sent a change by each of its sidecars.
  */
 class TablePropagation(
     private val random: Random,
@@ -172,11 +173,17 @@
     /** Sends what others lack and asks for what this process lacks. */
     private fun exchange(now: Instant) {
         for (neighbour in neighbours.values) {
-            when {
-                neighbour.version < replica.version -> offer(neighbour, now)
-                neighbour.version > replica.version -> ask(neighbour, now)
-            }
+            if (followsLog && neighbour.version < replica.version) offer(neighbour, now)
         }
+        askSome(now)
+    }
+
+    /** Asks a few of those ahead, in turn, so that a process behind is not sent the same tables by all at once. */
+    private fun askSome(now: Instant) {
+        val ahead = neighbours.values.filter { it.version > replica.version }
+        val (waitedFor, others) = ahead.partition { now < it.askedAt + timings.resendInterval }
+        val room = (MAXIMUM_ASKED - waitedFor.size).coerceAtLeast(0)
+        others.sortedBy { it.askedAt }.take(room).forEach { ask(it, now) }
     }
 
     private fun offer(neighbour: Neighbour, now: Instant) {
@@ -188,7 +195,6 @@
     }
 
     private fun ask(neighbour: Neighbour, now: Instant) {
-        if (now < neighbour.askedAt + timings.resendInterval) return
         neighbour.askedAt = now
         send(neighbour.links.last(), FetchChanges(replica.version))
     }
@@ -227,6 +233,9 @@
         const val LEAST_JITTER = 0.75
         const val MOST_JITTER = 1.25
 
+        /** Processes that are asked for newer tables at the same time, at most. */
+        const val MAXIMUM_ASKED = 2
+
         /** Pause between two reads of the log while a version known to be in it is missing here. */
         val CATCH_UP_PAUSE = 50.milliseconds
     }
--- a/core/src/test/kotlin/org/bilberryhead/core/propagation/TablePropagationTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/propagation/TablePropagationTest.kt
@@ -16,11 +16,10 @@
 import kotlin.time.Instant
 
 private val link = LinkId("sidecar")
-private val daemon = DaemonId("sidecar")
 
 /** Drives a [TablePropagation] by hand and keeps its clock. */
-private class Driver {
-    val propagation = TablePropagation(Random(1))
+private class Driver(followsLog: Boolean = true) {
+    val propagation = TablePropagation(Random(1), followsLog = followsLog)
     var now = Instant.fromEpochSeconds(1_800_000_000)
 
     fun handle(event: PropagationEvent, after: Duration = 1.milliseconds): List<PropagationAction> {
@@ -36,7 +35,8 @@
         return now - begin
     }
 
-    fun shows(version: Long) = handle(PropagationEvent.VersionShown(link, daemon, TableVersion(version)))
+    fun shows(version: Long, name: String = "sidecar") =
+        handle(PropagationEvent.VersionShown(LinkId(name), DaemonId(name), TableVersion(version)))
 }
 
 private fun sent(actions: List<PropagationAction>) = actions.filterIsInstance<PropagationAction.Send>().map {
@@ -82,6 +82,27 @@
             it("is asked when it is ahead") {
                 sent(Driver().shows(1)) shouldContainExactly listOf(FetchChanges(TableVersion.NONE))
             }
+            it("is one of two that are asked at a time, and others are asked when these do not answer") {
+                val driver = Driver()
+                val asked = (1..5).flatMap {
+                    driver.shows(1, "sidecar-$it")
+                }.map { (it as? PropagationAction.Send)?.link }
+                val later = driver.handle(PropagationEvent.Woken, after = 1.seconds)
+
+                asked.filterNotNull() shouldContainExactly listOf(LinkId("sidecar-1"), LinkId("sidecar-2"))
+                later.filterIsInstance<PropagationAction.Send>().map { it.link } shouldContainExactly
+                    listOf(LinkId("sidecar-3"), LinkId("sidecar-4"))
+            }
+            it("is sent the tables by a process that does not follow the log only when it asks") {
+                val driver = Driver(followsLog = false)
+                driver.handle(PropagationEvent.ChangesArrived(link, listOf(testChange(1))))
+
+                sent(driver.shows(0, "entry")).shouldBeEmpty()
+                sent(
+                    driver.handle(PropagationEvent.FetchArrived(LinkId("entry"), TableVersion.NONE)),
+                ) shouldContainExactly
+                    listOf(Changes(listOf(testChange(1))))
+            }
             it("no longer counts as a holder once its connection is closed") {
                 val driver = Driver()
                 driver.shows(1)
--- a/entry/src/main/kotlin/org/bilberryhead/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/ControlPlane.kt
@@ -30,6 +30,7 @@
 import org.bilberryhead.core.propagation.PropagationEvent
 import org.bilberryhead.core.propagation.PropagationTimings
 import org.bilberryhead.core.propagation.TablePropagation
+import org.bilberryhead.core.propagation.tableEvent
 import org.bilberryhead.core.routing.EndpointSelector
 import org.bilberryhead.core.tables.Endpoint
 import org.bilberryhead.core.tables.TableChange
--- a/entry/src/main/kotlin/org/bilberryhead/entry/PeerLinks.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/PeerLinks.kt
@@ -7,15 +7,13 @@
 import org.bilberryhead.core.common.Incarnation
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.core.common.TableVersion
-import org.bilberryhead.core.message.Changes
-import org.bilberryhead.core.message.FetchChanges
 import org.bilberryhead.core.message.Heartbeat
 import org.bilberryhead.core.message.Hello
 import org.bilberryhead.core.message.Message
-import org.bilberryhead.core.message.Snapshot
 import org.bilberryhead.core.message.Welcome
 import org.bilberryhead.core.propagation.LinkId
 import org.bilberryhead.core.propagation.PropagationEvent
+import org.bilberryhead.core.propagation.tableEvent
 import org.bilberryhead.operator.PeerStatus
 import org.bilberryhead.protocol.ClientHandler
 import org.bilberryhead.protocol.ConnectionHandler
@@ -39,15 +37,6 @@
     suspend fun exchange(event: PropagationEvent)
 }
 
-/** Returns the event that [message], received on [link] from [daemon], stands for; null when it is not about tables. */
-internal fun tableEvent(link: LinkId, daemon: DaemonId, message: Message): PropagationEvent? = when (message) {
-    is Heartbeat -> PropagationEvent.VersionShown(link, daemon, message.tableVersion)
-    is FetchChanges -> PropagationEvent.FetchArrived(link, message.after)
-    is Changes -> PropagationEvent.ChangesArrived(link, message.changes)
-    is Snapshot -> PropagationEvent.SnapshotArrived(link, message)
-    else -> null
-}
-
 /** The connections between this entry and the others: one to each peer of the settings, and those that peers open. */
 class PeerLinks(
     private val settings: EntrySettings,
--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarDaemon.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarDaemon.kt
@@ -21,25 +21,23 @@
 import org.bilberryhead.core.message.AskOutcome
 import org.bilberryhead.core.message.AttemptMessage
 import org.bilberryhead.core.message.AttemptOutcome
-import org.bilberryhead.core.message.Changes
 import org.bilberryhead.core.message.Dispatch
-import org.bilberryhead.core.message.FetchChanges
 import org.bilberryhead.core.message.Heartbeat
 import org.bilberryhead.core.message.Hello
 import org.bilberryhead.core.message.Leaving
 import org.bilberryhead.core.message.Message
 import org.bilberryhead.core.message.OutcomeReport
 import org.bilberryhead.core.message.Refused
-import org.bilberryhead.core.message.Snapshot
 import org.bilberryhead.core.message.Welcome
-import org.bilberryhead.core.propagation.MergeResult
-import org.bilberryhead.core.propagation.TableReplica
+import org.bilberryhead.core.tables.Tables
 import org.bilberryhead.protocol.ConnectionHandler
 import org.bilberryhead.protocol.MessageServer
 import org.bilberryhead.protocol.ProtocolTimings
+import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 private val log = KotlinLogging.logger("sidecar")
 
@@ -57,9 +55,10 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val ledger = AttemptLedger()
     private val gate = SidecarGate(incarnation, GateLimits(settings.concurrency, settings.queueCapacity), ledger)
-    private val replica = TableReplica()
+    private val tables = SidecarTables(TablesOwner(), clock, Random.Default)
     private val senders = HashMap<ConnectionId, (Message) -> Boolean>()
     private val calls = HashMap<AttemptId, Job>()
+    private var wake: Job? = null
     private val stopped = Job()
     private val server = MessageServer(settings.listen, Handler(), scope, timings)
 
@@ -191,7 +190,7 @@
                 step(GateEvent.ConnectionOpened(id))
                 // The welcome may have been written before the leaving was announced to the open connections.
                 if (status.leaving) send(Leaving)
-                catchUp(id, hello.tableVersion)
+                tables.opened(connection, hello, send)
             }
         }
 
@@ -200,11 +199,7 @@
             when (message) {
                 is AttemptMessage -> handle(GateEvent.MessageArrived(id, message))
                 is AskOutcome -> control.post { senders[id]?.invoke(outcomeOf(message)) }
-                is Heartbeat -> control.post { catchUp(id, message.tableVersion) }
-                is Changes -> control.post { tablesOffered(id, replica.merge(message.changes)) }
-                is Snapshot -> control.post { tablesOffered(id, replica.merge(message)) }
-                is FetchChanges -> control.post { replica.answer(message)?.let { senders[id]?.invoke(it) } }
-                else -> log.warn { "sidecar: unexpected ${message::class.simpleName} on connection $connection" }
+                else -> control.post { if (!tables.received(connection, message)) showUnexpected(connection, message) }
             }
         }
 
@@ -212,6 +207,7 @@
             val id = ConnectionId(connection)
             control.post {
                 senders.remove(id)
+                tables.closed(connection)
                 step(GateEvent.ConnectionClosed(id))
             }
         }
@@ -222,21 +218,26 @@
         return OutcomeReport(question.attempt, AttemptOutcome.FORGOTTEN)
     }
 
-    private fun catchUp(connection: ConnectionId, theirs: TableVersion) {
-        if (theirs > replica.version) senders[connection]?.invoke(FetchChanges(replica.version))
-    }
+    private fun showUnexpected(connection: Long, message: Message) =
+        log.warn { "sidecar: unexpected ${message::class.simpleName} on connection $connection" }
 
-    private fun tablesOffered(connection: ConnectionId, result: MergeResult) {
-        result.breaches.forEach { log.error { "sidecar: refused to replace a table change: $it" } }
-        if (result.grew) tablesChanged()
-        senders[connection]?.invoke(Heartbeat(replica.version, status.load))
-    }
+    private inner class TablesOwner : SidecarTablesOwner {
+        override fun inForce(tables: Tables) {
+            tableVersion = tables.version
+            val pool = tables.pools.values.find { pool -> pool.endpoints.any { it.id == settings.endpoint } }
+            if (pool != null) gate.changeLimits(GateLimits(pool.concurrency, settings.queueCapacity))
+            log.info { "sidecar: tables are at version $tableVersion" }
+        }
 
-    private fun tablesChanged() {
-        tableVersion = replica.version
-        val pool = replica.tables.pools.values.find { pool -> pool.endpoints.any { it.id == settings.endpoint } }
-        if (pool != null) gate.changeLimits(GateLimits(pool.concurrency, settings.queueCapacity))
-        log.info { "sidecar: tables are at version $tableVersion" }
+        override fun wakeAt(at: Instant) {
+            wake?.cancel()
+            wake = scope.launch {
+                delay(at - clock.now())
+                control.post { tables.woken() }
+            }
+        }
+
+        override fun heartbeat() = Heartbeat(tableVersion, status.load)
     }
 
     private companion object {
