--- a/cli/src/main/kotlin/org/bilberryhead/cli/client/OperatorClient.kt
+++ b/cli/src/main/kotlin/org/bilberryhead/cli/client/OperatorClient.kt
@@ -85,6 +85,8 @@
         val unreachable = mutableListOf<String>()
         for (entry in entries) {
             val answer = call(entry, HttpMethod.Post, OperatorPaths.CHANGES) {
+                // An entry that could not be reached has not seen the change.
+                parameter(OperatorPaths.FIRST, true)
                 contentType(ContentType.Application.Json)
                 setBody(json.encodeToString(change))
             }
