Share what a sidecar sees of its endpoint's failures

Cause: each of four entries probed a failing endpoint on its own, which was 1.0 to 1.7 % of the work after 2 s, against a limit of 1 %. An ejection also outlived a restart of the sidecar. Change: a load report carries the failures since the last answer, also on the message that tells of a failure. One failed probe lengthens the pause of every entry, and one answer ends it for all. Entries spread their probes over half of a pause. Another incarnation of a sidecar starts without ejection.

--- a/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
@@ -60,6 +60,7 @@
     private val subscriptions = Subscriptions()
     private var state = SidecarChart.chart.initial
     private val linger = LingerTime()
+    private var failures = 0
 
     /** Current counts. */
     val status: GateStatus
@@ -275,6 +276,7 @@
         val number = ledger.append(event.attempt, event.payload, event.last, now)
         if (event.last) {
             running.remove(event.attempt)
+            failures = 0
             linger.keepUntil(now + limits.answerLinger)
             admission.recordService((now - run.startedAt).inWholeMicroseconds / MICROS_PER_MILLI)
         }
@@ -284,6 +286,7 @@
 
     private fun takeNotRun(event: GateEvent.EndpointDidNotRun, now: Instant, actions: MutableList<GateAction>) {
         if (running.remove(event.attempt) == null) return
+        failures++
         val entry = ledger.bury(event.attempt, RefusalReason.ENDPOINT_UNREACHABLE, now)
         if (entry is LedgerEntry.Tombstone) {
             refuse(event.attempt, RefusalReason.ENDPOINT_UNREACHABLE, now, actions)
@@ -294,6 +297,7 @@
 
     private fun takeFailure(event: GateEvent.EndpointFailed, now: Instant, actions: MutableList<GateAction>) {
         if (running.remove(event.attempt) == null) return
+        failures++
         endFailed(event.attempt, event.detail, now, actions)
     }
 
@@ -334,7 +338,7 @@
         subscriptions.connectionsOf(attempt).forEach { actions += GateAction.Send(it, message) }
     }
 
-    private fun load() = LoadReport(queue.size, running.size, concurrency, admission.serviceMillis)
+    private fun load() = LoadReport(queue.size, running.size, concurrency, admission.serviceMillis, failures)
 
     private data class RunningAttempt(val dispatch: Dispatch, val startedAt: Instant)
 
--- a/core/src/main/kotlin/org/bilberryhead/core/message/Messages.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/message/Messages.kt
@@ -72,9 +72,16 @@
  * @property running attempts that the endpoint works on
  * @property concurrency attempts that the endpoint may work on at once, as now limited
  * @property serviceMillis smoothed time that the endpoint takes for one attempt, in milliseconds
+ * @property failures attempts that failed at the endpoint since it last answered one
  */
 @Serializable
-data class LoadReport(val queued: Int, val running: Int, val concurrency: Int, val serviceMillis: Double)
+data class LoadReport(
+    val queued: Int,
+    val running: Int,
+    val concurrency: Int,
+    val serviceMillis: Double,
+    val failures: Int = 0,
+)
 
 /**
  * Asks a sidecar to run one stage of a request on its endpoint.
--- a/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointState.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointState.kt
@@ -1,10 +1,12 @@
 package org.bilberryhead.core.routing
 
 import org.bilberryhead.core.common.AtomicDouble
+import org.bilberryhead.core.common.Incarnation
 import org.bilberryhead.core.message.LoadReport
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReference
 import kotlin.math.exp
 import kotlin.math.max
 import kotlin.math.min
@@ -14,14 +16,16 @@
  * the epoch.
  *
  * @property pool the pool that the endpoint belongs to
+ * @param spread between 0 and 1; delays the probes of this process against those of the others
  */
-internal class EndpointState(val pool: PoolState, nowMillis: Long) {
+internal class EndpointState(val pool: PoolState, nowMillis: Long, private val spread: Double = 0.0) {
     private val attemptsInFlight = AtomicInteger()
     private val loadOfOthers = AtomicDouble()
     private val usualInFlight = AtomicDouble()
     private val failures = AtomicInteger()
     private val ejections = AtomicInteger()
     private val ejectedUntil = AtomicLong(NOT_EJECTED)
+    private val incarnation = AtomicReference<String?>()
     private val isProbed = AtomicBoolean()
 
     @Volatile
@@ -30,6 +34,9 @@
     @Volatile
     private var reportedAt = nowMillis
 
+    @Volatile
+    private var probeDelayMillis = 0L
+
     @Volatile
     private var progressAt = nowMillis
 
@@ -58,8 +65,20 @@
         }
     }
 
+    /** Forgets what was learnt of an earlier run of the sidecar when [current] is another one. */
+    fun follow(current: Incarnation, nowMillis: Long) {
+        val before = incarnation.get()
+        if (before == current.value || !incarnation.compareAndSet(before, current.value) || before == null) return
+        failures.set(0)
+        report = null
+        loadOfOthers.set(0.0)
+        isProbed.set(false)
+        comeBack(nowMillis)
+    }
+
     /** Takes what the sidecar reported. The part that other processes sent is smoothed, because reports are late. */
-    fun recordLoad(load: LoadReport, nowMillis: Long) {
+    fun recordLoad(load: LoadReport, limits: EjectionLimits, nowMillis: Long) {
+        followFailures(load.failures, report?.failures ?: 0, limits, nowMillis)
         val others = (load.queued + load.running - inFlight).toDouble()
         val weight = if (report == null) 1.0 else 1 - exp(-(nowMillis - reportedAt) / OTHERS_MILLIS)
         loadOfOthers.update { it + weight * (others - it) }
@@ -69,7 +88,8 @@
     }
 
     /** Whether the pause of an ejected endpoint is over and nobody probes it; the caller then sends the probe. */
-    fun tryProbe(nowMillis: Long): Boolean = nowMillis >= ejectedUntil.get() && isProbed.compareAndSet(false, true)
+    fun tryProbe(nowMillis: Long): Boolean =
+        nowMillis >= ejectedUntil.get() + probeDelayMillis && isProbed.compareAndSet(false, true)
 
     /** Returns the expected service time in milliseconds. */
     fun serviceMillis(nowMillis: Long): Double {
@@ -100,10 +120,24 @@
         return 1.0 + COLD_PENALTY * (1.0 - age.toDouble() / slowStartMillis)
     }
 
+    /** The sidecar sees the attempts of all processes, so that one probe tells all of them how the endpoint does. */
+    private fun followFailures(reported: Int, before: Int, limits: EjectionLimits, nowMillis: Long) {
+        if (reported >= limits.failures && reported > before) {
+            eject(limits, nowMillis)
+        } else if (reported == 0 && before >= limits.failures) {
+            failures.set(0)
+            comeBack(nowMillis)
+        }
+    }
+
     private fun recordAnswer(nowMillis: Long) {
         progressAt = nowMillis
         failures.set(0)
         isProbed.set(false)
+        comeBack(nowMillis)
+    }
+
+    private fun comeBack(nowMillis: Long) {
         if (ejectedUntil.getAndSet(NOT_EJECTED) != NOT_EJECTED) {
             warmSince = nowMillis
             pool.countReturn()
@@ -114,13 +148,18 @@
     private fun recordFailure(limits: EjectionLimits, nowMillis: Long) {
         progressAt = nowMillis
         isProbed.set(false)
-        if (failures.incrementAndGet() < limits.failures) return
+        if (failures.incrementAndGet() >= limits.failures) eject(limits, nowMillis)
+    }
+
+    /** Begins a pause, unless one is under way. */
+    private fun eject(limits: EjectionLimits, nowMillis: Long) {
         val before = ejectedUntil.get()
         if (before == NOT_EJECTED && !pool.tryCountEjection(limits.largestShare)) return
         if (nowMillis < before) return
-        val until = nowMillis + pause(limits)
-        val isChanged = ejectedUntil.compareAndSet(before, until)
+        val pauseMillis = pause(limits)
+        val isChanged = ejectedUntil.compareAndSet(before, nowMillis + pauseMillis)
         if (isChanged) {
+            probeDelayMillis = (pauseMillis * spread * PROBE_SPREAD).toLong()
             ejections.incrementAndGet()
         } else if (before == NOT_EJECTED) {
             pool.countReturn()
@@ -150,5 +189,8 @@
         /** How much longer an endpoint without warm caches is predicted to take. */
         const val COLD_PENALTY = 2.0
         const val MAXIMUM_DOUBLINGS = 10
+
+        /** Part of a pause over which the probes of several processes are spread. */
+        const val PROBE_SPREAD = 0.5
     }
 }
--- a/core/src/main/kotlin/org/bilberryhead/core/routing/PolicySelector.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/PolicySelector.kt
@@ -58,7 +58,7 @@
 
     override fun recordLoad(endpoint: EndpointId, load: LoadReport, now: Instant) {
         val state = endpoints[endpoint] ?: return
-        state.recordLoad(load, now.toEpochMilliseconds())
+        state.recordLoad(load, ejectionLimits, now.toEpochMilliseconds())
         state.pool.recordService(load.serviceMillis)
     }
 
@@ -83,8 +83,13 @@
         return PoolView(source.candidates(pool), state, nowMillis)
     }
 
-    private fun stateOf(view: PoolView, candidate: Candidate): EndpointState = endpoints[candidate.endpoint]
-        ?: endpoints.computeIfAbsent(candidate.endpoint) { EndpointState(view.pool, view.nowMillis) }
+    private fun stateOf(view: PoolView, candidate: Candidate): EndpointState {
+        val state = endpoints[candidate.endpoint] ?: endpoints.computeIfAbsent(candidate.endpoint) {
+            EndpointState(view.pool, view.nowMillis, random.nextInt(SPREAD_STEPS) / SPREAD_STEPS.toDouble())
+        }
+        state.follow(candidate.incarnation, view.nowMillis)
+        return state
+    }
 
     private inline fun simple(
         selection: SelectionRequest,
@@ -233,6 +238,9 @@
         const val MIX_FACTOR = -1_640_531_535
         const val MIX_SHIFT = 15
 
+        /** Number of different delays of probes. */
+        const val SPREAD_STEPS = 1024
+
         /** Shortest time after which a caller is told to come back, in milliseconds. */
         const val MINIMUM_RETRY_MILLIS = 100.0
 
--- a/core/src/test/kotlin/org/bilberryhead/core/routing/EndpointStateTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/routing/EndpointStateTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.doubles.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
+import org.bilberryhead.core.common.Incarnation
 import org.bilberryhead.core.message.LoadReport
 import org.jetbrains.lincheck.datastructures.Operation
 import org.jetbrains.lincheck.datastructures.StressOptions
@@ -40,6 +41,8 @@
     DescribeSpec({
         val limits = EjectionLimits()
 
+        fun load(failures: Int) = LoadReport(0, 0, 4, serviceMillis = 100.0, failures)
+
         describe("what is known of an endpoint") {
             it("counts attempts like one thread would") {
                 StressOptions().iterations(20).invocationsPerIteration(500).check(ConcurrentEndpointState::class)
@@ -70,10 +73,37 @@
                 state.isEjected shouldBe false
             }
 
+            it("waits longer when another process's probe has failed, and comes back with its success") {
+                val state = EndpointState(PoolState(0).apply { size = 4 }, 0)
+                state.recordLoad(load(failures = 3), limits, nowMillis = 0)
+                state.isEjected shouldBe true
+                state.recordLoad(load(failures = 4), limits, nowMillis = 2_000)
+                state.tryProbe(nowMillis = 5_999) shouldBe false
+                state.recordLoad(load(failures = 0), limits, nowMillis = 5_999)
+                state.isEjected shouldBe false
+            }
+
+            it("keeps its pause while attempts from before it fail") {
+                val state = EndpointState(PoolState(0).apply { size = 4 }, 0)
+                state.recordLoad(load(failures = 3), limits, nowMillis = 0)
+                state.recordLoad(load(failures = 9), limits, nowMillis = 500)
+                state.tryProbe(nowMillis = 2_000) shouldBe true
+            }
+
+            it("starts afresh with another run of its sidecar") {
+                val state = EndpointState(PoolState(0).apply { size = 4 }, 0)
+                state.follow(Incarnation("first"), nowMillis = 0)
+                repeat(3) { state.recordEnd(AttemptResult.FAILED, limits, nowMillis = 0) }
+                state.follow(Incarnation("first"), nowMillis = 10)
+                state.isEjected shouldBe true
+                state.follow(Incarnation("second"), nowMillis = 10)
+                state.isEjected shouldBe false
+            }
+
             it("is taken to be slow when attempts on it make no progress") {
                 val state = EndpointState(PoolState(0), 0)
                 state.recordDispatch(nowMillis = 0)
-                state.recordLoad(LoadReport(0, 1, 4, serviceMillis = 100.0), nowMillis = 0)
+                state.recordLoad(LoadReport(0, 1, 4, serviceMillis = 100.0), limits, nowMillis = 0)
                 state.serviceMillis(nowMillis = 1_000) shouldBeGreaterThan 999.0
             }
         }
--- a/entry/src/main/kotlin/org/bilberryhead/entry/SidecarLink.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/SidecarLink.kt
@@ -14,6 +14,7 @@
 import org.bilberryhead.core.message.AttemptMessage
 import org.bilberryhead.core.message.AttemptOutcome
 import org.bilberryhead.core.message.Dispatch
+import org.bilberryhead.core.message.Failed
 import org.bilberryhead.core.message.Frame
 import org.bilberryhead.core.message.Heartbeat
 import org.bilberryhead.core.message.Hello
@@ -214,6 +215,7 @@
     private fun loadOf(message: AttemptMessage): LoadReport? = when (message) {
         is Frame -> message.load
         is Refused -> message.load
+        is Failed -> message.load
         else -> null
     }
 }
--- a/load/src/main/kotlin/org/bilberryhead/load/policy/PolicyCommand.kt
+++ b/load/src/main/kotlin/org/bilberryhead/load/policy/PolicyCommand.kt
@@ -24,7 +24,8 @@
     private val scenarios by option("--scenario").enum<Scenario>().multiple(Scenario.entries)
     private val factors by option("--factor", help = "load, as a share of what the pools can do").double()
         .multiple(listOf(0.5, 0.8, 0.95, 1.2, 2.0))
-    private val seeds by option("--seeds", help = "number of runs of each cell, seeded from 1").int().default(10)
+    private val seeds by option("--seeds", help = "number of runs of each cell").int().default(10)
+    private val firstSeed by option("--first-seed", help = "seed of the first run of each cell").int().default(1)
     private val threads by option("--threads").int().default(2)
     private val directory: Path? by option(
         "--output",
@@ -32,7 +33,8 @@
     ).path()
 
     override fun run() {
-        val report = PolicyExperiment(deployments, scenarios, factors, seeds, threads).run { echo(it, err = true) }
+        val seedRange = firstSeed until firstSeed + seeds
+        val report = PolicyExperiment(deployments, scenarios, factors, seedRange, threads).run { echo(it, err = true) }
         val text = PolicyReport(report).text() + TargetReport(TargetCheck(report).verdicts()).text()
         echo(text)
         val target = directory ?: return
--- a/load/src/main/kotlin/org/bilberryhead/load/policy/PolicyExperiment.kt
+++ b/load/src/main/kotlin/org/bilberryhead/load/policy/PolicyExperiment.kt
@@ -21,7 +21,7 @@
     private val deployments: List<Deployment>,
     private val scenarios: List<Scenario>,
     private val factors: List<Double>,
-    private val seeds: Int,
+    private val seeds: IntRange,
     private val threads: Int,
 ) {
     private val contenders = Contender.BASELINES + listOf(
@@ -57,7 +57,7 @@
     }
 
     private fun line(cell: Cell): ReportLine {
-        val results = (1..seeds).map { seed ->
+        val results = seeds.map { seed ->
             PolicyRun(RunPlan(cell.deployment, cell.scenario, cell.factor, seed), cell.contender).run()
         }
         val contender = cell.contender
--- a/load/src/main/kotlin/org/bilberryhead/load/policy/SimulatedEntry.kt
+++ b/load/src/main/kotlin/org/bilberryhead/load/policy/SimulatedEntry.kt
@@ -7,6 +7,7 @@
 import org.bilberryhead.core.gate.GateEvent
 import org.bilberryhead.core.message.AttemptMessage
 import org.bilberryhead.core.message.Dispatch
+import org.bilberryhead.core.message.Failed
 import org.bilberryhead.core.message.Frame
 import org.bilberryhead.core.message.LoadReport
 import org.bilberryhead.core.message.Message
@@ -148,6 +149,7 @@
     private fun loadOf(message: Message): LoadReport? = when (message) {
         is Frame -> message.load
         is Refused -> message.load
+        is Failed -> message.load
         else -> null
     }
 
--- a/load/src/test/kotlin/org/bilberryhead/load/policy/PolicyTargetsTest.kt
+++ b/load/src/test/kotlin/org/bilberryhead/load/policy/PolicyTargetsTest.kt
@@ -6,9 +6,13 @@
 
 class PolicyTargetsTest :
     DescribeSpec({
-        fun experiment(scenario: Scenario, factor: Double) =
-            PolicyExperiment(listOf(Deployment.VIJVERKRUID), listOf(scenario), listOf(factor), seeds = 1, threads = 1)
-                .run { }
+        fun experiment(scenario: Scenario, factor: Double) = PolicyExperiment(
+            listOf(Deployment.VIJVERKRUID),
+            listOf(scenario),
+            listOf(factor),
+            seeds = 1..1,
+            threads = 1,
+        ).run { }
 
         fun missed(lines: List<ReportLine>) = TargetCheck(lines).verdicts().filter { !it.isMet }
 
