Look again at an attempt that was not hedged

Cause: an attempt was looked at once, when it was late. If no endpoint was quick or the budget was empty at that moment, it stayed alone until the deadline; all but one of the misses with a straggler at 0.8 were such attempts. Change: the hedge timer is set again, and a very late attempt is hedged whenever the second one is predicted to end in the remaining time. Conclusion: not enough alone: what the straggler is cancelled on never counts as slow, so that it gets more work.

--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
@@ -366,10 +366,17 @@
     }
 
     private fun hedge(now: Instant) {
-        val canHedge = stage.hedged && stage.idempotent && leader == null && openAttempts().size == 1
+        val only = openAttempts().singleOrNull() ?: return
+        if (!stage.hedged || !stage.idempotent || leader != null || isClosing) return
         val predicted = tables.poolOf(stage)?.let { selector.predict(it, now) }
-        val isWorthwhile = HedgePolicy.isWorthwhile(predicted, selector.stageTimes(stage.pool))
-        if (canHedge && isWorthwhile && budget.tryTakeHedge()) dispatchToChosen(now)
+        val times = selector.stageTimes(stage.pool)
+        val remaining = request.deadline - now
+        val isWorthwhile = HedgePolicy.isWorthwhile(predicted, times, elapsed = now - only.sentAt, remaining)
+        if (isWorthwhile && budget.tryTakeHedge()) {
+            dispatchToChosen(now)
+        } else {
+            actions += RequestAction.SetTimer(RequestTimer.HEDGE, now + HedgePolicy.recheckDelay(times, remaining))
+        }
     }
 
     private fun askAgain(now: Instant) {
