Count cancelled attempts into the service time

Cause: a sidecar learnt its service time from answers only. On a straggler the long attempts are cancelled for a hedge or at the deadline, so that it seemed fast. Idle endpoints were forgotten to be slow after 10 s, by each entry on its own. Change: a cancelled attempt that ran longer than the mean counts as a sample. The time to forget is at least ten service times. An endpoint without a report is at least as slow as the silence of the attempts on it.

--- a/core/src/main/kotlin/org/bilberryhead/core/admission/GateAdmission.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/admission/GateAdmission.kt
@@ -46,6 +46,9 @@
         limiter.record(service.meanMillis)
     }
 
+    /** Takes that an attempt was cancelled after [millis], before it was answered. */
+    fun recordCancelled(millis: Double) = service.recordAtLeast(millis)
+
     /** Returns how many attempts the endpoint may work on at once under a configured [concurrency]. */
     fun concurrency(concurrency: Int): Int = when (policy) {
         GatePolicy.BoundedQueue -> concurrency
--- a/core/src/main/kotlin/org/bilberryhead/core/admission/ServiceTimeEstimator.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/admission/ServiceTimeEstimator.kt
@@ -19,6 +19,11 @@
         late.record(millis)
     }
 
+    /** Adds the service time of an attempt of which only the lower bound [millis] is known. */
+    fun recordAtLeast(millis: Double) {
+        if (millis > meanMillis) record(millis)
+    }
+
     /** Lowers the estimates, so that an endpoint that was slow once is tried again although it has no new samples. */
     fun relax() {
         meanMillis *= RELAXATION
--- a/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
@@ -256,7 +256,8 @@
     }
 
     private fun stopRun(attempt: AttemptId, now: Instant, actions: MutableList<GateAction>) {
-        running.remove(attempt)
+        val run = running.remove(attempt)
+        if (run != null) admission.recordCancelled(elapsedMillis(run, now))
         subscriptions.remove(attempt)
         ledger.fail(attempt, "cancelled", now)
         actions += GateAction.CancelRun(attempt)
@@ -278,7 +279,7 @@
             running.remove(event.attempt)
             failures = 0
             linger.keepUntil(now + limits.answerLinger)
-            admission.recordService((now - run.startedAt).inWholeMicroseconds / MICROS_PER_MILLI)
+            admission.recordService(elapsedMillis(run, now))
         }
         notifySubscribers(event.attempt, Frame(event.attempt, number, event.payload, event.last, load()), actions)
         if (event.last) subscriptions.remove(event.attempt)
@@ -338,6 +339,9 @@
         subscriptions.connectionsOf(attempt).forEach { actions += GateAction.Send(it, message) }
     }
 
+    private fun elapsedMillis(run: RunningAttempt, now: Instant) =
+        (now - run.startedAt).inWholeMicroseconds / MICROS_PER_MILLI
+
     private fun load() = LoadReport(queue.size, running.size, concurrency, admission.serviceMillis, failures)
 
     private data class RunningAttempt(val dispatch: Dispatch, val startedAt: Instant)
--- a/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointState.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointState.kt
@@ -94,11 +94,10 @@
     /** Returns the expected service time in milliseconds. */
     fun serviceMillis(nowMillis: Long): Double {
         val usual = max(pool.serviceMillis, UNKNOWN_SERVICE_MILLIS)
-        val reported = report?.serviceMillis ?: 0.0
-        if (reported <= 0.0) return usual
+        val reported = report?.serviceMillis?.takeIf { it > 0.0 } ?: usual
         val idleMillis = max(0L, nowMillis - progressAt)
         if (inFlight > 0) return max(reported, idleMillis.toDouble())
-        val weight = exp(-idleMillis / FORGET_MILLIS)
+        val weight = exp(-idleMillis / max(FORGET_MILLIS, reported * FORGET_SERVICE_TIMES))
         return weight * reported + (1 - weight) * min(reported, usual)
     }
 
@@ -183,9 +182,12 @@
         /** Time constant with which the load that other processes cause is smoothed, in milliseconds. */
         const val OTHERS_MILLIS = 3_000.0
 
-        /** Time constant with which an idle endpoint's service time is forgotten, in milliseconds. */
+        /** Shortest time constant with which an idle endpoint's service time is forgotten, in milliseconds. */
         const val FORGET_MILLIS = 10_000.0
 
+        /** The time constant in service times, so that trying a slow endpoint again costs a small part of its time. */
+        const val FORGET_SERVICE_TIMES = 10
+
         /** How much longer an endpoint without warm caches is predicted to take. */
         const val COLD_PENALTY = 2.0
         const val MAXIMUM_DOUBLINGS = 10
--- a/core/src/test/kotlin/org/bilberryhead/core/routing/EndpointStateTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/routing/EndpointStateTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import org.bilberryhead.core.common.Incarnation
 import org.bilberryhead.core.message.LoadReport
@@ -100,6 +101,13 @@
                 state.isEjected shouldBe false
             }
 
+            it("is slow for a time in proportion to how slow it was") {
+                val state = EndpointState(PoolState(0).apply { recordService(100.0) }, 0)
+                state.recordLoad(LoadReport(0, 0, 4, serviceMillis = 4_000.0), limits, nowMillis = 0)
+                state.serviceMillis(nowMillis = 10_000) shouldBeGreaterThan 3_000.0
+                state.serviceMillis(nowMillis = 100_000) shouldBeLessThan 500.0
+            }
+
             it("is taken to be slow when attempts on it make no progress") {
                 val state = EndpointState(PoolState(0), 0)
                 state.recordDispatch(nowMillis = 0)
