Send refused work to an ejected endpoint only as a probe

Cause: under overload a request that every working endpoint of a small pool had refused went to the ejected one as the last resort, without a pause between such attempts. Change: while any endpoint of the pool works, an ejected one gets no more than its probes.

--- a/core-testing/src/test/kotlin/org/bilberryhead/core/routing/PolicySelectorTest.kt
+++ b/core-testing/src/test/kotlin/org/bilberryhead/core/routing/PolicySelectorTest.kt
@@ -73,6 +73,15 @@
                 List(100) { selector.chosen() }.count { it == failing } shouldBeLessThan 1
             }
 
+            it("gives a failing endpoint no retries of work that all others refused") {
+                val selector = selector()
+                val failing = pool.endpoints[0].id
+                val others = pool.endpoints.drop(1).map { it.id }.toSet()
+                repeat(4) { selector.report(it, LoadReport(0, 0, 4, 100.0)) }
+                repeat(3) { selector.recordEnd(failing, AttemptResult.FAILED, 1.milliseconds, clock.now()) }
+                selector.choose(request(avoid = others), clock.now()).shouldBeInstanceOf<Selection.NoneAvailable>()
+            }
+
             it("sends requests with one prefix to one endpoint while it is not much slower") {
                 val selector = selector()
                 repeat(4) { selector.report(it, LoadReport(0, 0, 4, 100.0)) }
--- a/core/src/main/kotlin/org/bilberryhead/core/routing/PolicySelector.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/PolicySelector.kt
@@ -207,15 +207,27 @@
         return if (isProbe) Selection.Chosen(candidate, view.candidates.size, "probe after failures") else null
     }
 
-    /** Every endpoint in the sample is ejected or was tried: any other one is better than none. */
+    /**
+     * Every endpoint in the sample is ejected or was tried: any other one that works is better than none. An ejected
+     * one gets no more than its probes while others work, because refusals for overload lead here as well.
+     */
     private fun lastResort(selection: SelectionRequest, view: PoolView): Selection {
         val untried = view.candidates.filter { it.endpoint !in selection.avoid }
         if (untried.isEmpty()) return nothingLeft(view)
-        val working = untried.filter { !stateOf(view, it).isEjected }.ifEmpty { untried }
-        val chosen = working[random.nextInt(working.size)]
+        val working = untried.filter { !stateOf(view, it).isEjected }
+        val areAllEjected = working.isEmpty() && view.candidates.all { stateOf(view, it).isEjected }
+        val usable = if (areAllEjected) untried else working
+        if (usable.isEmpty()) return probeUntried(selection, view, untried)
+        val chosen = usable[random.nextInt(usable.size)]
         return Selection.Chosen(chosen, view.candidates.size, "the sample held no other endpoint")
     }
 
+    private fun probeUntried(selection: SelectionRequest, view: PoolView, untried: List<Candidate>): Selection {
+        if (!selection.mayProbe) return nothingLeft(view)
+        val chosen = untried.firstOrNull { stateOf(view, it).tryProbe(view.nowMillis) } ?: return nothingLeft(view)
+        return Selection.Chosen(chosen, view.candidates.size, "probe, as no other endpoint is left")
+    }
+
     private fun nothingLeft(view: PoolView) =
         Selection.NoneAvailable(view.candidates.size, "no endpoint is left to try", NOTHING_LEFT_RETRY)
 
