--- a/core/src/main/kotlin/org/bilberryhead/core/routing/PolicySelector.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/PolicySelector.kt
@@ -58,7 +58,7 @@
 
     override fun recordLoad(endpoint: EndpointId, load: LoadReport, now: Instant) {
         val state = endpoints[endpoint] ?: return
-        state.recordLoad(load, now.toEpochMilliseconds())
+        state.recordLoad(load, ejectionLimits, now.toEpochMilliseconds())
         state.pool.recordService(load.serviceMillis)
     }
 
@@ -83,8 +83,13 @@
         return PoolView(source.candidates(pool), state, nowMillis)
     }
 
-    private fun stateOf(view: PoolView, candidate: Candidate): EndpointState = endpoints[candidate.endpoint]
-        ?: endpoints.computeIfAbsent(candidate.endpoint) { EndpointState(view.pool, view.nowMillis) }
+    private fun stateOf(view: PoolView, candidate: Candidate): EndpointState {
+        val state = endpoints[candidate.endpoint] ?: endpoints.computeIfAbsent(candidate.endpoint) {
+            EndpointState(view.pool, view.nowMillis, random.nextInt(SPREAD_STEPS) / SPREAD_STEPS.toDouble())
+        }
+        state.follow(candidate.incarnation, view.nowMillis)
+        return state
+    }
 
     private inline fun simple(
         selection: SelectionRequest,
@@ -202,15 +207,27 @@
         return if (isProbe) Selection.Chosen(candidate, view.candidates.size, "probe after failures") else null
     }
 
-    /** Every endpoint in the sample is ejected or was tried: any other one is better than none. */
+    /**
+     * Every endpoint in the sample is ejected or was tried: any other one that works is better than none. An ejected
+     * one gets no more than its probes while others work, because refusals for overload lead here as well.
+     */
     private fun lastResort(selection: SelectionRequest, view: PoolView): Selection {
         val untried = view.candidates.filter { it.endpoint !in selection.avoid }
         if (untried.isEmpty()) return nothingLeft(view)
-        val working = untried.filter { !stateOf(view, it).isEjected }.ifEmpty { untried }
-        val chosen = working[random.nextInt(working.size)]
+        val working = untried.filter { !stateOf(view, it).isEjected }
+        val areAllEjected = working.isEmpty() && view.candidates.all { stateOf(view, it).isEjected }
+        val usable = if (areAllEjected) untried else working
+        if (usable.isEmpty()) return probeUntried(selection, view, untried)
+        val chosen = usable[random.nextInt(usable.size)]
         return Selection.Chosen(chosen, view.candidates.size, "the sample held no other endpoint")
     }
 
+    private fun probeUntried(selection: SelectionRequest, view: PoolView, untried: List<Candidate>): Selection {
+        if (!selection.mayProbe) return nothingLeft(view)
+        val chosen = untried.firstOrNull { stateOf(view, it).tryProbe(view.nowMillis) } ?: return nothingLeft(view)
+        return Selection.Chosen(chosen, view.candidates.size, "probe, as no other endpoint is left")
+    }
+
     private fun nothingLeft(view: PoolView) =
         Selection.NoneAvailable(view.candidates.size, "no endpoint is left to try", NOTHING_LEFT_RETRY)
 
@@ -233,6 +250,9 @@
         const val MIX_FACTOR = -1_640_531_535
         const val MIX_SHIFT = 15
 
+        /** Number of different delays of probes. */
+        const val SPREAD_STEPS = 1024
+
         /** Shortest time after which a caller is told to come back, in milliseconds. */
         const val MINIMUM_RETRY_MILLIS = 100.0
 
