Choose the target of an attempt in a class of its own

Change: TargetChooser names attempts, asks the selector and gives the stage's share of the deadline. The warm-up's links know the wait for a first opening. No behaviour is meant to change.

--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
@@ -2,9 +2,7 @@
 
 import org.bilberryhead.core.admission.Admission
 import org.bilberryhead.core.admission.AdmissionControl
-import org.bilberryhead.core.admission.DeadlineSplitter
 import org.bilberryhead.core.common.AttemptId
-import org.bilberryhead.core.common.EndpointId
 import org.bilberryhead.core.common.Payload
 import org.bilberryhead.core.execution.ATTEMPT_SEPARATOR
 import org.bilberryhead.core.execution.AttemptAction
@@ -25,9 +23,6 @@
 import org.bilberryhead.core.retry.HedgePolicy
 import org.bilberryhead.core.retry.RetryBudget
 import org.bilberryhead.core.routing.EndpointSelector
-import org.bilberryhead.core.routing.Selection
-import org.bilberryhead.core.routing.SelectionRequest
-import org.bilberryhead.core.tables.Pool
 import org.bilberryhead.core.tables.Route
 import org.bilberryhead.core.tables.Stage
 import org.bilberryhead.core.tables.Tables
@@ -52,13 +47,13 @@
     private val admission: AdmissionControl = AdmissionControl.Open,
 ) {
     private val attempts = RequestAttempts(request, route)
+    private val targets = TargetChooser(request, route, tables, selector, attempts)
     private val actions = mutableListOf<RequestAction>()
     private var stageIndex = 0
     private var input = request.payload
     private val messages = RequestMessages(request, route)
     private val retries = RetryAllowance(budget, timings.maximumFreeRetries)
     private val firstTicketStage = route.stages.indexOfFirst { !it.idempotent }
-    private var attemptCount = 0
     private var moveCount = 0
     private var leader: AttemptId? = null
     private var lastFailure: FailureReason? = null
@@ -131,9 +126,6 @@
         }
     }
 
-    private fun stageLimit(now: Instant): Duration =
-        DeadlineSplitter.limit(route.stages.drop(stageIndex), request.deadline - now, selector)
-
     /** Asks what became of an attempt that another request may have sent, without sending it. */
     private fun attach(location: AttemptLocation, now: Instant) {
         attempts.add(AttemptRecord(location, stageIndex, now, isShared = true))
@@ -150,51 +142,29 @@
     }
 
     /** Returns null, with the reason in [lastFailure], when no endpoint can be given the stage. */
-    private fun chooseTarget(now: Instant): AttemptTarget? {
-        val pool = tables.poolOf(stage)
-        if (pool == null) {
+    private fun chooseTarget(now: Instant): AttemptTarget? = when (val choice = targets.choose(stageIndex, now)) {
+        is TargetChoice.Found -> choice.target
+        TargetChoice.PoolMissing -> {
             lastFailure = FailureReason.CONFIGURATION_MISSING
-            return null
+            null
         }
-        val attempt = AttemptId("${request.id.value}$ATTEMPT_SEPARATOR$stageIndex$ATTEMPT_SEPARATOR${attemptCount++}")
-        val unseen = attempts.endpointsNeverReached()
-        return when (val selection = selector.chooseOrGoBack(selectionRequest(pool, now), unseen, now)) {
-            is Selection.Chosen -> {
-                val candidate = selection.candidate
-                val location = AttemptLocation(candidate.endpoint, candidate.incarnation, attempt)
-                AttemptTarget(location, selection.why, selection.candidates)
-            }
-            is Selection.NoneAvailable -> {
-                logDecision(attempt, selection.candidates, null, selection.why)
-                lastFailure = lastFailure ?: FailureReason.NO_ENDPOINT
-                lastRetryAfter = selection.retryAfter
-                null
-            }
+        is TargetChoice.NoEndpoint -> {
+            actions += RequestAction.Log(choice.decision)
+            lastFailure = lastFailure ?: FailureReason.NO_ENDPOINT
+            lastRetryAfter = choice.retryAfter
+            null
         }
     }
 
-    private fun selectionRequest(pool: Pool, now: Instant) = SelectionRequest(
-        request = request.id,
-        pool = pool,
-        remaining = stageLimit(now),
-        objective = route.objective,
-        avoid = attempts.endpointsTried(stageIndex),
-        mayProbe = stage.idempotent,
-        mayRefuse = stageIndex == 0,
-    )
-
     private fun dispatch(location: AttemptLocation, why: String, candidates: Int, now: Instant) {
         attempts.add(AttemptRecord(location, stageIndex, now, isShared = isTicketed))
         selector.recordDispatch(location.endpoint, now)
-        logDecision(location.attempt, candidates, location.endpoint, why)
-        val message = messages.dispatch(location, stageIndex, input, stageLimit(now))
+        val decision = RoutingDecision(location.attempt, stage.name.value, candidates, location.endpoint, why)
+        actions += RequestAction.Log(decision)
+        val message = messages.dispatch(location, stageIndex, input, targets.stageLimit(stageIndex, now))
         actions += RequestAction.Send(location.endpoint, location.incarnation, message)
     }
 
-    private fun logDecision(attempt: AttemptId, candidates: Int, chosen: EndpointId?, why: String) {
-        actions += RequestAction.Log(RoutingDecision(attempt, stage.name.value, candidates, chosen, why))
-    }
-
     private fun takeMessage(message: AttemptMessage, now: Instant) {
         val record = attempts[message.attempt] ?: return
         when (message) {
@@ -367,7 +337,8 @@
 
     private fun hedge(now: Instant) {
         val only = openAttempts().singleOrNull() ?: return
-        if (!stage.hedged || !stage.idempotent || leader != null || isClosing) return
+        val mayRunTwice = stage.hedged && stage.idempotent
+        if (!mayRunTwice || leader != null || isClosing) return
         val predicted = tables.poolOf(stage)?.let { selector.predict(it, now) }
         val times = selector.stageTimes(stage.pool)
         val remaining = request.deadline - now
--- a/entry/src/main/kotlin/org/bilberryhead/entry/WarmUp.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/WarmUp.kt
@@ -56,6 +56,7 @@
 import java.util.UUID
 import kotlin.random.Random
 import kotlin.time.Clock
+import kotlin.time.Duration
 
 /**
  * Loads and compiles what the first requests need, so that they are not late. Requests go through a copy of the
@@ -156,6 +157,8 @@
 
         override fun forget(attempt: AttemptId, subscriber: AttemptSubscriber) = Unit
 
+        override suspend fun awaitFirstOpening(limit: Duration) = Unit
+
         override suspend fun askOutcome(location: AttemptLocation) =
             OutcomeReport(location.attempt, AttemptOutcome.NEVER_SEEN)
 
