--- a/system-tests/src/test/kotlin/org/bilberryhead/system/SidecarFaultTest.kt
+++ b/system-tests/src/test/kotlin/org/bilberryhead/system/SidecarFaultTest.kt
@@ -42,9 +42,11 @@
                 system.sidecars.getValue("orders-0").signal(Signal.STOP)
                 val answers = coroutineScope {
                     val sent = List(8) { async { system.send(Kind.ORDER, entry = it % 2) } }
+                    repeat(2) { eventually(EVENT_LIMIT) { system.shouldBeDisconnected("orders-0", entry = it) } }
+                    val later = List(2) { async { system.send(Kind.ORDER, entry = it % 2) } }
                     eventually(EVENT_LIMIT) { system.effects().shouldNotBeEmpty() }
                     system.sidecars.getValue("orders-0").signal(Signal.CONT)
-                    sent.awaitAll()
+                    (sent + later).awaitAll()
                 }
 
                 Judge.check(answers, system.effects(), listOf("record"), ONCE)
@@ -55,7 +57,8 @@
         describe("a sidecar that is asked to end under load") {
             it("cuts no request off and gets no new work") {
                 val answers = coroutineScope {
-                    val sent = List(8) { async { system.send(Kind.ORDER, entry = it % 2) } }
+                    // More than one endpoint takes at once, so that both work whatever the entries prefer.
+                    val sent = List(16) { async { system.send(Kind.ORDER, entry = it % 2) } }
                     eventually(EVENT_LIMIT) { system.shouldBeRunning("orders-0") }
                     system.sidecars.getValue("orders-0").signal(Signal.TERM)
                     sent.awaitAll()
--- a/system-tests/src/test/kotlin/org/bilberryhead/system/TestSystem.kt
+++ b/system-tests/src/test/kotlin/org/bilberryhead/system/TestSystem.kt
@@ -6,6 +6,8 @@
 import io.ktor.http.HttpMethod
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
 import org.bilberryhead.core.common.ChangeId
 import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.EndpointId
@@ -149,6 +151,13 @@
         return http.call(HttpMethod.Post, "${entryUrl(entry)}/v1/requests/$kind", body, all)
     }
 
+    /** Returns a ticket for a request of [kind], which entry [entry] hands out. */
+    suspend fun ticket(kind: String, entry: Int = 0): String {
+        val headers = mapOf("Authorization" to "Bearer $CALLER_TOKEN")
+        val answer = http.call(HttpMethod.Post, "${entryUrl(entry)}/v1/tickets/$kind", headers = headers)
+        return json.parseToJsonElement(answer.body).jsonObject.getValue("ticket").jsonPrimitive.content
+    }
+
     /** Returns every effect that endpoints had. */
     suspend fun effects(): List<Effect> =
         json.decodeFromString(http.call(HttpMethod.Get, "${standinUrl()}/effects").body)
@@ -159,6 +168,12 @@
         loads.any { it.running > 0 } shouldBe true
     }
 
+    /** Passes when entry [entry] has no connection to the sidecar of [endpoint]. */
+    suspend fun shouldBeDisconnected(endpoint: String, entry: Int) {
+        val states = status(entry).endpoints.filter { it.endpoint.value == endpoint }.map { it.state }
+        states shouldBe listOf(EndpointState.DISCONNECTED)
+    }
+
     /** Passes when entry [entry] works on [count] requests. */
     suspend fun shouldHaveInFlight(entry: Int, count: Int) {
         status(entry).requestsInFlight shouldBe count
