--- a/core-testing/src/main/kotlin/org/bilberryhead/core/testing/order/OrderMatrix.kt
+++ b/core-testing/src/main/kotlin/org/bilberryhead/core/testing/order/OrderMatrix.kt
@@ -12,8 +12,8 @@
     /** Name, violations and session of each failed cell. */
     val failures = mutableListOf<String>()
 
-    /** States of the chart in which some fault struck. */
-    val states = mutableSetOf<EngineOrderState>()
+    /** Faults that struck, each with the state of the holder that it hit. */
+    val strikes = mutableSetOf<Pair<OrderFault, EngineOrderState>>()
 
     /** Points at which some fault struck. */
     val points = mutableSetOf<OrderPoint>()
@@ -54,7 +54,7 @@
         }
         cells++
         if (session.struck.keys.containsAll(cell.injections)) reached++
-        states += session.struck.values
+        session.struck.mapTo(strikes) { (injection, state) -> injection.fault to state }
         session.struck.keys.mapTo(points) { it.point }
         if (violations.isNotEmpty()) failures += (listOf("$cell") + violations + session.lines).joinToString("\n  ")
         return session
--- a/core-testing/src/test/kotlin/org/bilberryhead/core/testing/order/OrderMatrixTest.kt
+++ b/core-testing/src/test/kotlin/org/bilberryhead/core/testing/order/OrderMatrixTest.kt
@@ -10,7 +10,7 @@
 
 class OrderMatrixTest :
     DescribeSpec({
-        val states = mutableSetOf<EngineOrderState>()
+        val strikes = mutableSetOf<Pair<OrderFault, EngineOrderState>>()
         val points = mutableSetOf<OrderPoint>()
 
         listOf(true, false).forEach { checks ->
@@ -20,7 +20,7 @@
                     val matrix = OrderMatrix(checks)
                     matrix.runSingles()
                     println(matrix.summary("engine orders, one fault, $engine"))
-                    states += matrix.states
+                    strikes += matrix.strikes
                     points += matrix.points
                     withClue(matrix.failures.take(SHOWN).joinToString("\n")) { matrix.failures.size shouldBe 0 }
                 }
@@ -33,10 +33,12 @@
             }
         }
         describe("the matrix") {
-            it("strikes at every point, and in every state in which a holder does anything") {
+            it("strikes with every fault in every state in which a holder does anything, and at every point") {
                 val idle = EngineOrderChart.chart.finalStates + EngineOrderChart.chart.initial
                 (OrderPoint.entries - points).shouldBeEmpty()
-                (EngineOrderState.entries - states - idle).shouldBeEmpty()
+                val active = EngineOrderState.entries - idle
+                val wanted = OrderFault.entries.flatMap { fault -> active.map { fault to it } }
+                (wanted - strikes).shouldBeEmpty()
             }
         }
     }) {
