Judge that a superseded holder does nothing more

Cause: With a loop that goes on after it read a newer number behind an order, no cell of the matrix turned red. Change: The judge has a promise for it: after another holder's number was shown, a holder does nothing more.

--- a/core-testing/src/main/kotlin/org/bilberryhead/core/testing/order/OrderJudge.kt
+++ b/core-testing/src/main/kotlin/org/bilberryhead/core/testing/order/OrderJudge.kt
@@ -29,6 +29,9 @@
 
     /** A holder begins no two weight loads within its interval. */
     LOADS_SPACED,
+
+    /** A holder that was shown another holder's number does nothing more. */
+    STOPS_WHEN_SUPERSEDED,
 }
 
 /** A broken promise. */
@@ -77,7 +80,14 @@
         val starts = listOf(0) + orders.map { it + 1 }
         return orders.flatMapIndexed { index, at -> beforeOrder(own.subList(starts[index], at + 1)) } +
             own.zipWithNext().flatMap { (first, second) -> afterOrder(first, second) } +
-            loadsOf(own)
+            loadsOf(own) +
+            own.zipWithNext().flatMap { (first, second) -> afterNewer(first, second) }
+    }
+
+    private fun afterNewer(first: OrderRecord, second: OrderRecord): List<OrderViolation> {
+        val shown = (first as? OrderRecord.NumberShown)?.number ?: return emptyList()
+        if (session.fence.taken[shown] == first.holder) return emptyList()
+        return listOf(OrderViolation(OrderPromise.STOPS_WHEN_SUPERSEDED, "$first, then $second"))
     }
 
     private fun beforeOrder(records: List<OrderRecord>): List<OrderViolation> = buildList {
