--- a/core-testing/src/main/kotlin/org/bilberryhead/core/testing/order/OrderMatrix.kt
+++ b/core-testing/src/main/kotlin/org/bilberryhead/core/testing/order/OrderMatrix.kt
@@ -9,7 +9,7 @@
     private var cells = 0
     private var reached = 0
 
-    /** Name, violations and session of each failed cell. */
+    /** Name and violations of each failed cell, with the whole session of the first ones. */
     val failures = mutableListOf<String>()
 
     /** Faults that struck, each with the state of the holder that it hit. */
@@ -64,13 +64,21 @@
         if (session.struck.keys.containsAll(cell.injections)) reached++
         session.struck.mapTo(strikes) { (injection, state) -> injection.fault to state }
         session.struck.keys.mapTo(points) { it.point }
-        if (violations.isNotEmpty()) failures += (listOf("$cell") + violations + session.lines).joinToString("\n  ")
+        if (violations.isNotEmpty()) failures += describe(cell, violations, session)
         return session
     }
 
+    private fun describe(cell: OrderCell, violations: List<String>, session: OrderSession): String {
+        val lines = if (failures.size < WHOLE_SESSIONS) violations + session.lines else violations.take(1)
+        return (listOf("$cell") + lines).joinToString("\n  ")
+    }
+
     private companion object {
         const val MAXIMUM_OCCURRENCE = 24
 
+        /** Failed cells whose whole sessions are kept. */
+        const val WHOLE_SESSIONS = 3
+
         /** Faults that lead into the states which a normal run does not reach. */
         val PRELUDES = listOf(
             null,
