--- a/core-testing/src/main/kotlin/org/bilberryhead/core/testing/order/OrderMatrix.kt
+++ b/core-testing/src/main/kotlin/org/bilberryhead/core/testing/order/OrderMatrix.kt
@@ -9,11 +9,11 @@
     private var cells = 0
     private var reached = 0
 
-    /** Name, violations and session of each failed cell. */
+    /** Name and violations of each failed cell, with the whole session of the first ones. */
     val failures = mutableListOf<String>()
 
-    /** States of the chart in which some fault struck. */
-    val states = mutableSetOf<EngineOrderState>()
+    /** Faults that struck, each with the state of the holder that it hit. */
+    val strikes = mutableSetOf<Pair<OrderFault, EngineOrderState>>()
 
     /** Points at which some fault struck. */
     val points = mutableSetOf<OrderPoint>()
@@ -29,10 +29,18 @@
     /** Runs [count] pairs of faults chosen by [random], the second among the points that the first leads to. */
     fun runPairs(random: Random, count: Int) = repeat(count) {
         val seed = random.nextInt()
-        val plain = OrderSession(OrderCell(checks, seed, emptyList())).run()
-        val first = strikesOn(plain).random(random)
-        val led = OrderSession(OrderCell(checks, seed, listOf(first))).run()
-        run(OrderCell(checks, seed, listOf(first, strikesOn(led).random(random))))
+        val first = strikesOn(play(OrderCell(checks, seed, emptyList()))).random(random)
+        val second = strikesOn(play(OrderCell(checks, seed, listOf(first)))).random(random)
+        run(OrderCell(checks, seed, listOf(first, second)))
+    }
+
+    /** Returns the session of [cell] without a verdict, as far as it went. */
+    private fun play(cell: OrderCell): OrderSession = OrderSession(cell).also { session ->
+        try {
+            session.run()
+        } catch (invariant: IllegalStateException) {
+            session.note("invariant broken: ${invariant.message}")
+        }
     }
 
     /** Returns one line of counts. */
@@ -54,15 +62,23 @@
         }
         cells++
         if (session.struck.keys.containsAll(cell.injections)) reached++
-        states += session.struck.values
+        session.struck.mapTo(strikes) { (injection, state) -> injection.fault to state }
         session.struck.keys.mapTo(points) { it.point }
-        if (violations.isNotEmpty()) failures += (listOf("$cell") + violations + session.lines).joinToString("\n  ")
+        if (violations.isNotEmpty()) failures += describe(cell, violations, session)
         return session
     }
 
+    private fun describe(cell: OrderCell, violations: List<String>, session: OrderSession): String {
+        val lines = if (failures.size < WHOLE_SESSIONS) violations + session.lines else violations.take(1)
+        return (listOf("$cell") + lines).joinToString("\n  ")
+    }
+
     private companion object {
         const val MAXIMUM_OCCURRENCE = 24
 
+        /** Failed cells whose whole sessions are kept. */
+        const val WHOLE_SESSIONS = 3
+
         /** Faults that lead into the states which a normal run does not reach. */
         val PRELUDES = listOf(
             null,
