Limit what waits for a sidecar's control thread

Cause: The sidecar's control thread took steps from an unbounded queue, so that a flood of messages or of answer frames could fill the heap. Change: At 256 unfinished steps a dispatch is handed over without its payload and refused through the ledger as QUEUE_FULL, or answered as known when the same attempt is; connections and endpoint calls that bring more wait until their step has run. Events of the daemon itself are always taken. bilberry_control_steps shows the count. Conclusion: Steps are limited in number: 256, one more for each connection and call, and the daemon's own. Their payload bytes are not limited.

--- a/core/src/main/kotlin/org/bilberryhead/core/gate/GateEvent.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/gate/GateEvent.kt
@@ -16,6 +16,9 @@
     /** A message about an attempt arrived. */
     data class MessageArrived(val connection: ConnectionId, val message: AttemptMessage) : GateEvent
 
+    /** A dispatch arrived while too much waited to be handled. It must not run, so its payload is not kept. */
+    data class DispatchOverflowed(val connection: ConnectionId, val dispatch: Dispatch) : GateEvent
+
     /** A connection to an entry is open. */
     data class ConnectionOpened(val connection: ConnectionId) : GateEvent
 
--- a/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
@@ -75,6 +75,10 @@
         val actions = mutableListOf<GateAction>()
         when (event) {
             is GateEvent.MessageArrived -> takeMessage(event.connection, event.message, now, actions)
+            is GateEvent.DispatchOverflowed ->
+                if (subscriptions.isOpen(event.connection)) {
+                    takeDispatch(event.connection, event.dispatch, now, actions, hasRoom = false)
+                }
             is GateEvent.ConnectionOpened -> subscriptions.open(event.connection)
             is GateEvent.ConnectionClosed -> subscriptions.close(event.connection)
             is GateEvent.EndpointAnswered -> takeAnswer(event, now, actions)
@@ -129,6 +133,7 @@
         dispatch: Dispatch,
         now: Instant,
         actions: MutableList<GateAction>,
+        hasRoom: Boolean = true,
     ) {
         val attempt = dispatch.attempt
         if (dispatch.incarnation != incarnation || ledger.isForgotten(attempt)) {
@@ -148,7 +153,7 @@
             return
         }
         val rank = admission.rankOf(dispatch.clientAccount, now)
-        val refusal = refusalFor(dispatch, rank, now)
+        val refusal = refusalFor(dispatch, rank, now) ?: RefusalReason.QUEUE_FULL.takeUnless { hasRoom }
         if (refusal != null) {
             ledger.bury(attempt, refusal, now, fingerprint)
             refuse(attempt, refusal, now, actions)
--- a/core/src/test/kotlin/org/bilberryhead/core/gate/SidecarGateTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/gate/SidecarGateTest.kt
@@ -87,6 +87,23 @@
                 gate.receive(FIRST, dispatch()) shouldContainExactly listOf(FIRST to Forgotten(ATTEMPT))
             }
         }
+        describe("a dispatch that there was no room for") {
+            it("is refused and never runs, whatever is sent later") {
+                val gate = servingGate()
+                val overflow = GateEvent.DispatchOverflowed(FIRST, dispatch().copy(payload = Payload.EMPTY))
+                gate.handle(overflow, NOW).filterIsInstance<GateAction.Run>() shouldBe emptyList()
+                gate.receive(SECOND, query("two")).refusalReasons() shouldBe listOf(RefusalReason.QUEUE_FULL)
+                gate.receive(SECOND, dispatch("two")).refusalReasons() shouldBe listOf(RefusalReason.QUEUE_FULL)
+                gate.status.load.running shouldBe 0
+            }
+            it("is not called not run when the same attempt runs already") {
+                val gate = servingGate()
+                gate.receive(FIRST, dispatch("one"))
+                val overflow = GateEvent.DispatchOverflowed(SECOND, dispatch("two").copy(payload = Payload.EMPTY))
+                gate.handle(overflow, NOW) shouldContainExactly listOf(GateAction.Send(SECOND, Running(ATTEMPT)))
+                gate.answer("done") shouldBe listOf(FIRST, SECOND)
+            }
+        }
         describe("a late message on an older connection") {
             it("does not take the answer away from the newer one") {
                 val gate = servingGate()
@@ -137,6 +154,8 @@
                 .filterIsInstance<GateAction.Send>()
                 .map { it.connection to it.message }
 
+        fun List<Pair<ConnectionId, Message>>.refusalReasons() = map { (it.second as Refused).reason }
+
         /** Lets the endpoint answer and returns the connections that the answer goes to. */
         fun SidecarGate.answer(text: String, attempt: AttemptId = ATTEMPT): List<ConnectionId> =
             handle(GateEvent.EndpointAnswered(attempt, Payload.ofText(text), last = true), NOW)
--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarDaemon.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarDaemon.kt
@@ -10,6 +10,7 @@
 import org.bilberryhead.core.common.AttemptId
 import org.bilberryhead.core.common.DaemonId
 import org.bilberryhead.core.common.Incarnation
+import org.bilberryhead.core.common.Payload
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.core.common.TableVersion
 import org.bilberryhead.core.execution.AttemptLedger
@@ -43,7 +44,12 @@
 
 private val log = KotlinLogging.logger("sidecar")
 
-/** Runs a [SidecarGate] on one control thread, with connections and endpoint calls on others. */
+/**
+ * Runs a [SidecarGate] on one control thread, with connections and endpoint calls on others.
+ *
+ * @param inboxCapacity steps that may wait for the control thread; beyond it new work is refused, and connections and
+ *   endpoint calls wait
+ */
 class SidecarDaemon(
     private val settings: SidecarSettings,
     private val incarnation: Incarnation,
@@ -51,9 +57,10 @@
     private val caller: EndpointCaller,
     private val metrics: SidecarMetrics,
     private val timings: ProtocolTimings = ProtocolTimings(),
+    inboxCapacity: Int = ControlThread.DEFAULT_CAPACITY,
     onBrokenInvariant: () -> Unit,
 ) {
-    private val control = ControlThread(onBrokenInvariant)
+    private val control = ControlThread(inboxCapacity, onBrokenInvariant)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val ledger = AttemptLedger()
     private val gate = SidecarGate(incarnation, GateLimits(settings.concurrency, settings.queueCapacity), ledger)
@@ -148,7 +155,7 @@
         try {
             caller.call(dispatch) { event ->
                 result = resultOf(event)
-                handle(event)
+                control.submit { step(event) }
             }
         } finally {
             metrics.countCall(dispatch.stage, result, clock.now() - startedAt)
@@ -166,6 +173,7 @@
         metrics.gauge("bilberry.queue", "Attempts that wait for the endpoint") { status.load.queued }
         metrics.gauge("bilberry.running", "Attempts that the endpoint works on") { status.load.running }
         metrics.gauge("bilberry.concurrency", "Attempts that the endpoint may work on") { status.load.concurrency }
+        metrics.gauge("bilberry.control.steps", "Steps that wait for the control thread") { control.unfinishedSteps }
         metrics.gauge("bilberry.ledger.attempts", "Attempts that the ledger remembers") { status.remembered }
         metrics.gauge("bilberry.connections", "Open connections of entries") { server.openConnections }
         metrics.gauge("bilberry.table.version", "Version of the tables held") { tableVersion.value }
@@ -198,16 +206,26 @@
         override suspend fun received(connection: Long, message: Message) {
             val id = ConnectionId(connection)
             when (message) {
-                is AttemptMessage -> handle(GateEvent.MessageArrived(id, message))
-                is AskOutcome -> control.post { senders[id]?.invoke(outcomeOf(message)) }
-                is Heartbeat -> control.post { catchUp(id, message.tableVersion) }
-                is Changes -> control.post { tablesOffered(id, replica.merge(message.changes)) }
-                is Snapshot -> control.post { tablesOffered(id, replica.merge(message)) }
-                is FetchChanges -> control.post { replica.answer(message)?.let { senders[id]?.invoke(it) } }
+                is Dispatch -> takeDispatch(id, message)
+                is AttemptMessage -> control.submit { step(GateEvent.MessageArrived(id, message)) }
+                is AskOutcome -> control.submit { senders[id]?.invoke(outcomeOf(message)) }
+                is Heartbeat -> control.submit { catchUp(id, message.tableVersion) }
+                is Changes -> control.submit { tablesOffered(id, replica.merge(message.changes)) }
+                is Snapshot -> control.submit { tablesOffered(id, replica.merge(message)) }
+                is FetchChanges -> control.submit { replica.answer(message)?.let { senders[id]?.invoke(it) } }
                 else -> log.warn { "sidecar: unexpected ${message::class.simpleName} on connection $connection" }
             }
         }
 
+        private suspend fun takeDispatch(connection: ConnectionId, dispatch: Dispatch) {
+            val event = if (control.hasRoom) {
+                GateEvent.MessageArrived(connection, dispatch)
+            } else {
+                GateEvent.DispatchOverflowed(connection, dispatch.copy(payload = Payload.EMPTY))
+            }
+            control.submit { step(event) }
+        }
+
         override suspend fun closed(connection: Long) {
             val id = ConnectionId(connection)
             control.post {
--- a/sidecar/src/test/kotlin/org/bilberryhead/sidecar/SidecarDaemonTest.kt
+++ b/sidecar/src/test/kotlin/org/bilberryhead/sidecar/SidecarDaemonTest.kt
@@ -80,6 +80,23 @@
         lateinit var release: CountDownLatch
         lateinit var begun: Channel<Unit>
 
+        fun newDaemon(inboxCapacity: Int) = SidecarDaemon(
+            settings = SidecarSettings(
+                endpoint = EndpointId("record-0"),
+                dataCentre = DataCentre("nashua"),
+                listen = loopback,
+                operations = loopback,
+                endpointUrl = endpoint.url,
+                platformUrl = "http://127.0.0.1:1",
+            ),
+            incarnation = TEST_RUN,
+            clock = MonotonicClock(),
+            caller = EndpointCaller(endpoint.url),
+            metrics = SidecarMetrics(SimpleMeterRegistry()),
+            inboxCapacity = inboxCapacity,
+            onBrokenInvariant = { throw AssertionError("broken invariant") },
+        )
+
         beforeEach {
             scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
             selectors = SelectorManager(Dispatchers.IO)
@@ -90,21 +107,7 @@
                 release.await()
                 ScriptedEndpoint.response("200 OK", "done".encodeToByteArray())(output)
             }
-            daemon = SidecarDaemon(
-                settings = SidecarSettings(
-                    endpoint = EndpointId("record-0"),
-                    dataCentre = DataCentre("nashua"),
-                    listen = loopback,
-                    operations = loopback,
-                    endpointUrl = endpoint.url,
-                    platformUrl = "http://127.0.0.1:1",
-                ),
-                incarnation = TEST_RUN,
-                clock = MonotonicClock(),
-                caller = EndpointCaller(endpoint.url),
-                metrics = SidecarMetrics(SimpleMeterRegistry()),
-                onBrokenInvariant = { throw AssertionError("broken invariant") },
-            )
+            daemon = newDaemon(inboxCapacity = 256)
             daemon.start()
         }
 
@@ -160,6 +163,28 @@
             }
         }
 
+        describe("a sidecar without room for new work") {
+            it("refuses it as not run, and still takes questions and its own leaving") {
+                val attempt = AttemptId("entry.1:0:0")
+                daemon = newDaemon(inboxCapacity = 0).also { it.start() }
+                val entry = connect()
+
+                entry.client.trySend(testDispatch("entry.1:0:0"))
+                entry.next().shouldBeInstanceOf<Refused>().reason shouldBe RefusalReason.QUEUE_FULL
+                entry.client.trySend(AskOutcome(attempt, TEST_RUN))
+                entry.next().shouldBeInstanceOf<OutcomeReport>().outcome shouldBe AttemptOutcome.NOT_RUN
+                entry.client.trySend(query("entry.1:0:0"))
+                entry.next().shouldBeInstanceOf<Refused>().reason shouldBe RefusalReason.QUEUE_FULL
+
+                coroutineScope {
+                    val drained = async(Dispatchers.Default) { daemon.drain() }
+                    entry.next() shouldBe Leaving
+                    withTimeout(15.seconds) { drained.await() }
+                }
+                endpoint.calls.get() shouldBe 0
+            }
+        }
+
         describe("a question for an outcome") {
             it("does not keep the attempt from running later") {
                 val entry = connect()
