--- a/entry/src/main/kotlin/org/bilberryhead/entry/Problem.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/Problem.kt
@@ -15,10 +15,13 @@
 /** Value of [Problem.outcome]: the request may have taken effect. */
 const val OUTCOME_UNKNOWN = "unknown"
 
+/** Begins the type of every problem; the reason follows, with hyphens. */
+private const val PROBLEM_TYPE_PREFIX = "urn:bilberryhead:problem:"
+
 /**
  * A refusal in the form of RFC 9457.
  *
- * @property type a URI reference, one for each reason
+ * @property type a URN, one for each reason; it does not change and leads to no page
  * @property outcome [OUTCOME_NOT_RUN] or [OUTCOME_UNKNOWN]
  * @property reason for programs: why
  * @property repeatable whether the same request, with the same key, may be sent again without harm
@@ -88,7 +91,7 @@
     outcome: String,
     repeatable: Boolean,
 ) = Problem(
-    type = "/problems/" + reason.lowercase().replace('_', '-'),
+    type = PROBLEM_TYPE_PREFIX + reason.lowercase().replace('_', '-'),
     title = status.description,
     status = status.value,
     detail = detail,
