--- a/entry/src/test/kotlin/org/bilberryhead/entry/EntryTlsTest.kt
+++ b/entry/src/test/kotlin/org/bilberryhead/entry/EntryTlsTest.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.engine.spec.tempdir
 import io.kotest.matchers.collections.shouldContainExactly
@@ -24,7 +25,12 @@
 import org.bilberryhead.daemon.ServerTls
 import org.bilberryhead.daemon.TlsSettings
 import java.net.ServerSocket
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
 import java.nio.file.Path
+import javax.net.ssl.SSLHandshakeException
 import kotlin.io.path.copyTo
 import kotlin.io.path.writeText
 import kotlin.time.Duration
@@ -50,6 +56,7 @@
             listen = SocketAddress("127.0.0.1", freePort()),
             peerListen = SocketAddress("127.0.0.1", freePort()),
             platformUrl = "http://127.0.0.1:1",
+            clientAccounts = listOf(AccountToken(TEST_ACCOUNT, digest(TEST_TOKEN))),
             operators = listOf(OperatorToken("ann", digest(OPERATOR_TOKEN))),
             tls = tls,
             fileCheckInterval = 100.milliseconds,
@@ -66,6 +73,15 @@
             return client.use { it.statuses().single() }
         }
 
+        fun sendRequest(settings: EntrySettings, authority: TestAuthority): HttpResponse<String> {
+            val request = HttpRequest.newBuilder(URI("https://${settings.listen}/v1/requests/plan"))
+                .header("Authorization", "Bearer $TEST_TOKEN")
+                .POST(HttpRequest.BodyPublishers.ofString("{}"))
+                .build()
+            val client = HttpClient.newBuilder().sslContext(authority.trustingContext()).build()
+            return client.send(request, HttpResponse.BodyHandlers.ofString())
+        }
+
         describe("an entry with a certificate") {
             it("answers by HTTPS those who trust its authority, and is refused by others, also after a change") {
                 first.issue(chain, key)
@@ -74,6 +90,8 @@
                 val daemon = EntryDaemon(settings, MonotonicClock(), files)
                 daemon.start()
 
+                sendRequest(settings, first).body() shouldContain "urn:bilberryhead:problem:no-tables"
+                shouldThrow<SSLHandshakeException> { sendRequest(settings, second) }
                 askStatus(settings, first).status.get()?.entry shouldBe DaemonId("entry-0")
                 val refused = askStatus(settings, second).status.getError()
                 refused.shouldBeInstanceOf<CallError.NoEntryReachable>().detail shouldContain "no TLS connection"
--- a/entry/src/test/kotlin/org/bilberryhead/entry/TestAuthority.kt
+++ b/entry/src/test/kotlin/org/bilberryhead/entry/TestAuthority.kt
@@ -9,6 +9,8 @@
 import java.security.PrivateKey
 import java.security.cert.X509Certificate
 import java.util.Base64
+import javax.net.ssl.SSLContext
+import javax.net.ssl.TrustManagerFactory
 import javax.security.auth.x500.X500Principal
 import kotlin.io.path.writeText
 
@@ -28,6 +30,15 @@
     /** Writes the authority's certificate to [file]. */
     fun writeCertificate(file: Path) = file.writeText(pem("CERTIFICATE", certificate.encoded))
 
+    /** Returns the TLS settings of a caller that trusts this authority and no other. */
+    fun trustingContext(): SSLContext {
+        val trusted = KeyStore.getInstance(KeyStore.getDefaultType()).apply { load(null) }
+        trusted.setCertificateEntry(ALIAS, certificate)
+        val factory = TrustManagerFactory.getInstance(TrustManagerFactory.getDefaultAlgorithm())
+        factory.init(trusted)
+        return SSLContext.getInstance("TLS").apply { init(null, factory.trustManagers, null) }
+    }
+
     /** Writes a new certificate for 127.0.0.1 to [chainFile] and its key to [keyFile]. */
     fun issue(chainFile: Path, keyFile: Path) {
         val issued = buildKeyStore {
--- a/entry/src/test/kotlin/org/bilberryhead/entry/TokenFileTest.kt
+++ b/entry/src/test/kotlin/org/bilberryhead/entry/TokenFileTest.kt
@@ -37,6 +37,15 @@
                 owners.size shouldBe 24_000
                 owners[TokenDigest.ofToken("token-23999")] shouldBe ClientAccount("account-23999")
             }
+            it("is refused or read, and never breaks the reader, wherever it is cut off or altered") {
+                val text = row("a", "one") + row("\"b\"", "two") + "# comment\n" + row("&c c", "three")
+                for (position in text.indices) {
+                    reader.read(text.take(position).reader())
+                    for (character in "{}[]:,-&*!|>'\"%@`#\n\t\u0000") {
+                        reader.read(text.replaceRange(position, position + 1, "$character").reader())
+                    }
+                }
+            }
             it("is told every fault with its path, and none of its content") {
                 val text = row("a", "one") + "- {account: b, tokenSha256: secret}\n" + row("c", "one") +
                     "- {account: d, token: secret}\n- {tokenSha256: ${digest("two")}}\n"
