Serve a sidecar's metrics by HTTPS when its settings name a certificate

Cause: Operators read metrics and health of sidecars too, and these had no TLS. A warm-up that failed would have kept an entry from starting. Change: The sidecar takes tls and fileCheckInterval as the entry does; FileFollower carries the reloading for both. An entry whose warm-up fails logs it and starts. Conclusion: The sidecar's wiring was tried by hand with curl and has no test of its own; its parts are those that EntryTlsTest covers.

--- a/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/EntryDaemon.kt
@@ -23,6 +23,7 @@
 import org.bilberryhead.platform.TableLog
 import org.bilberryhead.platform.TableServiceClaimStore
 import org.bilberryhead.platform.TableSnapshots
+import java.io.IOException
 import java.util.UUID
 import kotlin.random.Random
 import kotlin.time.Clock
@@ -71,7 +72,7 @@
     /** Begins to serve. */
     suspend fun start() {
         control.start()
-        scope.launch(Dispatchers.IO) { files.follow(settings.fileCheckInterval) }
+        scope.launch(Dispatchers.IO) { files.follower.follow(settings.fileCheckInterval) }
         server.start()
         warmUp()
         log.info {
@@ -81,9 +82,13 @@
 
     private suspend fun warmUp() {
         val startedAt = clock.now()
-        val answered = WarmUp(clock).run()
+        try {
+            val answered = WarmUp(clock).run()
+            log.info { "entry: warmed up by $answered requests in ${(clock.now() - startedAt).inWholeMilliseconds} ms" }
+        } catch (failure: IOException) {
+            log.warn { "entry: not warmed up, the first requests will be slow: ${failure.message}" }
+        }
         isWarm = true
-        log.info { "entry: warmed up by $answered requests in ${(clock.now() - startedAt).inWholeMilliseconds} ms" }
     }
 
     /**
@@ -119,7 +124,7 @@
     }
 
     private fun showGauges() {
-        files.showGauges(registry, clock)
+        files.follower.showGauges(registry, clock)
         metrics.gauge("bilberry.requests.in.flight", "Requests in flight") { tracker.requestsInFlight }
         metrics.gauge("bilberry.table.version", "Version of the tables in force") { control.tables.version.value }
         metrics.gauge("bilberry.table.age.seconds", "Time since the tables were last known to be the newest") {
--- a/entry/src/main/kotlin/org/bilberryhead/entry/EntryFiles.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/EntryFiles.kt
@@ -5,17 +5,14 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
-import io.micrometer.core.instrument.MeterRegistry
 import io.netty.handler.ssl.SslContext
-import kotlinx.coroutines.delay
 import org.bilberryhead.core.common.ClientAccount
+import org.bilberryhead.daemon.FileFollower
 import org.bilberryhead.daemon.ReloadedValue
 import org.bilberryhead.daemon.ServerTls
 import org.bilberryhead.daemon.SettingsError
-import org.bilberryhead.daemon.showReloads
 import kotlin.io.path.Path
 import kotlin.time.Clock
-import kotlin.time.Duration
 
 /** What an entry holds of the files that its settings name, read again whenever they change. */
 class EntryFiles private constructor(
@@ -26,7 +23,9 @@
 ) {
     private val ownAccounts = Tokens.ownersOf(settings.clientAccounts.map { it.tokenSha256 to it.account })
     private val ownOperators = Tokens.ownersOf(settings.operators.map { it.tokenSha256 to it.name })
-    private val reloaded: List<ReloadedValue<*>> = listOfNotNull(accounts, operators, tls)
+
+    /** Reads the files again when they change. */
+    val follower = FileFollower(listOfNotNull(accounts, operators, tls))
 
     /** The tokens of the settings and of the files that they name. */
     val tokens = Tokens(
@@ -34,20 +33,6 @@
         operator = { digest -> ownOperators[digest] ?: operators?.current?.get(digest) },
     )
 
-    /** Shows the state of the files. */
-    fun showGauges(registry: MeterRegistry, clock: Clock) = reloaded.forEach { registry.showReloads(it, clock) }
-
-    /** Looks for changed files every [interval], for ever. */
-    suspend fun follow(interval: Duration) {
-        while (true) {
-            delay(interval)
-            check()
-        }
-    }
-
-    /** Reads the files that have changed. */
-    fun check() = reloaded.forEach { it.check() }
-
     companion object {
         private val accountReader = TokenFileReader("account", ::ClientAccount)
         private val operatorReader = TokenFileReader("name") { it }
--- a/entry/src/main/kotlin/org/bilberryhead/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/EntrySettings.kt
@@ -7,15 +7,13 @@
 import org.bilberryhead.core.common.DurationTextSerializer
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.daemon.CheckedSettings
+import org.bilberryhead.daemon.FileFollower
 import org.bilberryhead.daemon.SettingsError
 import org.bilberryhead.daemon.TlsSettings
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Shortest time between two looks at the files that the settings name. */
-private val MINIMUM_FILE_CHECK_INTERVAL = 100.milliseconds
-
 /**
  * Settings of an entry.
  *
@@ -58,9 +56,7 @@
         if (!drainLimit.isPositive()) add(SettingsError("drainLimit", "$drainLimit is not positive"))
         if (maximumBodyBytes < 1) add(SettingsError("maximumBodyBytes", "$maximumBodyBytes is less than 1"))
         if (pollInterval < 50.milliseconds) add(SettingsError("pollInterval", "$pollInterval is less than 50ms"))
-        if (fileCheckInterval < MINIMUM_FILE_CHECK_INTERVAL) {
-            add(SettingsError("fileCheckInterval", "$fileCheckInterval is less than $MINIMUM_FILE_CHECK_INTERVAL"))
-        }
+        FileFollower.faultOf(fileCheckInterval)?.let(::add)
         clientAccounts.forEachIndexed { index, account -> checkDigest("clientAccounts[$index]", account.tokenSha256) }
         operators.forEachIndexed { index, operator -> checkDigest("operators[$index]", operator.tokenSha256) }
     }
--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/Main.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/Main.kt
@@ -1,19 +1,38 @@
 package org.bilberryhead.sidecar
 
 import com.github.ajalt.clikt.core.main
-import io.ktor.server.engine.embeddedServer
-import io.ktor.server.netty.Netty
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
 import io.ktor.server.routing.routing
+import io.netty.handler.ssl.SslContext
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
 import org.bilberryhead.core.common.Incarnation
+import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.daemon.DaemonCommand
+import org.bilberryhead.daemon.FileFollower
 import org.bilberryhead.daemon.MonotonicClock
+import org.bilberryhead.daemon.ReloadedValue
+import org.bilberryhead.daemon.ServerTls
+import org.bilberryhead.daemon.SettingsError
 import org.bilberryhead.daemon.TerminationSignal
+import org.bilberryhead.daemon.httpServer
 import org.bilberryhead.daemon.newMeterRegistry
 import org.bilberryhead.daemon.operationsRoutes
 import java.util.UUID
 
 /** The command `bilberry-sidecar`. */
 class SidecarCommand : DaemonCommand<SidecarSettings>("bilberry-sidecar", SidecarSettings.serializer()) {
+    private val clock = MonotonicClock()
+    private var tls: ReloadedValue<SslContext>? = null
+
+    override fun checkFiles(settings: SidecarSettings): List<SettingsError> {
+        val loaded = settings.tls?.let { ReloadedValue.load(ServerTls(it), clock) } ?: return emptyList()
+        tls = loaded.get()
+        return loaded.getError().orEmpty()
+    }
+
     override suspend fun serve(settings: SidecarSettings) {
         val signal = TerminationSignal(settings.drainLimit)
         val incarnation = Incarnation(UUID.randomUUID().toString())
@@ -21,25 +40,41 @@
         val daemon = SidecarDaemon(
             settings = settings,
             incarnation = incarnation,
-            clock = MonotonicClock(),
+            clock = clock,
             caller = EndpointCaller(settings.endpointUrl, settings.maximumAnswerBytes),
             metrics = SidecarMetrics(registry),
             onBrokenInvariant = { Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT) },
         )
-        val operations = embeddedServer(Netty, settings.operations.port, settings.operations.host) {
+        val operations = httpServer(settings.operations, tls) {
             routing { operationsRoutes(registry, daemon::whyNotReady) }
         }
         operations.start()
-        WarmUp.run(settings.operations, incarnation)
+        val files = FileFollower(listOfNotNull(tls))
+        files.showGauges(registry, clock)
+        warmUp(settings, incarnation)
         daemon.start()
-        signal.await()
-        daemon.drain()
+        coroutineScope {
+            val following = launch(Dispatchers.IO) { files.follow(settings.fileCheckInterval) }
+            signal.await()
+            daemon.drain()
+            following.cancel()
+        }
         signal.release()
     }
 
+    private suspend fun warmUp(settings: SidecarSettings, incarnation: Incarnation) {
+        if (settings.tls == null) return WarmUp.run(settings.operations, incarnation)
+        // The endpoint is called by HTTP, so that the warm-up needs a server that has no TLS.
+        val server = httpServer(SocketAddress("127.0.0.1", 0)) { }
+        server.start()
+        WarmUp.run(SocketAddress("127.0.0.1", server.engine.resolvedConnectors().first().port), incarnation)
+        server.stop(0, STOP_LIMIT_MILLIS)
+    }
+
     private companion object {
         /** Exit status after a broken invariant: the ledger can not be trusted any more. */
         const val EXIT_BROKEN_INVARIANT = 70
+        const val STOP_LIMIT_MILLIS = 500L
     }
 }
 
--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarSettings.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarSettings.kt
@@ -6,7 +6,9 @@
 import org.bilberryhead.core.common.EndpointId
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.daemon.CheckedSettings
+import org.bilberryhead.daemon.FileFollower
 import org.bilberryhead.daemon.SettingsError
+import org.bilberryhead.daemon.TlsSettings
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -19,6 +21,8 @@
  * @property concurrency calls that the endpoint works on at once, until the pools table says otherwise
  * @property queueCapacity attempts that may wait
  * @property maximumAnswerBytes a longer answer counts as a failure of the endpoint
+ * @property tls certificate and key with which [operations] is served by HTTPS; null to serve it by HTTP
+ * @property fileCheckInterval how often the files of [tls] are looked at for changes
  * @property drainLimit longest time that a graceful shutdown may take
  */
 @Serializable
@@ -32,6 +36,8 @@
     val concurrency: Int = 4,
     val queueCapacity: Int = 64,
     val maximumAnswerBytes: Int = EndpointCaller.DEFAULT_ANSWER_BYTES,
+    val tls: TlsSettings? = null,
+    @Serializable(with = DurationTextSerializer::class) val fileCheckInterval: Duration = 5.seconds,
     @Serializable(with = DurationTextSerializer::class) val drainLimit: Duration = 60.seconds,
 ) : CheckedSettings {
     override fun check(): List<SettingsError> = buildList {
@@ -39,6 +45,7 @@
         if (concurrency < 1) add(SettingsError("concurrency", "$concurrency is less than 1"))
         if (maximumAnswerBytes < 1) add(SettingsError("maximumAnswerBytes", "$maximumAnswerBytes is less than 1"))
         if (!drainLimit.isPositive()) add(SettingsError("drainLimit", "$drainLimit is not positive"))
+        FileFollower.faultOf(fileCheckInterval)?.let(::add)
         if (queueCapacity < 1) add(SettingsError("queueCapacity", "$queueCapacity is less than 1"))
     }
 }
