--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
@@ -367,7 +367,8 @@
 
     private fun hedge(now: Instant) {
         val only = openAttempts().singleOrNull() ?: return
-        if (!stage.hedged || !stage.idempotent || leader != null || isClosing) return
+        val mayHedge = stage.hedged && stage.idempotent && leader == null
+        if (!mayHedge || isClosing) return
         val predicted = tables.poolOf(stage)?.let { selector.predict(it, now) }
         val times = selector.stageTimes(stage.pool)
         val remaining = request.deadline - now
