--- a/core/src/main/kotlin/org/bilberryhead/core/admission/AdmissionControl.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/admission/AdmissionControl.kt
@@ -3,11 +3,9 @@
 import org.bilberryhead.core.common.ClientAccount
 import org.bilberryhead.core.common.RequestKind
 import org.bilberryhead.core.routing.EndpointSelector
-import org.bilberryhead.core.tables.Objective
 import org.bilberryhead.core.tables.Route
 import org.bilberryhead.core.tables.Tables
 import java.util.concurrent.ConcurrentHashMap
-import kotlin.math.min
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
@@ -72,29 +70,18 @@
             val predicted = predict(route, tables, now)
             val shares = sharesOf(route)
             shares.recordDemand(account, now)
-            val excess = predicted - remaining * limitFor(shares, account, now) * partFor(route.objective)
-            if (!excess.isPositive()) {
-                shares.recordAdmitted(account, now)
-                return Admission.Admitted
-            }
+            val excess = predicted - remaining * limitFor(shares.demandRatio(account, now))
+            if (!excess.isPositive()) return Admission.Admitted
             return Admission.Refused("predicted $predicted of $remaining left", maxOf(excess, MINIMUM_RETRY))
         }
 
         override fun recordAnswered(route: Route, now: Instant) = sharesOf(route).recordServed(now)
 
-        private fun limitFor(shares: FairShares, account: ClientAccount, now: Instant): Double {
-            val asked = shares.demandRatio(account, now) / TOLERATED_DEMAND
-            val letIn = shares.admittedRatio(account, now) * OVER_SHARE_FACTOR
-            val overShare = (min(asked, letIn) - 1).coerceIn(0.0, 1.0)
+        private fun limitFor(demandRatio: Double): Double {
+            val overShare = (demandRatio - 1).coerceIn(0.0, 1.0)
             return refuseAt + (refuseOverShareAt - refuseAt) * overShare
         }
 
-        /** Work that is not answered in time costs as well, so that routes by cost keep more time in hand. */
-        private fun partFor(objective: Objective): Double = when (objective) {
-            Objective.ATTAINMENT -> 1.0
-            Objective.COST -> COST_PART
-        }
-
         private fun sharesOf(route: Route) = sharesByKind.computeIfAbsent(route.kind) { FairShares() }
 
         private fun predict(route: Route, tables: Tables, now: Instant): Duration =
@@ -107,14 +94,5 @@
     private companion object {
         /** Shortest time after which a caller is told to come back. */
         val MINIMUM_RETRY = 100.milliseconds
-
-        /** Demand relative to the fair share that is not yet held against an account. */
-        const val TOLERATED_DEMAND = 1.25
-
-        /** Part of the limits that holds on routes by cost. */
-        const val COST_PART = 0.75
-
-        /** An account that asks for more than its share gets this much less of it before it is refused sooner. */
-        const val OVER_SHARE_FACTOR = 2.0
     }
 }
--- a/core/src/main/kotlin/org/bilberryhead/core/admission/FairShares.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/admission/FairShares.kt
@@ -22,10 +22,7 @@
     private val state = AtomicReference(Windows(Instant.DISTANT_PAST, Counts(), Counts(), Double.MAX_VALUE))
 
     /** Counts one unit of demand of [account]. */
-    fun recordDemand(account: ClientAccount, now: Instant) = current(now).newest.demand.add(account)
-
-    /** Counts one unit of [account] that was let in. */
-    fun recordAdmitted(account: ClientAccount, now: Instant) = current(now).newest.admitted.add(account)
+    fun recordDemand(account: ClientAccount, now: Instant) = current(now).newest.add(account)
 
     /** Counts one unit that was served, of any account. */
     fun recordServed(now: Instant) {
@@ -36,16 +33,12 @@
     fun isOverShare(account: ClientAccount, now: Instant): Boolean = demandRatio(account, now) > TOLERANCE
 
     /** Returns what [account] asks for, relative to its share. */
-    fun demandRatio(account: ClientAccount, now: Instant): Double = ratio(now) { it.demand.of(account) }
-
-    /** Returns what [account] was let in with, relative to its share. */
-    fun admittedRatio(account: ClientAccount, now: Instant): Double = ratio(now) { it.admitted.of(account) }
-
-    private inline fun ratio(now: Instant, count: (Counts) -> Long): Double {
+    fun demandRatio(account: ClientAccount, now: Instant): Double {
         val windows = current(now)
         val elapsed = ((now - windows.startedAt) / window).coerceIn(0.0, 1.0)
-        val newest = count(windows.newest)
-        val rate = max(count(windows.older) * (1 - elapsed) + newest, newest.toDouble())
+        val older = windows.older.of(account)
+        val newest = windows.newest.of(account)
+        val rate = max(older * (1 - elapsed) + newest, newest.toDouble())
         return rate / max(windows.level, 1.0)
     }
 
@@ -60,13 +53,11 @@
         }
     }
 
-    /** Counts by account, never less than the truth. */
-    private class Sketch {
+    /** What was counted in one window. */
+    private class Counts {
+        val served = AtomicLong()
         private val cells = AtomicLongArray(ROWS * COLUMNS)
 
-        /** The counts of one row, in which no account is counted twice. */
-        val row: List<Long> get() = (0 until COLUMNS).map { cells.get(it) }
-
         fun add(account: ClientAccount) {
             for (row in 0 until ROWS) cells.incrementAndGet(cell(account, row))
         }
@@ -77,29 +68,18 @@
             return least
         }
 
-        private fun cell(account: ClientAccount, row: Int): Int {
-            val mixed = account.value.hashCode() * MULTIPLIERS[row]
-            return row * COLUMNS + (mixed ushr HASH_SHIFT)
-        }
-    }
-
-    /** What was counted in one window. */
-    private class Counts {
-        val served = AtomicLong()
-        val demand = Sketch()
-        val admitted = Sketch()
-
         /**
          * Returns the level for one window at which the demands of this window and [before], each cut to it, add up to
          * what was served.
          */
         fun levelWith(before: Counts): Double {
-            val earlier = before.demand.row
-            val demands = demand.row.zip(earlier) { newer, older -> newer + older }.filter { it > 0 }.sorted()
-            val windows = if (earlier.all { it == 0L }) 1 else 2
+            val demands = (0 until COLUMNS).map { cells.get(it) + before.cells.get(it) }.filter { it > 0 }.sorted()
+            val windows = if (before.isEmpty()) 1 else 2
             return level(demands, (served.get() + before.served.get()).toDouble()) / windows
         }
 
+        private fun isEmpty() = (0 until COLUMNS).all { cells.get(it) == 0L }
+
         private fun level(demands: List<Long>, servedInTotal: Double): Double {
             if (demands.isEmpty()) return Double.MAX_VALUE
             var left = servedInTotal
@@ -111,6 +91,11 @@
             }
             return demands.last().toDouble()
         }
+
+        private fun cell(account: ClientAccount, row: Int): Int {
+            val mixed = account.value.hashCode() * MULTIPLIERS[row]
+            return row * COLUMNS + (mixed ushr HASH_SHIFT)
+        }
     }
 
     private class Windows(val startedAt: Instant, val newest: Counts, val older: Counts, val level: Double)
--- a/core/src/main/kotlin/org/bilberryhead/core/admission/GateAdmission.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/admission/GateAdmission.kt
@@ -36,7 +36,6 @@
     private val service = ServiceTimeEstimator()
     private val limiter = ConcurrencyLimiter()
     private val shares = FairShares()
-    private var relaxedAt = Instant.DISTANT_PAST
 
     /** Smoothed service time in milliseconds; 0 before the first answer. */
     val serviceMillis: Double get() = service.meanMillis
@@ -69,23 +68,21 @@
     fun recordStart(now: Instant) = shares.recordServed(now)
 
     /** Returns why an attempt of [rank] with [remaining] time is refused, or null when it is accepted. */
-    fun refusalFor(rank: Int, remaining: Duration, occupancy: GateOccupancy, now: Instant): RefusalReason? =
-        when (policy) {
-            GatePolicy.BoundedQueue -> if (occupancy.queued >= occupancy.capacity) RefusalReason.QUEUE_FULL else null
-            is GatePolicy.DeadlineAware -> refusalFor(policy, rank, remaining, occupancy, now)
-        }
+    fun refusalFor(rank: Int, remaining: Duration, occupancy: GateOccupancy): RefusalReason? = when (policy) {
+        GatePolicy.BoundedQueue -> if (occupancy.queued >= occupancy.capacity) RefusalReason.QUEUE_FULL else null
+        is GatePolicy.DeadlineAware -> refusalFor(policy, rank, remaining, occupancy)
+    }
 
     private fun refusalFor(
         policy: GatePolicy.DeadlineAware,
         rank: Int,
         remaining: Duration,
         occupancy: GateOccupancy,
-        now: Instant,
     ): RefusalReason? {
         val overShareCapacity = occupancy.capacity * policy.overShareCapacity
         val wait = predictedWait(occupancy)
         val isLate = wait > remaining * policy.waitShare || wait + needed > remaining
-        if (isLate && occupancy.running == 0 && occupancy.queued == 0) relax(now)
+        if (isLate && occupancy.running == 0 && occupancy.queued == 0) service.relax()
         return when {
             occupancy.queued >= occupancy.capacity -> RefusalReason.QUEUE_FULL
             rank == OVER_SHARE && occupancy.queued >= overShareCapacity -> RefusalReason.ACCOUNT_OVER_SHARE
@@ -95,13 +92,6 @@
         }
     }
 
-    /** At most once in a service time, so that many refusals in a short time do not make a slow endpoint seem fast. */
-    private fun relax(now: Instant) {
-        if (now < relaxedAt + needed) return
-        relaxedAt = now
-        service.relax()
-    }
-
     /** Returns when an attempt that is due at [deadline] must start at the latest. */
     fun latestStart(deadline: Instant): Instant = when (policy) {
         GatePolicy.BoundedQueue -> deadline
--- a/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/gate/SidecarGate.kt
@@ -171,7 +171,7 @@
         val ahead = queue.countAhead(rank, now + remaining)
         val occupancy = GateOccupancy(ahead, running.size, queue.size, queue.capacity, concurrency)
         admission.recordArrival(dispatch.clientAccount, now)
-        return admission.refusalFor(rank, remaining, occupancy, now)
+        return admission.refusalFor(rank, remaining, occupancy)
     }
 
     private val concurrency: Int get() = admission.concurrency(limits.concurrency)
