--- a/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointState.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointState.kt
@@ -51,6 +51,8 @@
 
     /** Counts an attempt sent to the endpoint. */
     fun recordDispatch(nowMillis: Long) {
+        // Set before the count grows as well: another thread must not take the idle time before for a lack of progress.
+        if (attemptsInFlight.get() == 0) progressAt = nowMillis
         if (attemptsInFlight.getAndIncrement() == 0) progressAt = nowMillis
     }
 
--- a/core/src/test/kotlin/org/bilberryhead/core/routing/EndpointStateTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/routing/EndpointStateTest.kt
@@ -24,6 +24,18 @@
     fun inFlight() = state.inFlight
 }
 
+/** Dispatches to an endpoint that was idle for long, beside predictions of its service time of 100 ms. */
+class ConcurrentPrediction {
+    private val state = EndpointState(PoolState(0), 0)
+        .apply { recordLoad(LoadReport(0, 0, 4, serviceMillis = 100.0), EjectionLimits(), nowMillis = 0) }
+
+    @Operation
+    fun recordDispatch() = state.recordDispatch(nowMillis = 10_000)
+
+    @Operation
+    fun isPredictedSlow() = state.serviceMillis(nowMillis = 10_000) > 200
+}
+
 /** The operations that threads run on the count of ejected endpoints at the same time. */
 class ConcurrentEjections {
     private val pool = PoolState(0).apply { size = 6 }
@@ -49,6 +61,10 @@
                 StressOptions().iterations(20).invocationsPerIteration(500).check(ConcurrentEndpointState::class)
             }
 
+            it("never shows time without work as lack of progress") {
+                StressOptions().iterations(20).invocationsPerIteration(2_000).check(ConcurrentPrediction::class)
+            }
+
             it("counts ejections like one thread would") {
                 StressOptions().iterations(20).invocationsPerIteration(500).check(ConcurrentEjections::class)
             }
