Do not take idle time for a lack of progress

Cause: a full-size run of SidecarFaultTest refused one of four simultaneous orders: "predicted 9474 ms of 9999 ms left" on an endpoint with nothing to do.

--- a/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointState.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointState.kt
@@ -97,8 +97,10 @@
     fun serviceMillis(nowMillis: Long): Double {
         val usual = max(pool.serviceMillis, UNKNOWN_SERVICE_MILLIS)
         val reported = report?.serviceMillis?.takeIf { it > 0.0 } ?: usual
+        // Read before the time of progress, which a dispatch sets before it counts.
+        val isWorking = inFlight > 0
         val idleMillis = max(0L, nowMillis - progressAt)
-        if (inFlight > 0) return max(reported, idleMillis.toDouble())
+        if (isWorking) return max(reported, idleMillis.toDouble())
         val weight = exp(-idleMillis / max(FORGET_MILLIS, reported * FORGET_SERVICE_TIMES))
         return weight * reported + (1 - weight) * min(reported, usual)
     }
