Keep two works under one attempt id apart at an entry, and publish tables by a holder

Cause: Made to guard the fingerprints, the scenario SHARED_TICKET (two client accounts use one ticket) showed that an entry delivered a sidecar's messages to every request that waited under the attempt id: one account was told the other's answer, and a running order was told to have not run. Published tables were a volatile field without a Lincheck test. PublishedTables holds the tables in force of entry and sidecar.

--- a/core-testing/src/main/kotlin/org/bilberryhead/core/testing/model/ModelSession.kt
+++ b/core-testing/src/main/kotlin/org/bilberryhead/core/testing/model/ModelSession.kt
@@ -131,8 +131,9 @@
 
     private fun ticketOf(order: Order): AttemptLocation {
         val sidecar = sidecars.first { it.endpoint.id.value == "order-0" }
+        val name = if (scenario.isTicketShared) "shared" else order.input
         return order.submissions.firstOrNull()?.request?.ticket
-            ?: AttemptLocation(sidecar.endpoint.id, sidecar.incarnation, AttemptId("ticket-${order.input}:0"))
+            ?: AttemptLocation(sidecar.endpoint.id, sidecar.incarnation, AttemptId("ticket-$name:0"))
     }
 
     private fun runUntilSettled() {
--- a/core-testing/src/main/kotlin/org/bilberryhead/core/testing/model/Scenario.kt
+++ b/core-testing/src/main/kotlin/org/bilberryhead/core/testing/model/Scenario.kt
@@ -12,6 +12,7 @@
  * A kind of work.
  *
  * @property isTicketed whether each order carries a ticket and is submitted through two entries at once
+ * @property isTicketShared whether two client accounts use one ticket for different work, against the rules
  * @property ledger limits of the sidecars' ledgers
  * @property poolSize endpoints for each stage
  * @property concurrency attempts that an endpoint works on at once
@@ -19,6 +20,7 @@
 internal enum class Scenario(
     val route: Route,
     val isTicketed: Boolean = false,
+    val isTicketShared: Boolean = false,
     val ledger: LedgerLimits = LedgerLimits(),
     val poolSize: Int = 3,
     val concurrency: Int = 2,
@@ -53,6 +55,13 @@
         isTicketed = true,
         ledger = LedgerLimits(maximumEnded = 1),
     ),
+
+    /** Two client accounts use one ticket: at most one of them may be answered, and only with its own answer. */
+    SHARED_TICKET(
+        testRoute(kind = "booking", stages = listOf(testStage("order", idempotent = false))),
+        isTicketed = true,
+        isTicketShared = true,
+    ),
     STREAMED(
         testRoute(kind = "letter", stages = listOf(testStage("encode"), testStage("generate")), streamed = true),
     ),
--- a/entry/src/main/kotlin/org/bilberryhead/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/ControlPlane.kt
@@ -29,6 +29,7 @@
 import org.bilberryhead.core.propagation.PropagationAction
 import org.bilberryhead.core.propagation.PropagationEvent
 import org.bilberryhead.core.propagation.PropagationTimings
+import org.bilberryhead.core.propagation.PublishedTables
 import org.bilberryhead.core.propagation.TablePropagation
 import org.bilberryhead.core.propagation.tableEvent
 import org.bilberryhead.core.routing.EndpointSelector
@@ -81,6 +82,7 @@
     private val loads = ConcurrentHashMap<EndpointId, LoadReport>()
     private val acceptances = HashMap<TableVersion, MutableList<CompletableDeferred<Int>>>()
     private val peers = PeerLinks(settings, Incarnation(UUID.randomUUID().toString()), this, selectors, scope)
+    private val published = PublishedTables()
     private var wake: Job? = null
 
     /** Links to the sidecars of the endpoints that this entry connects to. */
@@ -90,9 +92,7 @@
     lateinit var selector: EndpointSelector
 
     /** The newest tables; read by traffic. */
-    @Volatile
-    var tables: Tables = Tables()
-        private set
+    val tables: Tables get() = published.tables
 
     /** Whether the last call to the table service succeeded. */
     @Volatile
@@ -225,7 +225,7 @@
     }
 
     private fun putInForce(newer: Tables) {
-        tables = newer
+        published.publish(newer)
         directory.update(newer)
         log.info { "control: tables are at version ${newer.version}" }
     }
--- a/entry/src/main/kotlin/org/bilberryhead/entry/SidecarLink.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/SidecarLink.kt
@@ -8,6 +8,8 @@
 import org.bilberryhead.core.common.EndpointId
 import org.bilberryhead.core.common.Incarnation
 import org.bilberryhead.core.common.TableVersion
+import org.bilberryhead.core.execution.OpenAttempt
+import org.bilberryhead.core.execution.OpenAttempts
 import org.bilberryhead.core.membership.ConnectionState
 import org.bilberryhead.core.message.AskOutcome
 import org.bilberryhead.core.message.AttemptLocation
@@ -88,10 +90,8 @@
     scope: CoroutineScope,
 ) : ClientHandler,
     AttemptLink {
-    private data class OpenAttempt(val incarnation: Incarnation, val subscriber: AttemptSubscriber)
-
     private val client = MessageClient(endpoint.sidecar, this, selectors, scope)
-    private val openAttempts = ConcurrentHashMap<AttemptId, Set<OpenAttempt>>()
+    private val openAttempts = OpenAttempts<AttemptSubscriber>()
     private val questions = ConcurrentHashMap<AttemptLocation, CompletableDeferred<OutcomeReport>>()
 
     @Volatile
@@ -104,7 +104,7 @@
     val servingIncarnation: Incarnation? get() = connected.takeUnless { leaving }
 
     /** Whether no attempt waits for an answer on this link. */
-    val isIdle: Boolean get() = openAttempts.isEmpty()
+    val isIdle: Boolean get() = openAttempts.isEmpty
 
     /** What this link shows of its sidecar. */
     val connection: ConnectionState
@@ -124,10 +124,10 @@
     fun stop() = client.stop()
 
     override fun send(incarnation: Incarnation, message: AttemptMessage, subscriber: AttemptSubscriber) {
-        val open = OpenAttempt(incarnation, subscriber)
-        openAttempts.compute(message.attempt) { _, others -> others.orEmpty() + open }
+        val isAdmitted = openAttempts.admit(message, incarnation, subscriber)
+        if (!isAdmitted) log.warn { "entry: attempt ${message.attempt} is open for another request" }
         val current = connected
-        val isWritten = current == incarnation && client.trySend(message)
+        val isWritten = isAdmitted && current == incarnation && client.trySend(message)
         when {
             isWritten -> Unit
             message is Dispatch -> subscriber.deliver(RequestEvent.NotWritten(message.attempt))
@@ -136,11 +136,7 @@
         }
     }
 
-    override fun forget(attempt: AttemptId, subscriber: AttemptSubscriber) {
-        openAttempts.computeIfPresent(attempt) { _, open ->
-            open.filterTo(mutableSetOf()) { it.subscriber !== subscriber }.ifEmpty { null }
-        }
-    }
+    override fun forget(attempt: AttemptId, subscriber: AttemptSubscriber) = openAttempts.forget(attempt, subscriber)
 
     override suspend fun askOutcome(location: AttemptLocation): OutcomeReport {
         val current = connected
@@ -179,7 +175,7 @@
         when (message) {
             is AttemptMessage -> {
                 loadOf(message)?.let { owner.loadReported(endpoint, it) }
-                openAttempts[message.attempt]?.forEach { it.subscriber.deliver(RequestEvent.MessageArrived(message)) }
+                openAttempts[message.attempt].forEach { it.subscriber.deliver(RequestEvent.MessageArrived(message)) }
             }
             is Heartbeat -> {
                 message.load?.let { owner.loadReported(endpoint, it) }
@@ -200,11 +196,8 @@
         deliverToAll { attempt, _ -> RequestEvent.ConnectionLost(attempt) }
     }
 
-    private fun deliverToAll(event: (AttemptId, OpenAttempt) -> RequestEvent) {
-        openAttempts.forEach { (attempt, all) ->
-            all.forEach { it.subscriber.deliver(event(attempt, it)) }
-        }
-    }
+    private fun deliverToAll(event: (AttemptId, OpenAttempt<AttemptSubscriber>) -> RequestEvent) =
+        openAttempts.forEach { attempt, open -> open.subscriber.deliver(event(attempt, open)) }
 
     private fun answerQuestion(report: OutcomeReport) {
         val asked = questions.filterKeys { it.attempt == report.attempt && it.incarnation == connected }
--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarDaemon.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarDaemon.kt
@@ -29,6 +29,7 @@
 import org.bilberryhead.core.message.OutcomeReport
 import org.bilberryhead.core.message.Refused
 import org.bilberryhead.core.message.Welcome
+import org.bilberryhead.core.propagation.PublishedTables
 import org.bilberryhead.core.tables.Tables
 import org.bilberryhead.protocol.ConnectionHandler
 import org.bilberryhead.protocol.MessageServer
@@ -68,8 +69,8 @@
     @Volatile
     private var status = gate.status
 
-    @Volatile
-    private var tableVersion = TableVersion.NONE
+    private val published = PublishedTables()
+    private val tableVersion: TableVersion get() = published.tables.version
 
     /** Where entries connect; known once [start] has returned. */
     val listening: SocketAddress get() = server.listening
@@ -223,7 +224,7 @@
 
     private inner class TablesOwner : SidecarTablesOwner {
         override fun inForce(tables: Tables) {
-            tableVersion = tables.version
+            published.publish(tables)
             val pool = tables.pools.values.find { pool -> pool.endpoints.any { it.id == settings.endpoint } }
             if (pool != null) gate.changeLimits(GateLimits(pool.concurrency, settings.queueCapacity))
             log.info { "sidecar: tables are at version $tableVersion" }
