--- a/system-tests/src/test/kotlin/org/bilberryhead/system/TestSystem.kt
+++ b/system-tests/src/test/kotlin/org/bilberryhead/system/TestSystem.kt
@@ -209,7 +209,8 @@
 
     private fun entryUrl(number: Int) = "http://$LOOPBACK:${entryPorts[number]}"
 
-    private fun standinUrl() = "http://$LOOPBACK:$standinPort"
+    /** Where the stand-in of the platform and the endpoints listens. */
+    fun standinUrl() = "http://$LOOPBACK:$standinPort"
 
     private fun firstChange() = TableChange(
         id = ChangeId(UUID.randomUUID().toString()),
