Remember what an attempt id stood for after its request has ended

Change: OpenAttempts remembers the work of the latest 1,024 attempts of a link that another request can name. Other work under such an id is not sent; its request ends at once as "unknown" with the reason key_shared (409), where it used to ask in vain until its deadline or was told by the sidecar that the key was used. Messages that name their work would need no memory.

--- a/core-testing/src/main/kotlin/org/bilberryhead/core/testing/model/ModelEntry.kt
+++ b/core-testing/src/main/kotlin/org/bilberryhead/core/testing/model/ModelEntry.kt
@@ -9,6 +9,7 @@
 import org.bilberryhead.core.message.Dispatch
 import org.bilberryhead.core.message.Leaving
 import org.bilberryhead.core.message.Message
+import org.bilberryhead.core.message.Query
 import org.bilberryhead.core.pipeline.RequestAction
 import org.bilberryhead.core.pipeline.RequestEvent
 import org.bilberryhead.core.pipeline.RequestExecution
@@ -186,11 +187,18 @@
                 checkNotNull(connection).toSidecar.send(message)
                 session.sent(message, Place(this, link.sidecar, connection), name, link.sidecar.name)
             }
+            !isAdmitted -> endUntold(request, message)
             message is Dispatch -> later(request, RequestEvent.NotWritten(message.attempt))
-            isAdmitted && link.incarnation != null -> later(request, RequestEvent.IncarnationGone(message.attempt))
+            link.incarnation != null -> later(request, RequestEvent.IncarnationGone(message.attempt))
         }
     }
 
+    /** The attempt stands for other work here; whether the sidecar has this work under it, this entry can not tell. */
+    private fun endUntold(request: RequestId, message: AttemptMessage) {
+        if (message !is Dispatch && message !is Query) return
+        later(request, RequestEvent.AttemptTaken(message.attempt))
+    }
+
     private fun later(request: RequestId, event: RequestEvent) = process.after(Duration.ZERO) { handle(request, event) }
 
     private fun setTimer(running: Running, action: RequestAction.SetTimer) {
--- a/core/src/main/kotlin/org/bilberryhead/core/execution/OpenAttempts.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/execution/OpenAttempts.kt
@@ -19,10 +19,16 @@
  * an attempt id stands for one work at a time: a request that uses the id for other work, such as a ticket under which
  * another client account's request runs, is not admitted, and so is neither told the other's answer nor able to end it.
  *
+ * A message may also arrive after the request that it was for has ended. So what an attempt id stood for is remembered
+ * for the latest attempts that another request can name, which are those of stages that are not idempotent.
+ *
  * Safe for use by several threads.
+ *
+ * @param maximumRemembered attempts whose work is remembered after their requests have ended
  */
-class OpenAttempts<S : Any> {
+class OpenAttempts<S : Any>(private val maximumRemembered: Int = 1_024) {
     private val open = ConcurrentHashMap<AttemptId, Set<OpenAttempt<S>>>()
+    private val remembered = LinkedHashMap<AttemptId, AttemptFingerprint>()
 
     /** Whether nobody waits. */
     val isEmpty: Boolean get() = open.isEmpty()
@@ -30,10 +36,14 @@
     /** Returns who waits for news of [attempt]. */
     operator fun get(attempt: AttemptId): Collection<OpenAttempt<S>> = open[attempt].orEmpty()
 
-    /** Returns whether [message] of [subscriber] may be sent, and lets the subscriber wait if so. */
+    /**
+     * Returns whether [message] of [subscriber] may be sent, and lets the subscriber wait if so. A dispatch or query
+     * that may not be sent names an attempt that stands for other work.
+     */
     fun admit(message: AttemptMessage, incarnation: Incarnation, subscriber: S): Boolean {
         val fingerprint =
             fingerprintOf(message) ?: return open[message.attempt].orEmpty().any { it.subscriber == subscriber }
+        if (isNameable(message) && remember(message.attempt, fingerprint) != fingerprint) return false
         val own = OpenAttempt(incarnation, subscriber, fingerprint)
         val waiting = open.compute(message.attempt) { _, others ->
             if (others.orEmpty().all { it.fingerprint == fingerprint }) others.orEmpty() + own else others
@@ -55,6 +65,17 @@
     fun forEach(act: (AttemptId, OpenAttempt<S>) -> Unit) =
         open.forEach { (attempt, all) -> all.forEach { act(attempt, it) } }
 
+    /** Whether another request can name the attempt of [message], as it can with a ticket. */
+    private fun isNameable(message: AttemptMessage): Boolean = message !is Dispatch || !message.idempotent
+
+    /** Returns what [attempt] stands for, which is [fingerprint] unless it is remembered for other work. */
+    private fun remember(attempt: AttemptId, fingerprint: AttemptFingerprint): AttemptFingerprint =
+        synchronized(remembered) {
+            val known = remembered.getOrPut(attempt) { fingerprint }
+            if (remembered.size > maximumRemembered) remembered.remove(remembered.keys.first())
+            known
+        }
+
     /** Returns what work [message] is about; null for messages that follow one that told. */
     private fun fingerprintOf(message: AttemptMessage): AttemptFingerprint? = when (message) {
         is Dispatch -> AttemptFingerprint(message.clientAccount, message.fingerprint)
--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestEvent.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestEvent.kt
@@ -29,6 +29,9 @@
     /** The run of the sidecar that held the attempt has ended; another one took its place. */
     data class IncarnationGone(val attempt: AttemptId) : RequestEvent
 
+    /** The attempt stands for other work at this process, which therefore can not tell whether this work ran. */
+    data class AttemptTaken(val attempt: AttemptId) : RequestEvent
+
     /** A timer that the execution set has fired. */
     data class TimerFired(val timer: RequestTimer) : RequestEvent
 
@@ -81,6 +84,7 @@
     ANSWER_INCOMPLETE,
     CALLER_GONE,
     KEY_REUSED,
+    KEY_SHARED,
     STORE_UNAVAILABLE,
     CONFIGURATION_MISSING,
     ;
--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
@@ -59,6 +59,7 @@
     private var lastFailure: FailureReason? = null
     private var lastRefusal: RefusalReason? = null
     private var lastRetryAfter: Duration? = null
+    private var isKeyShared = false
     private var isClosing = false
     private var isComplete = false
 
@@ -77,6 +78,7 @@
             is RequestEvent.ConnectionLost -> step(event.attempt, AttemptEvent.CONNECTION_LOST, now)
             is RequestEvent.ConnectionRestored -> step(event.attempt, AttemptEvent.CONNECTION_RESTORED, now)
             is RequestEvent.IncarnationGone -> step(event.attempt, AttemptEvent.FORGOTTEN, now)
+            is RequestEvent.AttemptTaken -> takeTaken(event.attempt, now)
             is RequestEvent.TimerFired -> takeTimer(event.timer, now)
             RequestEvent.CallerGone -> end(FailureReason.CALLER_GONE, null, now)
         }
@@ -233,6 +235,11 @@
         step(attempt, if (record.isShared) AttemptEvent.CONNECTION_LOST else AttemptEvent.NOT_WRITTEN, now)
     }
 
+    private fun takeTaken(attempt: AttemptId, now: Instant) {
+        isKeyShared = true
+        step(attempt, AttemptEvent.FORGOTTEN, now)
+    }
+
     private fun step(attempt: AttemptId, event: AttemptEvent, now: Instant) {
         val record = attempts[attempt] ?: return
         if (!record.isOpen) return
@@ -276,7 +283,11 @@
     }
 
     private fun retryIfIdempotent(record: AttemptRecord, event: AttemptEvent, now: Instant) {
-        lastFailure = if (event == AttemptEvent.FORGOTTEN) FailureReason.SIDECAR_GONE else FailureReason.ENDPOINT_FAILED
+        lastFailure = when {
+            isKeyShared -> FailureReason.KEY_SHARED
+            event == AttemptEvent.FORGOTTEN -> FailureReason.SIDECAR_GONE
+            else -> FailureReason.ENDPOINT_FAILED
+        }
         when {
             record.location.attempt == leader -> end(FailureReason.ANSWER_INCOMPLETE, null, now)
             !stage.idempotent -> end(lastFailure ?: FailureReason.ENDPOINT_FAILED, null, now)
--- /dev/null
+++ b/core/src/test/kotlin/org/bilberryhead/core/execution/OpenAttemptsTest.kt
@@ -0,0 +1,73 @@
+package org.bilberryhead.core.execution
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import org.bilberryhead.core.common.AttemptId
+import org.bilberryhead.core.common.ClientAccount
+import org.bilberryhead.core.common.Incarnation
+import org.bilberryhead.core.common.RequestId
+import org.bilberryhead.core.message.Cancel
+import org.bilberryhead.core.message.Query
+
+private val run = Incarnation("run-1")
+private val attempt = AttemptId("ticket")
+
+private fun query(account: String, of: AttemptId = attempt) =
+    Query(of, run, 0, RequestId("request"), ClientAccount(account), "work")
+
+class OpenAttemptsTest :
+    DescribeSpec({
+        describe("an attempt id that two client accounts use") {
+            it("stands for the work of the first, and its news go to the first only") {
+                val open = OpenAttempts<String>()
+
+                open.admit(query("ann"), run, "ann's request") shouldBe true
+                open.admit(query("bea"), run, "bea's request") shouldBe false
+
+                open[attempt].map { it.subscriber } shouldContainExactly listOf("ann's request")
+            }
+
+            it("still stands for it once the first request has ended, so that late news reach nobody") {
+                val open = OpenAttempts<String>()
+                open.admit(query("ann"), run, "ann's request")
+                open.forget(attempt, "ann's request")
+
+                open.admit(query("bea"), run, "bea's request") shouldBe false
+
+                open[attempt].shouldBeEmpty()
+            }
+
+            it("is forgotten once enough other attempts came after it") {
+                val open = OpenAttempts<String>(maximumRemembered = 2)
+                open.admit(query("ann"), run, "ann's request")
+                open.forget(attempt, "ann's request")
+                repeat(2) { open.admit(query("ann", AttemptId("later-$it")), run, "request $it") }
+
+                open.admit(query("bea"), run, "bea's request") shouldBe true
+            }
+        }
+
+        describe("work that is submitted twice under one attempt id") {
+            it("waits twice, and each request is forgotten on its own") {
+                val open = OpenAttempts<String>()
+                listOf("first", "second").forEach { open.admit(query("ann"), run, it) shouldBe true }
+
+                open.forget(attempt, "first")
+
+                open[attempt].map { it.subscriber } shouldContainExactly listOf("second")
+            }
+        }
+
+        describe("a message that follows others") {
+            it("is sent only for a request that waits") {
+                val open = OpenAttempts<String>()
+                val cancel = Cancel(attempt, run, RequestId("request"))
+                open.admit(query("ann"), run, "ann's request")
+
+                open.admit(cancel, run, "ann's request") shouldBe true
+                open.admit(cancel, run, "bea's request") shouldBe false
+            }
+        }
+    })
--- a/entry/src/main/kotlin/org/bilberryhead/entry/Problem.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/Problem.kt
@@ -105,6 +105,7 @@
     FailureReason.DEADLINE_PASSED, FailureReason.SIDECAR_GONE -> HttpStatusCode.GatewayTimeout
     FailureReason.ENDPOINT_FAILED, FailureReason.ANSWER_INCOMPLETE -> HttpStatusCode.BadGateway
     FailureReason.KEY_REUSED -> HttpStatusCode.UnprocessableEntity
+    FailureReason.KEY_SHARED -> HttpStatusCode.Conflict
     else -> HttpStatusCode.ServiceUnavailable
 }
 
@@ -114,7 +115,11 @@
 }
 
 private fun retryAfterOf(reason: FailureReason): Duration? = when (reason) {
-    FailureReason.SIDECAR_GONE, FailureReason.KEY_REUSED, FailureReason.CALLER_GONE -> null
+    FailureReason.SIDECAR_GONE,
+    FailureReason.KEY_REUSED,
+    FailureReason.KEY_SHARED,
+    FailureReason.CALLER_GONE,
+    -> null
     else -> DEFAULT_RETRY_AFTER
 }
 
--- a/entry/src/main/kotlin/org/bilberryhead/entry/SidecarLink.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/SidecarLink.kt
@@ -25,6 +25,7 @@
 import org.bilberryhead.core.message.LoadReport
 import org.bilberryhead.core.message.Message
 import org.bilberryhead.core.message.OutcomeReport
+import org.bilberryhead.core.message.Query
 import org.bilberryhead.core.message.Refused
 import org.bilberryhead.core.message.Welcome
 import org.bilberryhead.core.pipeline.RequestEvent
@@ -145,10 +146,9 @@
     fun stop() = client.stop()
 
     override fun send(incarnation: Incarnation, message: AttemptMessage, subscriber: AttemptSubscriber) {
-        val isAdmitted = openAttempts.admit(message, incarnation, subscriber)
-        if (!isAdmitted) log.warn { "entry: attempt ${message.attempt} is open for another request" }
+        if (!openAttempts.admit(message, incarnation, subscriber)) return endUntold(message, subscriber)
         val current = connected
-        val isWritten = isAdmitted && current == incarnation && client.trySend(message)
+        val isWritten = current == incarnation && client.trySend(message)
         when {
             isWritten -> Unit
             message is Dispatch -> subscriber.deliver(RequestEvent.NotWritten(message.attempt))
@@ -157,6 +157,13 @@
         }
     }
 
+    /** The attempt stands for other work here; whether the sidecar has this work under it, this entry can not tell. */
+    private fun endUntold(message: AttemptMessage, subscriber: AttemptSubscriber) {
+        if (message !is Dispatch && message !is Query) return
+        log.warn { "entry: attempt ${message.attempt} stands for other work" }
+        subscriber.deliver(RequestEvent.AttemptTaken(message.attempt))
+    }
+
     override fun forget(attempt: AttemptId, subscriber: AttemptSubscriber) = openAttempts.forget(attempt, subscriber)
 
     override suspend fun awaitFirstOpening(limit: Duration) {
