--- /dev/null
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/PreparationPlan.kt
@@ -0,0 +1,81 @@
+package org.bilberryhead.core.serving
+
+/** Names one piece of one stage of a request. */
+data class PieceId(val stage: Int, val index: Int)
+
+/** A piece that can be made now, and the results that it reads. */
+data class ReadyPiece(val id: PieceId, val inputs: List<ResultHandle>)
+
+/**
+ * The pieces of the preparation stages of one request: which can be made, which are made, what the request is given.
+ *
+ * @param pieces how many pieces each stage has; a stage with none is left out
+ */
+class PreparationPlan(private val stages: List<PreparationStage>, private val pieces: List<Int>) {
+    private val results = mutableMapOf<PieceId, ResultHandle>()
+    private val asked = mutableSetOf<PieceId>()
+    private val freed = mutableSetOf<ResultHandle>()
+
+    /** Whether every piece is made. */
+    val isComplete: Boolean get() = stages.indices.all(::isStageMade)
+
+    /** Returns the pieces that can be made and were not returned before. */
+    fun takeReady(): List<ReadyPiece> = stages.indices
+        .filter { stage -> stages[stage].after.all(::isStageMade) }
+        .flatMap { stage -> idsOf(stage).filter { it !in results && asked.add(it) }.map { ReadyPiece(it, inputsOf(stage)) } }
+
+    /** The piece [id] is made. */
+    fun made(id: PieceId, handle: ResultHandle) {
+        results[id] = handle
+    }
+
+    /** The piece [id] has to be asked for again. */
+    fun failed(id: PieceId) {
+        asked -= id
+    }
+
+    /** Results that [id] was to be made from are gone: the stages before it are made again. */
+    fun inputsGone(id: PieceId) {
+        asked -= id
+        stages[id.stage].after.forEach(::forget)
+    }
+
+    /** All results are gone, or were freed: everything is made again. */
+    fun restart() {
+        results.clear()
+        asked.clear()
+    }
+
+    /** The results that the request is given: those of the stages that no other stage follows, in order. */
+    fun finalInputs(): List<ResultHandle> {
+        val followed = stages.flatMapTo(mutableSetOf()) { it.after }
+        return stages.indices.filter { it !in followed }.flatMap(::resultsOf)
+    }
+
+    /** Returns results that nothing reads any more and that were not returned before. */
+    fun takeUnneeded(): List<ResultHandle> = stages.indices
+        .filter { stage -> followers(stage).let { it.isNotEmpty() && it.all(::isStageMade) } }
+        .flatMap(::resultsOf)
+        .filter(freed::add)
+
+    /** Returns every result that is left, for the end of the request. */
+    fun takeAll(): List<ResultHandle> = results.values.filter(freed::add)
+
+    private fun forget(stage: Int) {
+        idsOf(stage).forEach {
+            results.remove(it)
+            asked -= it
+        }
+        stages[stage].after.forEach(::forget)
+    }
+
+    private fun followers(stage: Int): List<Int> = stages.indices.filter { stage in stages[it].after }
+
+    private fun isStageMade(stage: Int): Boolean = idsOf(stage).all { it in results }
+
+    private fun inputsOf(stage: Int): List<ResultHandle> = stages[stage].after.flatMap(::resultsOf)
+
+    private fun resultsOf(stage: Int): List<ResultHandle> = idsOf(stage).mapNotNull { results[it] }
+
+    private fun idsOf(stage: Int): List<PieceId> = List(pieces.getOrElse(stage) { 1 }) { PieceId(stage, it) }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/RouteMatcher.kt
@@ -0,0 +1,51 @@
+package org.bilberryhead.core.serving
+
+import org.bilberryhead.core.common.PoolName
+import kotlin.random.Random
+
+/** Who sends a request, as far as the configuration knows. */
+sealed interface CallerIdentity {
+    /** The route asks for no key. */
+    data object Anonymous : CallerIdentity
+
+    /** The key belongs to [entry]. */
+    data class Known(val entry: AccountEntry) : CallerIdentity
+
+    /** The key is missing or belongs to nobody. */
+    data object Unknown : CallerIdentity
+}
+
+/** Finds the route of a request by its host and path, and the account of its key, in one configuration. */
+class RouteMatcher(val configuration: ServingConfiguration) {
+    private val routesByHost = configuration.routes
+        .groupBy { it.host.lowercase() }
+        .mapValues { (_, routes) -> routes.sortedByDescending { it.prefix.length } }
+
+    /** Returns the route of [host] with the longest prefix that begins [path], or null. */
+    fun route(host: String, path: String): ServingRoute? =
+        routesByHost[withoutPort(host).lowercase()]?.firstOrNull { path.startsWith(it.prefix) }
+
+    /** Returns who sends a request on [route] with [key]. */
+    fun identity(route: ServingRoute, key: ApiKey?): CallerIdentity {
+        val accounts = configuration.accounts
+        val entry = key?.let { accounts?.get(it) }
+        return when {
+            entry != null -> CallerIdentity.Known(entry)
+            accounts == null || route.isPublic -> CallerIdentity.Anonymous
+            else -> CallerIdentity.Unknown
+        }
+    }
+
+    /** Returns one of the pools of [route], drawn by weight. */
+    fun drawPool(route: ServingRoute, random: Random): PoolName {
+        val pools = route.pools
+        if (pools.size == 1) return pools.single().pool
+        var point = random.nextDouble() * pools.sumOf { it.weight }
+        return pools.firstOrNull { candidate ->
+            point -= candidate.weight
+            point < 0
+        }?.pool ?: pools.last().pool
+    }
+
+    private fun withoutPort(host: String): String = host.substringBefore(':')
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -0,0 +1,206 @@
+package org.bilberryhead.forwarding
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.serving.CallerLimits
+import org.bilberryhead.core.serving.EndpointDirectory
+import org.bilberryhead.core.serving.EndpointEntry
+import org.bilberryhead.core.serving.EnginePlacement
+import org.bilberryhead.core.serving.EntryPlace
+import org.bilberryhead.core.serving.PieceEndpointChooser
+import org.bilberryhead.core.serving.ServingPool
+import org.bilberryhead.core.serving.SharedRetryBudget
+import org.bilberryhead.forwarding.caller.CallerServer
+import org.bilberryhead.forwarding.caller.CallerServerState
+import org.bilberryhead.forwarding.endpoint.Endpoints
+import org.bilberryhead.forwarding.http.Connector
+import org.bilberryhead.forwarding.http.SingleExchange
+import org.bilberryhead.forwarding.http.SmallAnswer
+import org.bilberryhead.forwarding.http.SmallServer
+import org.bilberryhead.forwarding.request.RequestAdmission
+import org.bilberryhead.forwarding.request.ServingState
+import org.bilberryhead.forwarding.request.WaitingRoom
+import org.bilberryhead.forwarding.stage.ResultReleaser
+import org.bilberryhead.forwarding.stage.StageContext
+import org.bilberryhead.forwarding.stage.StageRunner
+import org.bilberryhead.forwarding.store.ConfigurationListener
+import org.bilberryhead.forwarding.store.EndpointListener
+import org.bilberryhead.forwarding.store.EntryRegistration
+import org.bilberryhead.forwarding.store.EntryRoster
+import org.bilberryhead.forwarding.store.StoreTableWatch
+import org.bilberryhead.forwarding.store.TableListener
+import org.bilberryhead.forwarding.store.WatchTimings
+import org.bilberryhead.platform.wire.WireHeaders
+import org.bilberryhead.platform.wire.WirePaths
+import org.bilberryhead.platform.wire.WireTables
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+private val log = KotlinLogging.logger {}
+
+/** An entry on the users' platform. Everything in it belongs to [thread]. */
+internal class ForwardingDaemon(
+    private val settings: ForwardingSettings,
+    private val thread: EventThread,
+    private val metrics: ForwardingMetrics,
+    private val random: Random,
+) {
+    private val decisions = DecisionLog(settings.decisionLinesPerSecond, thread::now)
+    private val connector = Connector(thread, WireHeaders.REQUEST_ID)
+    private val exchange = SingleExchange(thread, connector)
+    private val roster = EntryRoster(settings.id, settings.dataCentre)
+    private val directory = EndpointDirectory()
+    private val endpoints = Endpoints(thread, connector, directory, ::poolOf) { roster.place.entries }
+    private val waitingRoom = WaitingRoom()
+    private val stageRunners = mutableMapOf<PoolName, StageRunner>()
+    private val state = ServingState(
+        thread = thread,
+        endpoints = endpoints,
+        budget = SharedRetryBudget(settings.retryRatio, settings.retrySlack, settings.retryWindow) {
+            roster.place.entries
+        },
+        placement = EnginePlacement(settings.dataCentre),
+        releaser = ResultReleaser(thread, endpoints::at),
+        stageRunner = ::stageRunner,
+        waitingRoom = waitingRoom,
+        decisions = decisions,
+        metrics = metrics,
+        random = random,
+    )
+    private val admission = RequestAdmission(state)
+    private val endpointListener = EndpointListener(directory, endpoints, thread, decisions)
+    private val configurationListener = ConfigurationListener(decisions) { state.matcher = it }
+    private val callerState = DaemonCallerState()
+    private val callers = CallerServer(thread, callerState, admission)
+    private var drainingSince: Instant? = null
+
+    private val stageContext = object : StageContext {
+        override val thread: EventThread get() = this@ForwardingDaemon.thread
+        override val exchange: SingleExchange get() = this@ForwardingDaemon.exchange
+        override val decisions: DecisionLog get() = this@ForwardingDaemon.decisions
+        override val place: EntryPlace get() = roster.place
+
+        override fun usable(pool: PoolName): List<EndpointEntry> = directory.usable(pool)
+    }
+
+    /** Listens and begins to follow the store. Throws `IOException` when an address can not be listened on. */
+    fun start() {
+        endpoints.roomFreed = waitingRoom::roomFreed
+        callers.listen(settings.callers)
+        SmallServer(thread, ::answerBalancer).listen(settings.readiness)
+        SmallServer(thread, ::answerPeer).listen(settings.peers)
+        SmallServer(thread) { SmallAnswer(OK, metrics.scrape()) }.listen(settings.metrics)
+        thread.loop.execute(::followStore)
+        log.atInfo {
+            message = "started"
+            payload = mapOf("entry" to settings.id.value, "callers" to settings.callers.toString())
+        }
+    }
+
+    private fun followStore() {
+        watch(WireTables.OPERATOR, WatchTimings(wait = 2.seconds, pause = Duration.ZERO), configurationListener)
+        watch(WireTables.ENDPOINTS, WatchTimings(wait = 2.seconds, pause = 400.milliseconds), endpointListener)
+        watch(WireTables.ENTRIES, WatchTimings(wait = 25.seconds, pause = Duration.ZERO), roster)
+        EntryRegistration(settings.id, settings.dataCentre, settings.store, thread, exchange, decisions).start()
+        thread.every(TICK) { endpointListener.tick() }
+        thread.every(FADE_INTERVAL) { endpoints.fade() }
+    }
+
+    private fun watch(table: String, timings: WatchTimings, listener: TableListener) =
+        StoreTableWatch(table, settings.store, timings, thread, connector, decisions, metrics, random, listener).start()
+
+    /** Begins to end: takes no new connections, finishes what is being served, then calls [ended]. */
+    fun drain(ended: () -> Unit) = thread.loop.execute {
+        val now = thread.now()
+        drainingSince = now
+        log.atInfo {
+            message = "draining"
+            payload = mapOf("requests" to admission.runningCount)
+        }
+        awaitDrained(now, ended)
+    }
+
+    private fun awaitDrained(since: Instant, ended: () -> Unit) {
+        val elapsed = thread.now() - since
+        val isIdle = admission.runningCount == 0 && !callers.isBusy
+        if (elapsed >= settings.drainLimit - DRAIN_RESERVE || (isIdle && elapsed >= BALANCER_NOTICES)) {
+            log.atInfo {
+                message = "stopped"
+                payload = mapOf("requests_left" to admission.runningCount, "after_ms" to elapsed.inWholeMilliseconds)
+            }
+            ended()
+            return
+        }
+        thread.after(DRAIN_CHECK) { awaitDrained(since, ended) }
+    }
+
+    /** Notes that the settings may have changed; addresses stay as they are until the next start. */
+    fun reload() = log.atInfo {
+        message = "reload asked for"
+        payload = mapOf("configuration" to state.matcher?.configuration?.version)
+    }
+
+    private fun poolOf(pool: PoolName): ServingPool? = state.matcher?.configuration?.pools?.get(pool)
+
+    private fun stageRunner(pool: PoolName): StageRunner? {
+        val shape = poolOf(pool)?.pieces ?: return null
+        return stageRunners.getOrPut(pool) {
+            StageRunner(pool, shape, stageContext, PieceEndpointChooser(settings.dataCentre, shape))
+        }
+    }
+
+    private fun answerBalancer(path: String): SmallAnswer {
+        val isReady = drainingSince == null && state.matcher != null && !directory.isEmpty
+        return if (path == WirePaths.READY && isReady) SmallAnswer(OK) else SmallAnswer(NOT_READY)
+    }
+
+    private fun answerPeer(path: String): SmallAnswer {
+        val text = configurationListener.newestText
+        return if (path == PeerPaths.CONFIGURATION && text != null) {
+            SmallAnswer(OK, text, "application/json")
+        } else {
+            SmallAnswer(NOT_FOUND)
+        }
+    }
+
+    private inner class DaemonCallerState : CallerServerState {
+        override fun now(): Instant = thread.now()
+
+        override val limits: CallerLimits get() = state.matcher?.configuration?.limits ?: FIRST_LIMITS
+
+        override val isDraining: Boolean get() = drainingSince != null
+
+        override fun rejected(status: Int, reason: String) {
+            metrics.rejectedUnread(status)
+            decisions.write("request rejected unread") { mapOf("status" to status, "reason" to reason) }
+        }
+    }
+
+    private companion object {
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val NOT_READY = 503
+        val TICK = 200.milliseconds
+        val FADE_INTERVAL = 1.seconds
+        val DRAIN_CHECK = 100.milliseconds
+        val DRAIN_RESERVE = 500.milliseconds
+
+        /** The balancer takes an entry out after two questions a second apart. */
+        val BALANCER_NOTICES = 3.seconds
+        val FIRST_LIMITS = CallerLimits(
+            headerBytes = 16_384,
+            bodyBytes = 4_194_304,
+            headerTimeout = 3.seconds,
+            idleTimeout = 15.seconds,
+        )
+    }
+}
+
+/** Paths of the interface between entries. */
+internal object PeerPaths {
+    /** The newest configuration, as the operators wrote it. */
+    const val CONFIGURATION = "/configuration"
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/RequestCheck.kt
@@ -0,0 +1,38 @@
+package org.bilberryhead.forwarding.caller
+
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.HttpVersion
+
+/** Finds requests whose end could be read in two ways, or that name no single host. */
+internal object RequestCheck {
+    /** Returns what is wrong with [request], or null. */
+    fun faultOf(request: HttpRequest): String? = when {
+        request.protocolVersion() != HttpVersion.HTTP_1_1 && request.protocolVersion() != HttpVersion.HTTP_1_0 ->
+            "not HTTP/1.1"
+
+        !request.uri().startsWith("/") -> "the target is not a path"
+        request.headers().getAll(HttpHeaderNames.HOST).size != 1 -> "not one Host header"
+        hasOddEncoding(request) -> "not the one transfer encoding that is understood"
+        else -> null
+    }
+
+    private fun hasOddEncoding(request: HttpRequest): Boolean {
+        val encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+        return encodings.isNotEmpty() && (encodings.size > 1 || !encodings.single().trim().equals("chunked", true))
+    }
+}
+
+/** Decodes requests; one with a length and a transfer encoding is no request. */
+internal class StrictRequestDecoder(maximumHeaderBytes: Int) :
+    HttpRequestDecoder(maximumHeaderBytes, maximumHeaderBytes, MAXIMUM_CHUNK_BYTES) {
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
+        throw IllegalArgumentException("both a length and a transfer encoding")
+    }
+
+    private companion object {
+        const val MAXIMUM_CHUNK_BYTES = 16_384
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/Connector.kt
@@ -0,0 +1,57 @@
+package org.bilberryhead.forwarding.http
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.nio.NioChannelOption
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import jdk.net.ExtendedSocketOptions
+import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.forwarding.EventThread
+import java.net.InetSocketAddress
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Opens connections to other processes. */
+internal class Connector(private val thread: EventThread, private val idHeader: String) {
+    /** Opens a connection to [address]; [opened] gets it, or [failed] the reason why there is none. */
+    fun open(
+        address: SocketAddress,
+        timeout: Duration = CONNECT_TIMEOUT,
+        opened: (OutboundConnection) -> Unit,
+        failed: (String) -> Unit,
+    ) {
+        val connection = OutboundConnection(idHeader, thread::now)
+        val attempt = bootstrap(timeout, connection).connect(InetSocketAddress(address.host, address.port))
+        attempt.addListener {
+            if (it.isSuccess) opened(connection) else failed(it.cause()?.message ?: "can not connect")
+        }
+    }
+
+    private fun bootstrap(timeout: Duration, connection: OutboundConnection): Bootstrap = Bootstrap()
+        .group(thread.loop)
+        .channel(NioSocketChannel::class.java)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.SO_KEEPALIVE, true)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_SECONDS)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_SECONDS)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout.inWholeMilliseconds.toInt())
+        .handler(
+            object : ChannelInitializer<Channel>() {
+                override fun initChannel(channel: Channel) {
+                    channel.pipeline().addLast(HttpClientCodec()).addLast(connection)
+                }
+            },
+        )
+
+    private companion object {
+        val CONNECT_TIMEOUT = 700.milliseconds
+
+        /** A silent peer is noticed within three seconds, the shortest that whole seconds allow. */
+        const val KEEP_ALIVE_SECONDS = 1
+        const val KEEP_ALIVE_PROBES = 2
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/SmallServer.kt
@@ -0,0 +1,71 @@
+package org.bilberryhead.forwarding.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.forwarding.EventThread
+import java.net.InetSocketAddress
+
+/** A short answer of this process about itself. */
+internal class SmallAnswer(val status: Int, val body: String = "", val contentType: String = "text/plain")
+
+/** Answers short questions about this process. */
+internal class SmallServer(private val thread: EventThread, private val answer: (path: String) -> SmallAnswer) {
+    /** Listens on [address]. Throws `IOException` when it can not. */
+    fun listen(address: SocketAddress): Channel = ServerBootstrap()
+        .group(thread.loop)
+        .channel(NioServerSocketChannel::class.java)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childHandler(
+            object : ChannelInitializer<Channel>() {
+                override fun initChannel(channel: Channel) {
+                    channel.pipeline()
+                        .addLast(HttpServerCodec())
+                        .addLast(HttpObjectAggregator(MAXIMUM_QUESTION_BYTES))
+                        .addLast(Handler())
+                }
+            },
+        )
+        .bind(InetSocketAddress(address.host, address.port))
+        .sync()
+        .channel()
+
+    private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+            val answer = answer(request.uri())
+            val response = DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(answer.status),
+                Unpooled.wrappedBuffer(answer.body.encodeToByteArray()),
+            )
+            response.headers().set("Content-Type", answer.contentType)
+            HttpUtil.setContentLength(response, response.content().readableBytes().toLong())
+            val keepAlive = HttpUtil.isKeepAlive(request)
+            HttpUtil.setKeepAlive(response, keepAlive)
+            val written = context.writeAndFlush(response)
+            if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
+        }
+
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            context.close()
+        }
+    }
+
+    private companion object {
+        const val MAXIMUM_QUESTION_BYTES = 65_536
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/PreparationFactory.kt
@@ -0,0 +1,25 @@
+package org.bilberryhead.forwarding.request
+
+import org.bilberryhead.forwarding.stage.Preparation
+import org.bilberryhead.forwarding.stage.PreparationListener
+import org.bilberryhead.forwarding.stage.PreparationOrder
+import org.bilberryhead.platform.wire.HeaderValues
+import org.bilberryhead.platform.wire.WireHeaders
+
+/** Makes the preparation of a request from its headers and its route. */
+internal class PreparationFactory(private val state: ServingState) {
+    /** Returns the preparation of [request], not yet begun. */
+    fun create(request: AdmittedRequest, listener: PreparationListener): Preparation {
+        val headers = request.caller.headers
+        val order = PreparationOrder(
+            request = request.id,
+            stages = request.route.stages,
+            pieceCounts = HeaderValues.pieceCounts(headers[WireHeaders.PIECE_COUNTS]).orEmpty(),
+            pieceKey = headers[WireHeaders.PIECE_KEY],
+            priority = request.priority,
+            objectiveAt = request.caller.receivedAt + request.route.objective,
+            deadline = request.endsAt,
+        )
+        return Preparation(order, state.stageRunner, state.releaser, state.budget, state.thread, listener)
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Refusals.kt
@@ -0,0 +1,43 @@
+package org.bilberryhead.forwarding.request
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import org.bilberryhead.forwarding.http.AnswerHead
+import org.bilberryhead.forwarding.http.WholeAnswer
+import org.bilberryhead.platform.wire.WireHeaders
+import java.util.Locale
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** Answers of this entry's own. None of them bears an endpoint's signature. */
+internal object Refusals {
+    /** The request has not run and will not; the caller may come back after [retryAfter]. */
+    fun notRun(requestId: String?, reason: String, retryAfter: Duration): WholeAnswer {
+        val seconds = "%.2f".format(Locale.ROOT, retryAfter.toDouble(DurationUnit.SECONDS))
+        return answer(NOT_RUN, requestId, reason, WireHeaders.RETRY_AFTER to seconds)
+    }
+
+    /** The request may have run; the endpoint gave no whole answer. */
+    fun unknown(requestId: String?, reason: String): WholeAnswer = answer(UNKNOWN, requestId, reason)
+
+    /** The request may have run; its time is over. */
+    fun timedOut(requestId: String?, reason: String): WholeAnswer = answer(TIMED_OUT, requestId, reason)
+
+    /** The request is not allowed, or names nothing that exists. */
+    fun rejected(status: Int, requestId: String?, reason: String): WholeAnswer = answer(status, requestId, reason)
+
+    private fun answer(
+        status: Int,
+        requestId: String?,
+        reason: String,
+        vararg fields: Pair<String, String>,
+    ): WholeAnswer {
+        val headers = DefaultHttpHeaders().add("Content-Type", "text/plain")
+        requestId?.let { headers.add(WireHeaders.REQUEST_ID, it) }
+        fields.forEach { (name, value) -> headers.add(name, value) }
+        return WholeAnswer(AnswerHead(status, headers), "$reason\n".encodeToByteArray())
+    }
+
+    private const val UNKNOWN = 502
+    private const val NOT_RUN = 503
+    private const val TIMED_OUT = 504
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
@@ -0,0 +1,104 @@
+package org.bilberryhead.forwarding.request
+
+import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.common.RequestId
+import org.bilberryhead.core.serving.ApiKey
+import org.bilberryhead.core.serving.CallerIdentity
+import org.bilberryhead.core.serving.RouteMatcher
+import org.bilberryhead.core.serving.ServingRoute
+import org.bilberryhead.forwarding.caller.CallerAnswer
+import org.bilberryhead.forwarding.caller.CallerGone
+import org.bilberryhead.forwarding.caller.CallerRequest
+import org.bilberryhead.forwarding.caller.RequestHandler
+import org.bilberryhead.platform.wire.HeaderValues
+import org.bilberryhead.platform.wire.WireHeaders
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Finds out what a request is and who sends it, and starts to serve it or turns it away. */
+internal class RequestAdmission(private val state: ServingState) : RequestHandler {
+    private val runs = mutableSetOf<RequestRun>()
+
+    /** Requests that are being served. */
+    val runningCount: Int get() = runs.size
+
+    override fun serve(request: CallerRequest, answer: CallerAnswer): CallerGone {
+        val matcher = state.matcher ?: return refuseUnconfigured(request, answer)
+        val id = request.headers[WireHeaders.REQUEST_ID]
+        if (id.isNullOrBlank()) return reject(request, answer, BAD_REQUEST, "no request id")
+        val route = matcher.route(request.host, request.path)
+            ?: return reject(request, answer, NOT_FOUND, "no route", matcher)
+        val identity = matcher.identity(route, request.headers[WireHeaders.API_KEY]?.let { ApiKey(it.trim()) })
+        if (identity is CallerIdentity.Unknown) return reject(request, answer, UNAUTHORISED, "unknown key", matcher)
+        return start(admitted(RequestId(id), request, route, identity, matcher), answer)
+    }
+
+    private fun start(request: AdmittedRequest, answer: CallerAnswer): CallerGone {
+        val now = state.thread.now()
+        state.budget.countRequest(request.pool, now)
+        request.route.stages.mapTo(mutableSetOf<PoolName>()) { it.pool }.forEach { state.budget.countRequest(it, now) }
+        val run = RequestRun(request, answer, state) { runs -= it }
+        runs += run
+        run.start()
+        return run
+    }
+
+    private fun admitted(
+        id: RequestId,
+        request: CallerRequest,
+        route: ServingRoute,
+        identity: CallerIdentity,
+        matcher: RouteMatcher,
+    ): AdmittedRequest {
+        val entry = (identity as? CallerIdentity.Known)?.entry
+        val headers = request.headers
+        return AdmittedRequest(
+            id = id,
+            caller = request,
+            route = route,
+            pool = matcher.drawPool(route, state.random),
+            account = entry?.account,
+            priority = entry?.priority ?: route.priority,
+            prompt = HeaderValues.prompt(headers[WireHeaders.TOKEN_COUNTS], headers[WireHeaders.PROMPT_PARTS]),
+            deadline = headers[WireHeaders.DEADLINE_MS]?.trim()?.toLongOrNull()
+                ?.let { request.receivedAt + it.milliseconds },
+            configurationVersion = matcher.configuration.version,
+        )
+    }
+
+    private fun refuseUnconfigured(request: CallerRequest, answer: CallerAnswer): CallerGone {
+        val id = request.headers[WireHeaders.REQUEST_ID]
+        state.decisions.write("request refused") { mapOf("request" to id, "reason" to "no configuration is known") }
+        answer.whole(Refusals.notRun(id, "no configuration is known yet", START_WAIT))
+        return NOTHING_TO_DO
+    }
+
+    private fun reject(
+        request: CallerRequest,
+        answer: CallerAnswer,
+        status: Int,
+        reason: String,
+        matcher: RouteMatcher? = null,
+    ): CallerGone {
+        val id = request.headers[WireHeaders.REQUEST_ID]
+        state.decisions.write("request rejected") {
+            mapOf(
+                "request" to id,
+                "status" to status,
+                "reason" to reason,
+                "host" to request.host,
+                "path" to request.path,
+                "configuration" to matcher?.configuration?.version,
+            )
+        }
+        answer.whole(Refusals.rejected(status, id, reason))
+        return NOTHING_TO_DO
+    }
+
+    private companion object {
+        const val BAD_REQUEST = 400
+        const val UNAUTHORISED = 401
+        const val NOT_FOUND = 404
+        val START_WAIT = 500.milliseconds
+        val NOTHING_TO_DO = CallerGone { }
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestRun.kt
@@ -0,0 +1,308 @@
+package org.bilberryhead.forwarding.request
+
+import org.bilberryhead.core.common.ClientAccount
+import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.common.RequestId
+import org.bilberryhead.core.serving.AttemptHistory
+import org.bilberryhead.core.serving.AttemptOutcome
+import org.bilberryhead.core.serving.AttemptRule
+import org.bilberryhead.core.serving.EndpointEntry
+import org.bilberryhead.core.serving.EventOrder
+import org.bilberryhead.core.serving.NextStep
+import org.bilberryhead.core.serving.Prompt
+import org.bilberryhead.core.serving.RepeatRule
+import org.bilberryhead.core.serving.ResultHandle
+import org.bilberryhead.core.serving.ServingRoute
+import org.bilberryhead.core.serving.StreamEvent
+import org.bilberryhead.forwarding.Timer
+import org.bilberryhead.forwarding.caller.CallerAnswer
+import org.bilberryhead.forwarding.caller.CallerGone
+import org.bilberryhead.forwarding.caller.CallerRequest
+import org.bilberryhead.forwarding.endpoint.Endpoint
+import org.bilberryhead.forwarding.http.AnswerHead
+import org.bilberryhead.forwarding.http.WholeAnswer
+import org.bilberryhead.forwarding.stage.Preparation
+import org.bilberryhead.forwarding.stage.PreparationListener
+import org.bilberryhead.platform.wire.WireHeaders
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/** A request whose route and account are known. */
+internal class AdmittedRequest(
+    val id: RequestId,
+    val caller: CallerRequest,
+    val route: ServingRoute,
+    val pool: PoolName,
+    val account: ClientAccount?,
+    val priority: Int,
+    val prompt: Prompt?,
+    val deadline: Instant?,
+    val configurationVersion: Long,
+) {
+    /** When the request must have its final answer. */
+    val endsAt: Instant = (caller.receivedAt + route.timeout).let { end -> deadline?.let { minOf(it, end) } ?: end }
+}
+
+/** Takes one request from its admission to its final answer. */
+internal class RequestRun(
+    private val request: AdmittedRequest,
+    private val answer: CallerAnswer,
+    private val state: ServingState,
+    private val ended: (RequestRun) -> Unit,
+) : AttemptListener,
+    PreparationListener,
+    CallerGone {
+    private val route = request.route
+    private val order = EventOrder(firstEventId())
+    private val journal = RequestJournal(request, state)
+    private var preparation: Preparation? = null
+    private var inputs: List<ResultHandle> = emptyList()
+    private var attempt: Attempt? = null
+    private var attempts = 0
+    private var unreached = 0
+    private var mayRunAlready = false
+    private var hasBegun = false
+    private var isOver = false
+    private var place: WaitingRoom.Place? = null
+    private var endTimer: Timer? = null
+    private var watchTimer: Timer? = null
+    private val avoided = mutableSetOf<Endpoint>()
+
+    private fun firstEventId(): Long? =
+        if (route.repeatRule == RepeatRule.RESUMABLE_STREAM) request.caller.headers[WireHeaders.LAST_EVENT_ID]?.trim()?.toLongOrNull() else null
+
+    /** Begins to serve the request. */
+    fun start() {
+        endTimer = state.thread.after(request.endsAt - state.thread.now()) { timeIsOver() }
+        if (route.stages.isEmpty()) dispatch() else prepare()
+    }
+
+    private fun prepare() {
+        val started = PreparationFactory(state).create(request, this)
+        preparation = started
+        started.advance()
+    }
+
+    override fun prepared(inputs: List<ResultHandle>) {
+        this.inputs = inputs
+        journal.prepared(inputs.size)
+        dispatch()
+    }
+
+    override fun notPrepared(reason: String) = refuse(reason, SHORT_WAIT)
+
+    private fun dispatch() {
+        if (isOver) return
+        val candidates = state.endpoints.usable(request.pool)
+        val fresh = candidates.filter { it !in avoided }.ifEmpty { candidates }
+        if (fresh.isEmpty()) return refuse("no endpoint of ${request.pool} is known", LONG_WAIT)
+        val open = fresh.filter { it.connections.hasRoom() }
+        if (open.isEmpty()) return waitForRoom()
+        send(choose(open))
+    }
+
+    private fun waitForRoom() {
+        val waiting = WaitingRoom.Place(request.pool, request.priority) {
+            place = null
+            dispatch()
+        }
+        place = waiting
+        state.waitingRoom.enter(waiting)
+    }
+
+    private fun choose(open: List<Endpoint>): Endpoint {
+        val now = state.thread.now()
+        val prompt = request.prompt
+        if (prompt == null || open.first().engine == null) return open.minBy { it.load.expectedAnswerTime(now) }
+        val byEntry = open.associateBy { it.entry }
+        val books = { entry: EndpointEntry -> checkNotNull(byEntry.getValue(entry).engine) }
+        val heavy = route.stages.any { it.resultBytes > HEAVY_RESULT_BYTES }
+        val chosen = state.placement.choose(byEntry.keys.toList(), prompt, books, heavy, now)
+        return byEntry.getValue(checkNotNull(chosen))
+    }
+
+    private fun send(endpoint: Endpoint) {
+        val started = Attempt(endpoint, route.repeatRule, request.prompt, order, state.thread, this)
+        attempt = started
+        journal.sending(endpoint, attempts + 1)
+        endpoint.connections.acquire(
+            mayRepeat = route.repeatRule.mayRepeat,
+            opened = { connection ->
+                if (attempt !== started || isOver) {
+                    connection.release()
+                } else {
+                    attempts++
+                    started.connection = connection
+                    connection.send(outbound(endpoint), request.id.value, started)
+                    watch(started)
+                }
+            },
+            failed = { started.notConnected(it) },
+        )
+    }
+
+    private fun outbound(endpoint: Endpoint) =
+        OutboundRequests.of(request, endpoint.entry.id, inputs, order.last, state.thread.now())
+
+    /** Gives up on an endpoint that is silent for long when another may take over. */
+    private fun watch(watched: Attempt) {
+        if (!route.repeatRule.mayRepeat) return
+        watchTimer = state.thread.after(PATIENCE_CHECK) {
+            if (attempt === watched && !isOver) {
+                if (isStalled(watched) && mayRetry()) takeElsewhere(watched) else watch(watched)
+            }
+        }
+    }
+
+    private fun isStalled(watched: Attempt): Boolean {
+        val silence = state.thread.now() - watched.lastEventAt
+        val expected = watched.expectedFirstEvent
+        val patience = when {
+            watched.hasEvents -> maxOf(route.longestPause ?: Duration.ZERO, SHORTEST_PAUSE) * PAUSE_FACTOR
+            expected != null -> maxOf(expected * FIRST_EVENT_FACTOR, route.objective)
+            else -> route.objective
+        }
+        return silence > patience
+    }
+
+    private fun mayRetry(): Boolean =
+        attempts < route.maximumAttempts && state.budget.tryRetry(request.pool, state.thread.now())
+
+    private fun takeElsewhere(stalled: Attempt) {
+        journal.failed(stalled.endpoint, "silent for too long", "try elsewhere")
+        stalled.giveUp()
+        mayRunAlready = true
+        avoided += stalled.endpoint
+        attempt = null
+        again()
+    }
+
+    private fun again() {
+        // The results were given up once the engine had read them, so that they are made again for another one.
+        if (preparation != null && hasBegun) preparation?.restart() else dispatch()
+    }
+
+    override fun answered(answer: WholeAnswer) {
+        if (isOver) return
+        if (hasBegun) return breakOff("another endpoint did not resume the stream: status ${answer.head.status}")
+        finish(answer, attempt?.endpoint)
+    }
+
+    override fun streamed(head: AnswerHead, event: StreamEvent) {
+        if (isOver) return
+        if (!hasBegun) {
+            hasBegun = true
+            answer.begin(head)
+            preparation?.release()
+            journal.firstEvent()
+        }
+        answer.part(event.bytes)
+    }
+
+    override fun streamEnded(head: AnswerHead) {
+        if (isOver) return
+        if (!hasBegun) answer.begin(head)
+        answer.finish()
+        close(head.status, "complete", attempt?.endpoint)
+    }
+
+    override fun failed(outcome: AttemptOutcome, reason: String, answer: WholeAnswer?) {
+        if (isOver) return
+        val endpoint = attempt?.endpoint
+        if (outcome == AttemptOutcome.NotSent && attempt?.connection != null) attempts--
+        attempt = null
+        endpoint?.let { avoided += it }
+        val history = AttemptHistory(attempts, mayRunAlready)
+        val step = AttemptRule.next(route.repeatRule, outcome, history, route.maximumAttempts) { isRetryAllowed(outcome) }
+        mayRunAlready = mayRunAlready || (outcome != AttemptOutcome.NotSent && outcome != AttemptOutcome.NotRun)
+        journal.failed(endpoint, reason, step.toString())
+        when (step) {
+            NextStep.TryElsewhere -> if (answer?.head?.status == INPUTS_GONE) preparation?.restart() else again()
+            NextStep.ReportNotRun -> refuse(reason, retryAfter(answer))
+            NextStep.ReportUnknown -> if (hasBegun) breakOff(reason) else finish(unknown(reason), endpoint)
+            NextStep.PassOn -> if (hasBegun) breakOff(reason) else finish(checkNotNull(answer), endpoint)
+        }
+    }
+
+    /** An endpoint that could not be reached saw nothing, which costs no retry, but not without end. */
+    private fun isRetryAllowed(outcome: AttemptOutcome): Boolean {
+        if (outcome != AttemptOutcome.NotSent) return state.budget.tryRetry(request.pool, state.thread.now())
+        unreached++
+        return unreached <= MAXIMUM_UNREACHED
+    }
+
+    private fun unknown(reason: String) = Refusals.unknown(request.id.value, reason)
+
+    private fun retryAfter(answer: WholeAnswer?): Duration {
+        val seconds = answer?.head?.headers?.get(WireHeaders.RETRY_AFTER)?.toDoubleOrNull()
+        return seconds?.let { (it * MILLISECONDS_PER_SECOND).milliseconds } ?: SHORT_WAIT
+    }
+
+    private fun refuse(reason: String, wait: Duration) {
+        if (isOver) return
+        if (hasBegun) return breakOff(reason)
+        val answer = if (mayRunAlready) {
+            unknown(reason)
+        } else {
+            Refusals.notRun(request.id.value, reason, wait * (1 + state.random.nextDouble()))
+        }
+        finish(answer, endpoint = null, reason)
+    }
+
+    private fun timeIsOver() {
+        if (isOver) return
+        val sent = attempt?.connection != null || mayRunAlready
+        val endpoint = attempt?.endpoint
+        attempt?.giveUp()
+        when {
+            hasBegun -> breakOff("the time of the request is over")
+            sent -> finish(Refusals.timedOut(request.id.value, "no answer in time"), endpoint, "no answer in time")
+            else -> refuse("no endpoint was free in time", SHORT_WAIT)
+        }
+    }
+
+    override fun callerGone() {
+        if (isOver) return
+        if (route.repeatRule == RepeatRule.AT_MOST_ONCE && attempt?.connection != null) {
+            journal.ended(status = null, "the caller has left; the request goes on", attempt?.endpoint)
+            return
+        }
+        close(status = null, "the caller has left", attempt?.endpoint)
+    }
+
+    private fun breakOff(reason: String) {
+        answer.abort()
+        close(status = null, reason, attempt?.endpoint)
+    }
+
+    private fun finish(whole: WholeAnswer, endpoint: Endpoint?, reason: String? = null) {
+        answer.whole(whole)
+        close(whole.head.status, reason ?: "answered", endpoint)
+    }
+
+    private fun close(status: Int?, reason: String, endpoint: Endpoint?) {
+        if (isOver) return
+        isOver = true
+        place?.let(state.waitingRoom::leave)
+        endTimer?.cancel()
+        watchTimer?.cancel()
+        attempt?.abandon()
+        preparation?.end()
+        journal.ended(status, reason, endpoint)
+        ended(this)
+    }
+
+    private companion object {
+        const val INPUTS_GONE = 409
+        const val HEAVY_RESULT_BYTES = 200_000L
+        const val MILLISECONDS_PER_SECOND = 1_000
+        const val PAUSE_FACTOR = 3
+        const val MAXIMUM_UNREACHED = 4
+        const val FIRST_EVENT_FACTOR = 4
+        val SHORTEST_PAUSE = 300.milliseconds
+        val PATIENCE_CHECK = 50.milliseconds
+        val SHORT_WAIT = 100.milliseconds
+        val LONG_WAIT = 500.milliseconds
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/Preparation.kt
@@ -0,0 +1,152 @@
+package org.bilberryhead.forwarding.stage
+
+import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.common.RequestId
+import org.bilberryhead.core.serving.PieceId
+import org.bilberryhead.core.serving.PreparationPlan
+import org.bilberryhead.core.serving.PreparationStage
+import org.bilberryhead.core.serving.ReadyPiece
+import org.bilberryhead.core.serving.ResultHandle
+import org.bilberryhead.core.serving.SharedRetryBudget
+import org.bilberryhead.core.serving.StagePiece
+import org.bilberryhead.forwarding.EventThread
+import org.bilberryhead.platform.wire.StageCodec.PieceResult
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/** What the preparation of a request is about. */
+internal class PreparationOrder(
+    val request: RequestId,
+    val stages: List<PreparationStage>,
+    val pieceCounts: List<Int>,
+    val pieceKey: String?,
+    val priority: Int,
+    val objectiveAt: Instant,
+    val deadline: Instant,
+)
+
+/** Hears how the preparation of a request ends. */
+internal interface PreparationListener {
+    /** The results that the request is given. */
+    fun prepared(inputs: List<ResultHandle>)
+
+    /** The request can not be prepared; it has not run. */
+    fun notPrepared(reason: String)
+}
+
+/** Has the preparation stages of one request made. */
+internal class Preparation(
+    private val order: PreparationOrder,
+    private val runner: (PoolName) -> StageRunner?,
+    private val releaser: ResultReleaser,
+    private val budget: SharedRetryBudget,
+    private val thread: EventThread,
+    private val listener: PreparationListener,
+) {
+    private val plan = PreparationPlan(order.stages, order.pieceCounts)
+    private val tries = mutableMapOf<PieceId, Int>()
+    private var grantedAt: Instant? = null
+    private var isOver = false
+
+    /** Asks for what can be made now. */
+    fun advance() {
+        if (isOver) return
+        releaser.release(plan.takeUnneeded())
+        if (plan.isComplete) {
+            isOver = true
+            listener.prepared(plan.finalInputs())
+            return
+        }
+        plan.takeReady().groupBy { order.stages[it.id.stage].pool }.forEach(::ask)
+    }
+
+    /** Makes everything again, after results were lost. */
+    fun restart() {
+        isOver = false
+        plan.restart()
+        advance()
+    }
+
+    /** Ends the preparation and gives up its results. */
+    fun end() {
+        isOver = true
+        order.stages.mapTo(mutableSetOf()) { it.pool }.forEach { runner(it)?.drop(order.request) }
+        release()
+    }
+
+    /** Gives up all results: the request has read them, or needs them no more. */
+    fun release() = releaser.release(plan.takeAll())
+
+    private fun ask(pool: PoolName, ready: List<ReadyPiece>) {
+        val stageRunner = runner(pool) ?: return fail("no endpoints are known for a stage")
+        stageRunner.ask(ready.map(::piece)) { piece, end -> ended(PieceId(piece.stage, piece.index), pool, end) }
+    }
+
+    private fun piece(ready: ReadyPiece) = StagePiece(
+        request = order.request,
+        stage = ready.id.stage,
+        index = ready.id.index,
+        key = order.pieceKey,
+        inputs = ready.inputs,
+        priority = order.priority,
+        objectiveAt = order.objectiveAt,
+        deadline = order.deadline,
+        resultBytes = order.stages[ready.id.stage].resultBytes,
+    )
+
+    private fun ended(id: PieceId, pool: PoolName, end: PieceEnd) {
+        if (isOver) return
+        when (end) {
+            is PieceEnd.Expired -> fail("its deadline passed while a stage waited")
+            is PieceEnd.CallFailed -> retry(id, pool, end.reason)
+            is PieceEnd.Answered -> take(id, pool, end.result)
+        }
+    }
+
+    private fun take(id: PieceId, pool: PoolName, result: PieceResult) {
+        when (result) {
+            is PieceResult.Made -> {
+                plan.made(id, ResultHandle(result.handle))
+                advance()
+            }
+
+            PieceResult.Late -> fail("its deadline passed at a stage")
+            PieceResult.InputsGone -> {
+                plan.inputsGone(id)
+                retry(id, pool, "results of an earlier stage are gone")
+            }
+
+            PieceResult.NoRoom -> retry(id, pool, "an endpoint has no room for results")
+            PieceResult.Failed -> retry(id, pool, "an endpoint failed to make a piece")
+        }
+    }
+
+    private fun retry(id: PieceId, pool: PoolName, reason: String) {
+        val count = (tries[id] ?: 0) + 1
+        tries[id] = count
+        if (count > MAXIMUM_RETRIES || !mayRetry(pool)) return fail(reason)
+        plan.failed(id)
+        advance()
+    }
+
+    /** Pieces of one request that failed in the same call are one retry. */
+    private fun mayRetry(pool: PoolName): Boolean {
+        val now = thread.now()
+        val granted = grantedAt
+        if (granted != null && now - granted < SAME_CALL) return true
+        if (!budget.tryRetry(pool, now)) return false
+        grantedAt = now
+        return true
+    }
+
+    private fun fail(reason: String) {
+        if (isOver) return
+        end()
+        listener.notPrepared(reason)
+    }
+
+    private companion object {
+        const val MAXIMUM_RETRIES = 3
+        val SAME_CALL = 20.milliseconds
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
@@ -0,0 +1,187 @@
+package org.bilberryhead.forwarding.stage
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.common.RequestId
+import org.bilberryhead.core.serving.EndpointEntry
+import org.bilberryhead.core.serving.EntryPlace
+import org.bilberryhead.core.serving.PieceEndpointChooser
+import org.bilberryhead.core.serving.PieceQueue
+import org.bilberryhead.core.serving.PieceShape
+import org.bilberryhead.core.serving.StagePiece
+import org.bilberryhead.forwarding.DecisionLog
+import org.bilberryhead.forwarding.EventThread
+import org.bilberryhead.forwarding.http.ExchangeEnd
+import org.bilberryhead.forwarding.http.OutboundRequest
+import org.bilberryhead.forwarding.http.SingleExchange
+import org.bilberryhead.forwarding.http.WholeAnswer
+import org.bilberryhead.platform.wire.HeaderValues
+import org.bilberryhead.platform.wire.StageCodec
+import org.bilberryhead.platform.wire.StageCodec.PieceResult
+import org.bilberryhead.platform.wire.WireHeaders
+import org.bilberryhead.platform.wire.WirePaths
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/** What became of a piece that was asked for. */
+internal sealed interface PieceEnd {
+    /** The endpoint answered for the piece. */
+    data class Answered(val result: PieceResult) : PieceEnd
+
+    /** The call was refused or failed; the piece may be asked for again. */
+    data class CallFailed(val reason: String) : PieceEnd
+
+    /** The deadline passed before its turn. */
+    data object Expired : PieceEnd
+}
+
+/** What a [StageRunner] needs of the process. */
+internal interface StageContext {
+    val thread: EventThread
+    val exchange: SingleExchange
+    val decisions: DecisionLog
+
+    /** This entry among all entries. */
+    val place: EntryPlace
+
+    /** Endpoints of [pool] that may get new work. */
+    fun usable(pool: PoolName): List<EndpointEntry>
+}
+
+/** Gathers pieces of one pool into calls and sends them. */
+internal class StageRunner(
+    private val pool: PoolName,
+    private val shape: PieceShape,
+    private val context: StageContext,
+    private val chooser: PieceEndpointChooser,
+) {
+    private val queue = PieceQueue(shape.batchSize, shape.callTime + shape.pieceTime)
+    private val listeners = mutableMapOf<StagePiece, (PieceEnd) -> Unit>()
+    private var isPumpDue = false
+
+    /** Asks for [pieces] of one request; [ended] is told once of each, unless they are dropped. */
+    fun ask(pieces: List<StagePiece>, ended: (StagePiece, PieceEnd) -> Unit) {
+        pieces.forEach { piece -> listeners[piece] = { end -> ended(piece, end) } }
+        queue.add(pieces)
+        pumpSoon(GATHER_TIME)
+    }
+
+    /** Drops the pieces of [request] that wait or are being made. */
+    fun drop(request: RequestId) {
+        queue.drop(request)
+        listeners.keys.removeAll { it.request == request }
+    }
+
+    private fun pumpSoon(delay: Duration) {
+        if (isPumpDue) return
+        isPumpDue = true
+        context.thread.after(delay) {
+            isPumpDue = false
+            pump()
+        }
+    }
+
+    private fun pump() {
+        val now = context.thread.now()
+        queue.takeExpired(now).forEach { tell(it, PieceEnd.Expired) }
+        while (queue.size > 0) {
+            val candidates = context.usable(pool)
+            if (candidates.isEmpty()) return failAll(now)
+            val endpoint = chooser.choose(candidates, context.place, isHeavy(), now) ?: return
+            call(endpoint, queue.takeBatch(now), now)
+        }
+    }
+
+    private fun isHeavy(): Boolean = listeners.keys.any { it.resultBytes > HEAVY_RESULT_BYTES }
+
+    private fun failAll(now: Instant) {
+        while (queue.size > 0) queue.takeBatch(now).forEach { tell(it, PieceEnd.CallFailed("no endpoint is known")) }
+    }
+
+    private fun call(endpoint: EndpointEntry, pieces: List<StagePiece>, now: Instant) {
+        chooser.begin(endpoint.id)
+        val expected = shape.callTime + shape.pieceTime * pieces.size
+        val limit = expected * LIMIT_FACTOR + LIMIT_SLACK
+        context.exchange.run(endpoint.address, request(endpoint, pieces, now), limit) { end ->
+            val ended = context.thread.now()
+            val results = resultsOf(end, endpoint, pieces.size, ended)
+            chooser.end(endpoint.id, failed = results == null, ended)
+            log(endpoint, pieces, end, results, ended - now)
+            deliver(pieces, results, end)
+            pumpSoon(Duration.ZERO)
+        }
+    }
+
+    private fun deliver(pieces: List<StagePiece>, results: List<PieceResult>?, end: ExchangeEnd) {
+        pieces.forEachIndexed { index, piece ->
+            tell(piece, results?.let { PieceEnd.Answered(it[index]) } ?: PieceEnd.CallFailed(end.toReason()))
+        }
+    }
+
+    private fun tell(piece: StagePiece, end: PieceEnd) {
+        listeners.remove(piece)?.invoke(end)
+    }
+
+    private fun resultsOf(end: ExchangeEnd, endpoint: EndpointEntry, count: Int, now: Instant): List<PieceResult>? {
+        val answer = (end as? ExchangeEnd.Answered)?.answer ?: return null
+        HeaderValues.load(answer.head.headers[WireHeaders.LOAD])?.let { chooser.reported(endpoint.id, it, now) }
+        return if (answer.head.status == OK) StageCodec.decodeRun(answer.text, count) else null
+    }
+
+    private fun request(endpoint: EndpointEntry, pieces: List<StagePiece>, now: Instant): OutboundRequest {
+        val headers = DefaultHttpHeaders()
+            .add("Host", endpoint.address.toString())
+            .add("Content-Type", "application/json")
+            .add("Connection", "close")
+            .add(WireHeaders.EXPECTED_ENDPOINT, endpoint.id.value)
+        val calls = pieces.map { piece ->
+            StageCodec.PieceCall(
+                requestId = piece.request.value,
+                stage = piece.stage,
+                index = piece.index,
+                remainingMs = (piece.deadline - now).inWholeMilliseconds,
+                key = piece.key,
+                inputs = piece.inputs.map { it.value },
+            )
+        }
+        val body = StageCodec.encodeRun(calls).encodeToByteArray()
+        return OutboundRequest(HttpMethod.POST, WirePaths.STAGE_RUN, headers, body)
+    }
+
+    private fun log(
+        endpoint: EndpointEntry,
+        pieces: List<StagePiece>,
+        end: ExchangeEnd,
+        results: List<PieceResult>?,
+        elapsed: Duration,
+    ) = context.decisions.write("stage call") {
+        mapOf(
+            "pool" to pool,
+            "endpoint" to endpoint.id,
+            "requests" to pieces.mapTo(mutableSetOf()) { it.request.value }.joinToString(","),
+            "pieces" to pieces.size,
+            "made" to (results?.count { it is PieceResult.Made } ?: 0),
+            "failure" to if (results == null) end.toReason() else null,
+            "left_waiting" to queue.size,
+            "elapsed_ms" to elapsed.inWholeMilliseconds,
+        )
+    }
+
+    private fun ExchangeEnd.toReason(): String = when (this) {
+        is ExchangeEnd.Answered -> "status ${answer.describe()}"
+        is ExchangeEnd.NotSent -> reason
+        is ExchangeEnd.Unknown -> reason
+    }
+
+    private fun WholeAnswer.describe(): String = head.status.toString()
+
+    private companion object {
+        const val OK = 200
+        const val LIMIT_FACTOR = 4
+        val LIMIT_SLACK = 500.milliseconds
+        val GATHER_TIME = 10.milliseconds
+        const val HEAVY_RESULT_BYTES = 200_000L
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/ConfigurationListener.kt
@@ -0,0 +1,43 @@
+package org.bilberryhead.forwarding.store
+
+import org.bilberryhead.core.serving.RouteMatcher
+import org.bilberryhead.core.serving.ServingConfiguration
+import org.bilberryhead.forwarding.DecisionLog
+import org.bilberryhead.platform.wire.ConfigurationDecoder
+import org.bilberryhead.platform.wire.StoreRow
+import org.bilberryhead.platform.wire.WireTables
+
+/** Puts each newer configuration in force; an older one never replaces a newer one. */
+internal class ConfigurationListener(
+    private val decisions: DecisionLog,
+    private val inForce: (RouteMatcher) -> Unit,
+) : TableListener {
+    private var current: ServingConfiguration? = null
+
+    /** The newest configuration as it was written, for entries that can not read it. */
+    var newestText: String? = null
+        private set
+
+    override fun replaced(rows: List<StoreRow>, afterOutage: Boolean) = changed(rows)
+
+    override fun changed(rows: List<StoreRow>) = rows
+        .filter { it.key == WireTables.CONFIGURATION_KEY }
+        .forEach { row -> row.value?.let(::take) }
+
+    /** Takes the configuration in [text] if it is newer than the one in force. */
+    fun take(text: String) {
+        val configuration = ConfigurationDecoder.decode(text)
+        if (configuration == null) {
+            decisions.write("configuration unreadable") { mapOf("kept_version" to current?.version) }
+            return
+        }
+        val before = current?.version
+        if (before != null && configuration.version <= before) return
+        current = configuration
+        newestText = text
+        inForce(RouteMatcher(configuration))
+        decisions.write("configuration in force") {
+            mapOf("version" to configuration.version, "before" to before, "routes" to configuration.routes.size)
+        }
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EndpointListener.kt
@@ -0,0 +1,54 @@
+package org.bilberryhead.forwarding.store
+
+import org.bilberryhead.core.common.EndpointId
+import org.bilberryhead.core.serving.EndpointChange
+import org.bilberryhead.core.serving.EndpointDirectory
+import org.bilberryhead.core.serving.EndpointEntry
+import org.bilberryhead.forwarding.DecisionLog
+import org.bilberryhead.forwarding.EventThread
+import org.bilberryhead.forwarding.endpoint.Endpoints
+import org.bilberryhead.platform.wire.EndpointEntryDecoder
+import org.bilberryhead.platform.wire.StoreRow
+
+/** Takes what endpoints write about themselves into the directory. */
+internal class EndpointListener(
+    private val directory: EndpointDirectory,
+    private val endpoints: Endpoints,
+    private val thread: EventThread,
+    private val decisions: DecisionLog,
+) : TableListener {
+    override fun replaced(rows: List<StoreRow>, afterOutage: Boolean) {
+        val now = thread.now()
+        if (afterOutage) directory.storeRegained(now)
+        apply(directory.replaceAll(rows.mapNotNull(::decode), now))
+    }
+
+    override fun changed(rows: List<StoreRow>) {
+        val newest = rows.associateBy { it.key }.values
+        val entries = newest.mapNotNull(::decode)
+        val readable = entries.mapTo(mutableSetOf()) { it.id }
+        val removed = newest.map { EndpointId(it.key) }.filter { it !in readable }
+        apply(directory.update(entries, removed, thread.now()))
+    }
+
+    /** Drops what has lapsed for too long. */
+    fun tick() = apply(directory.tick(thread.now()))
+
+    private fun decode(row: StoreRow): EndpointEntry? {
+        val value = row.value ?: return null
+        val entry = EndpointEntryDecoder.decode(row.key, value)
+        if (entry == null) decisions.write("endpoint entry unreadable") { mapOf("endpoint" to row.key) }
+        return entry
+    }
+
+    private fun apply(changes: List<EndpointChange>) {
+        endpoints.changed(changes)
+        for (change in changes) {
+            decisions.write("endpoint changed") {
+                mapOf("endpoint" to change.id, "change" to change::class.simpleName, "pool" to poolOf(change))
+            }
+        }
+    }
+
+    private fun poolOf(change: EndpointChange) = (change as? EndpointChange.Appeared)?.entry?.pool
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EntryRegistration.kt
@@ -0,0 +1,54 @@
+package org.bilberryhead.forwarding.store
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import org.bilberryhead.core.common.DaemonId
+import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.forwarding.DecisionLog
+import org.bilberryhead.forwarding.EventThread
+import org.bilberryhead.forwarding.http.ExchangeEnd
+import org.bilberryhead.forwarding.http.OutboundRequest
+import org.bilberryhead.forwarding.http.SingleExchange
+import org.bilberryhead.platform.wire.StoreCodec
+import org.bilberryhead.platform.wire.WirePaths
+import org.bilberryhead.platform.wire.WireTables
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Writes this entry's row into the store, until the store has it. Writing it twice does no harm. */
+internal class EntryRegistration(
+    private val own: DaemonId,
+    private val dataCentre: DataCentre,
+    private val store: SocketAddress,
+    private val thread: EventThread,
+    private val exchange: SingleExchange,
+    private val decisions: DecisionLog,
+) {
+    private var backoff = FIRST_BACKOFF
+
+    /** Begins to write the row. */
+    fun start() = exchange.run(store, request(), ANSWER_LIMIT) { end ->
+        val status = (end as? ExchangeEnd.Answered)?.answer?.head?.status
+        decisions.write("entry registered") { mapOf("entry" to own, "status" to status, "again" to (status != OK)) }
+        if (status != OK) again()
+    }
+
+    private fun again() {
+        thread.after(backoff) { start() }
+        backoff = (backoff * 2).coerceAtMost(LONGEST_BACKOFF)
+    }
+
+    private fun request(): OutboundRequest {
+        val headers = DefaultHttpHeaders().add("Host", store.toString()).add("Content-Type", "application/json")
+        val body = StoreCodec.encodePut(WireTables.ENTRIES, own.value, dataCentre.value)
+        return OutboundRequest(HttpMethod.POST, WirePaths.ROWS_TRANSACTION, headers, body.encodeToByteArray())
+    }
+
+    private companion object {
+        const val OK = 200
+        val ANSWER_LIMIT: Duration = 3.seconds
+        val FIRST_BACKOFF = 1.seconds
+        val LONGEST_BACKOFF = 10.seconds
+    }
+}
