Keep the makers' memory for results from filling up

Results are given up at once, each entry keeps within a window that shrinks when a piece finds no room, full batches may have a call beyond the entry's share, and pieces that can not meet their objective over all following stages go last. Engines are ranked alike over all data centres.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EnginePlacement.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EnginePlacement.kt
@@ -7,55 +7,49 @@
 import kotlin.time.Instant
 
 /**
- * Chooses the engine of a generation: the earliest first event, with a preference for engines that hold the prompt and
- * for the data centre of its inputs.
+ * Chooses the engine of a generation: the earliest first event, with a preference for engines that hold the prompt.
  *
- * Load that this answers: bursts of long prompts with shared parts, on engines that differ in speed. All entries prefer
- * the same engine for a shared part by rendezvous hashing, without telling each other, until it is busier than others.
+ * Load that this answers: bursts of long prompts with shared parts, on engines that differ in speed. All entries rank the
+ * engines for a shared part alike by rendezvous hashing, without telling each other, and go down the ranks only while an
+ * engine is busier than those that follow.
  */
 class EnginePlacement(private val own: DataCentre) {
-    /**
-     * Returns the engine for [prompt], or null without candidates.
-     *
-     * @param heavyInputs whether the inputs of the generation are costly to carry between data centres
-     */
+    /** Returns the engine for [prompt], or null without candidates. */
     fun choose(
         candidates: List<EndpointEntry>,
         prompt: Prompt,
         books: (EndpointEntry) -> EngineBook,
-        heavyInputs: Boolean,
         now: Instant,
     ): EndpointEntry? {
-        val part = prompt.lastSharedPart
-        val home = part?.let { shared ->
-            val local = candidates.filter { it.dataCentre == own }.ifEmpty { candidates }
-            local.maxByOrNull { rendezvousWeight(shared.id.value, it.id) }?.id
-        }
-        return candidates.minByOrNull { cost(it, it.id == home, prompt, books(it), heavyInputs, now) }
+        val shared = prompt.lastSharedPart ?: return candidates.minByOrNull { cost(it, prompt, books(it), now) }
+        return candidates
+            .sortedByDescending { rendezvousWeight(shared.id.value, it.id) }
+            .withIndex()
+            .minByOrNull { (rank, candidate) -> rankCost(rank) + cost(candidate, prompt, books(candidate), now, rank) }
+            ?.value
     }
 
     private fun cost(
         candidate: EndpointEntry,
-        isHome: Boolean,
         prompt: Prompt,
         book: EngineBook,
-        heavyInputs: Boolean,
         now: Instant,
+        rank: Int = Int.MAX_VALUE,
     ): Duration {
         val known = book.tokensToRead(prompt, now)
-        val shared = prompt.inputTokens - (prompt.parts.lastOrNull()?.tokens ?: 0)
-        val tokens = if (isHome) minOf(known, prompt.inputTokens - shared / 2) else known
-        val distance = if (candidate.dataCentre == own) Duration.ZERO else distanceCost(heavyInputs)
-        val rank = if (isHome) Duration.ZERO else NOT_HOME
-        return book.expectedFirstEvent(tokens, now) + distance + rank
+        val ownPart = prompt.inputTokens - prompt.parts.dropLast(1).sumOf { it.tokens }
+        // Another entry has most likely had the shared parts read by the engine that ranks first.
+        val tokens = if (rank == 0) minOf(known, maxOf(ownPart, 0)) else known
+        val distance = if (candidate.dataCentre == own) Duration.ZERO else DISTANCE
+        return book.expectedFirstEvent(tokens, now) + distance
     }
 
-    private fun distanceCost(heavyInputs: Boolean): Duration = if (heavyInputs) HEAVY_DISTANCE else LIGHT_DISTANCE
+    private fun rankCost(rank: Int): Duration = RANK_STEP * rank.coerceAtMost(LAST_RANK)
 
     private companion object {
-        val HEAVY_DISTANCE = 500.milliseconds
-        val LIGHT_DISTANCE = 30.milliseconds
-        val NOT_HOME = 15.milliseconds
+        val DISTANCE = 5.milliseconds
+        val RANK_STEP = 40.milliseconds
+        const val LAST_RANK = 3
     }
 }
 
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/PieceEndpointChooser.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/PieceEndpointChooser.kt
@@ -27,14 +27,25 @@
     /** Calls of this entry that are not answered. */
     val open: Int get() = openCalls.values.sum()
 
-    /** Returns the endpoint for a call that begins now, or null when this entry has enough calls open. */
-    fun choose(candidates: List<EndpointEntry>, place: EntryPlace, heavyResults: Boolean, now: Instant): EndpointEntry? {
-        if (open >= callLimit(candidates.size, place)) return null
+    /**
+     * Returns the endpoint for a call that begins now, or null when this entry has enough calls open.
+     *
+     * @param waiting pieces that wait; each full batch of them may have a call beyond this entry's share
+     * @param hasRoom whether an endpoint has room for results of the next call
+     */
+    fun choose(
+        candidates: List<EndpointEntry>,
+        place: EntryPlace,
+        waiting: Int,
+        now: Instant,
+        hasRoom: (EndpointId) -> Boolean,
+    ): EndpointEntry? {
+        if (open >= callLimit(candidates.size, place) + waiting / shape.batchSize) return null
         val local = candidates.filter { it.dataCentre == own }
         val home = local.getOrNull(if (local.isEmpty()) 0 else place.rankInDataCentre % local.size)
         return candidates
-            .filter { (openCalls[it.id] ?: 0) <= shape.queueLength }
-            .minByOrNull { cost(it, it.id == home?.id, heavyResults, now) }
+            .filter { (openCalls[it.id] ?: 0) <= shape.queueLength && hasRoom(it.id) }
+            .minByOrNull { cost(it, it.id == home?.id, now) }
     }
 
     /** Counts a call that begins. */
@@ -57,13 +68,9 @@
     private fun callLimit(endpoints: Int, place: EntryPlace): Int =
         max(1, ceil(endpoints * shape.concurrentCalls * OPEN_CALLS_PER_SLOT / place.entries - ROUNDING).toInt())
 
-    private fun cost(endpoint: EndpointEntry, isHome: Boolean, heavyResults: Boolean, now: Instant): Duration {
+    private fun cost(endpoint: EndpointEntry, isHome: Boolean, now: Instant): Duration {
         val calls = (openCalls[endpoint.id] ?: 0) + reportedCalls(endpoint.id, now)
-        val distance = when {
-            endpoint.dataCentre == own -> Duration.ZERO
-            heavyResults -> HEAVY_DISTANCE
-            else -> LIGHT_DISTANCE
-        }
+        val distance = if (endpoint.dataCentre == own) Duration.ZERO else DISTANCE
         val avoided = avoidUntil[endpoint.id]?.let { if (it > now) AVOID_COST else null } ?: Duration.ZERO
         return shape.callTime * calls + distance + avoided + if (isHome) Duration.ZERO else NOT_HOME
     }
@@ -78,8 +85,7 @@
 
         /** Keeps a limit that is just above a whole number from counting as the next one. */
         const val ROUNDING = 0.3
-        val HEAVY_DISTANCE = 600.milliseconds
-        val LIGHT_DISTANCE = 60.milliseconds
+        val DISTANCE = 60.milliseconds
         val NOT_HOME = 120.milliseconds
         val REPORT_LIFE = 400.milliseconds
         val AVOID_TIME = 1500.milliseconds
--- /dev/null
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ResultRoom.kt
@@ -0,0 +1,77 @@
+package org.bilberryhead.core.serving
+
+import org.bilberryhead.core.common.EndpointId
+import kotlin.math.max
+import kotlin.math.min
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/**
+ * How many bytes of results this entry may have at each endpoint of a pool.
+ *
+ * Load that this answers: bursts that a pool could work off in time, if only its memory for results were not full. All
+ * entries share that memory and do not tell each other what they use, so each has a window that grows while its pieces
+ * find room and shrinks when one does not.
+ *
+ * @param roomBytes memory for results at one endpoint
+ * @param keepTime how long an endpoint keeps a result that nobody gives up
+ */
+class ResultRoom(private val roomBytes: Double, private val keepTime: Duration, private val entries: () -> Int) {
+    private class Held(val endpoint: EndpointId, val bytes: Long, val until: Instant)
+
+    private val windows = mutableMapOf<EndpointId, Double>()
+    private val reserved = mutableMapOf<EndpointId, Long>()
+    private val held = LinkedHashMap<ResultHandle, Held>()
+
+    /** Bytes that may still be added at [endpoint]. */
+    fun free(endpoint: EndpointId, now: Instant): Long {
+        expire(now)
+        return (window(endpoint) - used(endpoint)).toLong()
+    }
+
+    /** Whether this entry has no result at [endpoint] and asks for none. */
+    fun isUnused(endpoint: EndpointId): Boolean = used(endpoint) == 0L
+
+    /** Counts [bytes] of results that are asked for. */
+    fun reserve(endpoint: EndpointId, bytes: Long) {
+        reserved.merge(endpoint, bytes, Long::plus)
+    }
+
+    /** Ends a reservation of [bytes]; what was made is counted with [made]. */
+    fun settle(endpoint: EndpointId, bytes: Long, foundNoRoom: Boolean) {
+        reserved.merge(endpoint, -bytes, Long::plus)
+        val window = window(endpoint)
+        windows[endpoint] = if (foundNoRoom) {
+            max(roomBytes * SMALLEST_PART, window * SHRINK)
+        } else {
+            min(roomBytes, window + roomBytes * GROWTH)
+        }
+    }
+
+    /** Counts a result that was made. */
+    fun made(handle: ResultHandle, endpoint: EndpointId, bytes: Long, now: Instant) {
+        held[handle] = Held(endpoint, bytes, now + keepTime)
+    }
+
+    /** Takes out a result that was given up. */
+    fun released(handle: ResultHandle) {
+        held.remove(handle)
+    }
+
+    private fun window(endpoint: EndpointId): Double =
+        windows.getOrPut(endpoint) { roomBytes * min(1.0, FIRST_SHARES / entries()) }
+
+    private fun used(endpoint: EndpointId): Long =
+        (reserved[endpoint] ?: 0) + held.values.sumOf { if (it.endpoint == endpoint) it.bytes else 0L }
+
+    private fun expire(now: Instant) {
+        while (held.isNotEmpty() && held.values.first().until <= now) held.remove(held.keys.first())
+    }
+
+    private companion object {
+        const val FIRST_SHARES = 2.0
+        const val SMALLEST_PART = 0.08
+        const val SHRINK = 0.75
+        const val GROWTH = 0.03
+    }
+}
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/ServingConfiguration.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ServingConfiguration.kt
@@ -78,6 +78,8 @@
  * @property batchSize most pieces in one call
  * @property callTime time of a call beside its pieces
  * @property pieceTime approximate time of one piece
+ * @property roomBytes memory of one endpoint for results
+ * @property keepTime how long a result is kept that nobody gives up
  */
 data class PieceShape(
     val concurrentCalls: Int,
@@ -85,6 +87,8 @@
     val batchSize: Int,
     val callTime: Duration,
     val pieceTime: Duration,
+    val roomBytes: Double,
+    val keepTime: Duration,
 )
 
 /**
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -8,6 +8,7 @@
 import org.bilberryhead.core.serving.EnginePlacement
 import org.bilberryhead.core.serving.EntryPlace
 import org.bilberryhead.core.serving.PieceEndpointChooser
+import org.bilberryhead.core.serving.ResultHandle
 import org.bilberryhead.core.serving.ServingPool
 import org.bilberryhead.core.serving.SharedRetryBudget
 import org.bilberryhead.forwarding.caller.CallerServer
@@ -63,7 +64,7 @@
             roster.place.entries
         },
         placement = EnginePlacement(settings.dataCentre),
-        releaser = ResultReleaser(thread, endpoints::at),
+        releaser = ResultReleaser(thread, endpoints::at) { handle -> stageRunners.values.forEach { it.released(handle) } },
         stageRunner = ::stageRunner,
         waitingRoom = waitingRoom,
         decisions = decisions,
@@ -83,6 +84,8 @@
         override val decisions: DecisionLog get() = this@ForwardingDaemon.decisions
         override val place: EntryPlace get() = roster.place
 
+        override fun release(handle: ResultHandle) = state.releaser.release(listOf(handle))
+
         override fun usable(pool: PoolName): List<EndpointEntry> = directory.usable(pool)
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestRun.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestRun.kt
@@ -117,8 +117,7 @@
         if (prompt == null || open.first().engine == null) return open.minBy { it.load.expectedAnswerTime(now) }
         val byEntry = open.associateBy { it.entry }
         val books = { entry: EndpointEntry -> checkNotNull(byEntry.getValue(entry).engine) }
-        val heavy = route.stages.any { it.resultBytes > HEAVY_RESULT_BYTES }
-        val chosen = state.placement.choose(byEntry.keys.toList(), prompt, books, heavy, now)
+        val chosen = state.placement.choose(byEntry.keys.toList(), prompt, books, now)
         return byEntry.getValue(checkNotNull(chosen))
     }
 
@@ -295,7 +294,6 @@
 
     private companion object {
         const val INPUTS_GONE = 409
-        const val HEAVY_RESULT_BYTES = 200_000L
         const val MILLISECONDS_PER_SECOND = 1_000
         const val PAUSE_FACTOR = 3
         const val MAXIMUM_UNREACHED = 4
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/Preparation.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/Preparation.kt
@@ -11,6 +11,7 @@
 import org.bilberryhead.core.serving.StagePiece
 import org.bilberryhead.forwarding.EventThread
 import org.bilberryhead.platform.wire.StageCodec.PieceResult
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
@@ -89,11 +90,18 @@
         key = order.pieceKey,
         inputs = ready.inputs,
         priority = order.priority,
-        objectiveAt = order.objectiveAt,
+        latestStart = order.objectiveAt - timeFrom(ready.id.stage),
         deadline = order.deadline,
         resultBytes = order.stages[ready.id.stage].resultBytes,
     )
 
+    /** Usual time from the start of a call of [stage] until the answer of the request begins. */
+    private fun timeFrom(stage: Int): Duration {
+        val following = order.stages.indices.filter { stage in order.stages[it].after }
+        val after = following.maxOfOrNull { timeFrom(it) + WAIT_FOR_CALL } ?: FIRST_EVENT_TIME
+        return after + (runner(order.stages[stage].pool)?.usualCallTime ?: Duration.ZERO)
+    }
+
     private fun ended(id: PieceId, pool: PoolName, end: PieceEnd) {
         if (isOver) return
         when (end) {
@@ -126,7 +134,7 @@
         tries[id] = count
         if (count > MAXIMUM_RETRIES || !mayRetry(pool)) return fail(reason)
         plan.failed(id)
-        advance()
+        thread.after(RETRY_DELAY) { advance() }
     }
 
     /** Pieces of one request that failed in the same call are one retry. */
@@ -147,6 +155,9 @@
 
     private companion object {
         const val MAXIMUM_RETRIES = 3
+        val WAIT_FOR_CALL = 150.milliseconds
+        val FIRST_EVENT_TIME = 150.milliseconds
+        val RETRY_DELAY = 100.milliseconds
         val SAME_CALL = 20.milliseconds
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/ResultReleaser.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/ResultReleaser.kt
@@ -15,7 +15,11 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Tells endpoints which results are not needed any more, several at a time. A call that fails is not repeated. */
-internal class ResultReleaser(private val thread: EventThread, private val endpointAt: (SocketAddress) -> Endpoint?) {
+internal class ResultReleaser(
+    private val thread: EventThread,
+    private val endpointAt: (SocketAddress) -> Endpoint?,
+    private val released: (ResultHandle) -> Unit,
+) {
     private val waiting = mutableMapOf<SocketAddress, MutableList<ResultHandle>>()
 
     /** Gives up the results at [handles]. */
@@ -32,6 +36,7 @@
 
     private fun flush(maker: SocketAddress) {
         val handles = waiting.remove(maker) ?: return
+        handles.forEach(released)
         val endpoint = endpointAt(maker) ?: return
         endpoint.connections.acquire(
             mayRepeat = true,
@@ -54,7 +59,7 @@
     }
 
     private companion object {
-        val GATHER_TIME = 250.milliseconds
+        val GATHER_TIME = 20.milliseconds
         val ANSWER_LIMIT = 2.seconds
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
@@ -9,6 +9,8 @@
 import org.bilberryhead.core.serving.PieceEndpointChooser
 import org.bilberryhead.core.serving.PieceQueue
 import org.bilberryhead.core.serving.PieceShape
+import org.bilberryhead.core.serving.ResultHandle
+import org.bilberryhead.core.serving.ResultRoom
 import org.bilberryhead.core.serving.StagePiece
 import org.bilberryhead.forwarding.DecisionLog
 import org.bilberryhead.forwarding.EventThread
@@ -46,6 +48,9 @@
     /** This entry among all entries. */
     val place: EntryPlace
 
+    /** Gives up a result that nobody needs. */
+    fun release(handle: ResultHandle)
+
     /** Endpoints of [pool] that may get new work. */
     fun usable(pool: PoolName): List<EndpointEntry>
 }
@@ -57,10 +62,14 @@
     private val context: StageContext,
     private val chooser: PieceEndpointChooser,
 ) {
-    private val queue = PieceQueue(shape.batchSize, shape.callTime + shape.pieceTime)
+    private val room = ResultRoom(shape.roomBytes, shape.keepTime) { context.place.entries }
+    private val queue = PieceQueue(shape.batchSize)
     private val listeners = mutableMapOf<StagePiece, (PieceEnd) -> Unit>()
     private var isPumpDue = false
 
+    /** Usual time from the start of a call to its end. */
+    val usualCallTime: Duration get() = shape.callTime + shape.pieceTime * (shape.batchSize / 2)
+
     /** Asks for [pieces] of one request; [ended] is told once of each, unless they are dropped. */
     fun ask(pieces: List<StagePiece>, ended: (StagePiece, PieceEnd) -> Unit) {
         pieces.forEach { piece -> listeners[piece] = { end -> ended(piece, end) } }
@@ -74,6 +83,12 @@
         listeners.keys.removeAll { it.request == request }
     }
 
+    /** A result was given up; its room is free. */
+    fun released(handle: ResultHandle) {
+        room.released(handle)
+        if (queue.size > 0) pumpSoon(GATHER_TIME)
+    }
+
     private fun pumpSoon(delay: Duration) {
         if (isPumpDue) return
         isPumpDue = true
@@ -89,31 +104,46 @@
         while (queue.size > 0) {
             val candidates = context.usable(pool)
             if (candidates.isEmpty()) return failAll(now)
-            val endpoint = chooser.choose(candidates, context.place, isHeavy(), now) ?: return
-            call(endpoint, queue.takeBatch(now), now)
+            val needed = queue.firstResultBytes(now)
+            val endpoint = chooser.choose(candidates, context.place, queue.size, now) { id ->
+                room.isUnused(id) || room.free(id, now) >= needed
+            }
+            if (endpoint == null) return pumpSoon(ROOM_CHECK)
+            call(endpoint, queue.takeBatch(now, room.free(endpoint.id, now)), now)
         }
     }
 
-    private fun isHeavy(): Boolean = listeners.keys.any { it.resultBytes > HEAVY_RESULT_BYTES }
-
     private fun failAll(now: Instant) {
-        while (queue.size > 0) queue.takeBatch(now).forEach { tell(it, PieceEnd.CallFailed("no endpoint is known")) }
+        while (queue.size > 0) {
+            queue.takeBatch(now, Long.MAX_VALUE).forEach { tell(it, PieceEnd.CallFailed("no endpoint is known")) }
+        }
     }
 
     private fun call(endpoint: EndpointEntry, pieces: List<StagePiece>, now: Instant) {
         chooser.begin(endpoint.id)
+        val bytes = pieces.sumOf { it.resultBytes }
+        room.reserve(endpoint.id, bytes)
         val expected = shape.callTime + shape.pieceTime * pieces.size
         val limit = expected * LIMIT_FACTOR + LIMIT_SLACK
         context.exchange.run(endpoint.address, request(endpoint, pieces, now), limit) { end ->
             val ended = context.thread.now()
             val results = resultsOf(end, endpoint, pieces.size, ended)
             chooser.end(endpoint.id, failed = results == null, ended)
+            room.settle(endpoint.id, bytes, foundNoRoom = results.orEmpty().any { it is PieceResult.NoRoom })
+            results?.let { keep(endpoint, pieces, it, ended) }
             log(endpoint, pieces, end, results, ended - now)
             deliver(pieces, results, end)
             pumpSoon(Duration.ZERO)
         }
     }
 
+    private fun keep(endpoint: EndpointEntry, pieces: List<StagePiece>, results: List<PieceResult>, now: Instant) =
+        results.forEachIndexed { index, result ->
+            if (result is PieceResult.Made) {
+                room.made(ResultHandle(result.handle), endpoint.id, pieces[index].resultBytes, now)
+            }
+        }
+
     private fun deliver(pieces: List<StagePiece>, results: List<PieceResult>?, end: ExchangeEnd) {
         pieces.forEachIndexed { index, piece ->
             tell(piece, results?.let { PieceEnd.Answered(it[index]) } ?: PieceEnd.CallFailed(end.toReason()))
@@ -121,7 +151,10 @@
     }
 
     private fun tell(piece: StagePiece, end: PieceEnd) {
-        listeners.remove(piece)?.invoke(end)
+        val listener = listeners.remove(piece)
+        if (listener != null) return listener(end)
+        val result = (end as? PieceEnd.Answered)?.result
+        if (result is PieceResult.Made) context.release(ResultHandle(result.handle))
     }
 
     private fun resultsOf(end: ExchangeEnd, endpoint: EndpointEntry, count: Int, now: Instant): List<PieceResult>? {
@@ -182,6 +215,6 @@
         const val LIMIT_FACTOR = 4
         val LIMIT_SLACK = 500.milliseconds
         val GATHER_TIME = 10.milliseconds
-        const val HEAVY_RESULT_BYTES = 200_000L
+        val ROOM_CHECK = 50.milliseconds
     }
 }
