Let one entry coordinate the calls of each pool of stage endpoints

Cause: each entry sent its few pieces by itself. Calls were a third full, met full queues (503) and full memory (no room), and results waited for their followers. One entry, ranked alike by all, now gathers the pieces of a pool, knows what it had made where, and keeps one call open for each place of an endpoint. A peer that gives no sign of life is passed over.

--- /dev/null
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/CoordinatorRanking.kt
@@ -0,0 +1,70 @@
+package org.bilberryhead.core.serving
+
+import org.bilberryhead.core.common.DaemonId
+import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.common.SocketAddress
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/**
+ * An entry as it wrote itself into the platform's store.
+ *
+ * @property peers where other entries reach it
+ * @property processorShare cores that it has
+ */
+data class EntryRecord(
+    val id: DaemonId,
+    val dataCentre: DataCentre,
+    val peers: SocketAddress,
+    val processorShare: Double,
+)
+
+/**
+ * Ranks the entries that may coordinate the calls of a pool of stage endpoints.
+ *
+ * Load that this answers: many entries that each hold a few pieces of a pool with few endpoints. One of them gathers the
+ * pieces of all, so that calls are full and the endpoints' memory is known. All entries rank alike, without telling each
+ * other; an entry that can not be reached is passed over, each entry by its own observation.
+ */
+object CoordinatorRanking {
+    /** Returns [entries] in the order in which they should coordinate [pool]. Much weaker ones come last. */
+    fun order(pool: PoolName, entries: Collection<EntryRecord>): List<EntryRecord> {
+        val strongest = entries.maxOfOrNull { it.processorShare } ?: return emptyList()
+        return entries.sortedWith(
+            compareByDescending<EntryRecord> { it.processorShare >= strongest * STRONG_PART }
+                .thenByDescending { rendezvousWeight(pool.value, it.id.value) },
+        )
+    }
+
+    private const val STRONG_PART = 0.6
+}
+
+/** What this entry saw of one peer: when it may be used again after it could not be reached. */
+class PeerReachability {
+    private var failures = 0
+    private var avoidUntil: Instant? = null
+
+    /** Whether the peer may be asked. */
+    fun isUsable(now: Instant): Boolean = avoidUntil?.let { it <= now } ?: true
+
+    /** The peer answered. */
+    fun answered() {
+        failures = 0
+        avoidUntil = null
+    }
+
+    /** The peer could not be reached, or gave no sign of life in time. */
+    fun failed(now: Instant) {
+        failures++
+        avoidUntil = now + (FIRST_AVOID * (1 shl failures.coerceAtMost(MOST_DOUBLINGS))).coerceAtMost(LONGEST_AVOID)
+    }
+
+    private companion object {
+        val FIRST_AVOID: Duration = 500.milliseconds
+        val LONGEST_AVOID: Duration = 8.seconds
+        const val MOST_DOUBLINGS = 4
+    }
+}
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EnginePlacement.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EnginePlacement.kt
@@ -1,7 +1,6 @@
 package org.bilberryhead.core.serving
 
 import org.bilberryhead.core.common.DataCentre
-import org.bilberryhead.core.common.EndpointId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
@@ -23,7 +22,7 @@
     ): EndpointEntry? {
         val shared = prompt.lastSharedPart ?: return candidates.minByOrNull { cost(it, prompt, books(it), now) }
         return candidates
-            .sortedByDescending { rendezvousWeight(shared.id.value, it.id) }
+            .sortedByDescending { rendezvousWeight(shared.id.value, it.id.value) }
             .withIndex()
             .minByOrNull { (rank, candidate) -> rankCost(rank) + cost(candidate, prompt, books(candidate), now, rank) }
             ?.value
@@ -52,12 +51,3 @@
         const val LAST_RANK = 3
     }
 }
-
-/** A weight by which all processes rank endpoints alike for a key. */
-internal fun rendezvousWeight(key: String, endpoint: EndpointId): Int {
-    val mixed = key.hashCode() * HASH_MULTIPLIER xor endpoint.value.hashCode()
-    return (mixed xor (mixed ushr HASH_SHIFT)) * HASH_MULTIPLIER
-}
-
-private const val HASH_MULTIPLIER = -1640531535
-private const val HASH_SHIFT = 15
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/PreparationPlan.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/PreparationPlan.kt
@@ -6,6 +6,9 @@
 /** A piece that can be made now, and the results that it reads. */
 data class ReadyPiece(val id: PieceId, val inputs: List<ResultHandle>)
 
+/** The result of a piece of [stage]. */
+data class StageResult(val stage: Int, val handle: ResultHandle)
+
 /**
  * The pieces of the preparation stages of one request: which can be made, which are made, what the request is given.
  *
@@ -53,13 +56,15 @@
     }
 
     /** Returns results that nothing reads any more and that were not returned before. */
-    fun takeUnneeded(): List<ResultHandle> = stages.indices
+    fun takeUnneeded(): List<StageResult> = stages.indices
         .filter { stage -> followers(stage).let { it.isNotEmpty() && it.all(::isStageMade) } }
-        .flatMap(::resultsOf)
-        .filter(freed::add)
+        .flatMap { stage -> resultsOf(stage).map { StageResult(stage, it) } }
+        .filter { freed.add(it.handle) }
 
     /** Returns every result that is left, for the end of the request. */
-    fun takeAll(): List<ResultHandle> = results.values.filter(freed::add)
+    fun takeAll(): List<StageResult> = results
+        .map { (id, handle) -> StageResult(id.stage, handle) }
+        .filter { freed.add(it.handle) }
 
     private fun forget(stage: Int) {
         idsOf(stage).forEach {
--- /dev/null
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/RendezvousHash.kt
@@ -0,0 +1,12 @@
+package org.bilberryhead.core.serving
+
+/** Returns a weight by which all processes rank candidates alike for a key. */
+internal fun rendezvousWeight(key: String, candidate: String): Int {
+    val mixed = key.hashCode() * HASH_MULTIPLIER xor candidate.hashCode()
+    return finish(finish(mixed))
+}
+
+private fun finish(hash: Int): Int = (hash xor (hash ushr HASH_SHIFT)) * HASH_MULTIPLIER
+
+private const val HASH_MULTIPLIER = -1640531535
+private const val HASH_SHIFT = 15
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/ResultRoom.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ResultRoom.kt
@@ -7,16 +7,16 @@
 import kotlin.time.Instant
 
 /**
- * How many bytes of results this entry may have at each endpoint of a pool.
+ * How many bytes of results a coordinator may have made at each endpoint of a pool.
  *
- * Load that this answers: bursts that a pool could work off in time, if only its memory for results were not full. All
- * entries share that memory and do not tell each other what they use, so each has a window that grows while its pieces
- * find room and shrinks when one does not.
+ * Load that this answers: bursts that a pool could work off in time, if only its memory for results were not full. Others
+ * may use that memory too, after a change of coordinator, so that the room is a window that grows while pieces find room
+ * and shrinks when one does not.
  *
  * @param roomBytes memory for results at one endpoint
  * @param keepTime how long an endpoint keeps a result that nobody gives up
  */
-class ResultRoom(private val roomBytes: Double, private val keepTime: Duration, private val entries: () -> Int) {
+class ResultRoom(private val roomBytes: Double, private val keepTime: Duration) {
     private class Held(val endpoint: EndpointId, val bytes: Long, val until: Instant)
 
     private val windows = mutableMapOf<EndpointId, Double>()
@@ -58,8 +58,7 @@
         held.remove(handle)
     }
 
-    private fun window(endpoint: EndpointId): Double =
-        windows.getOrPut(endpoint) { roomBytes * min(1.0, FIRST_SHARES / entries()) }
+    private fun window(endpoint: EndpointId): Double = windows[endpoint] ?: roomBytes
 
     private fun used(endpoint: EndpointId): Long =
         (reserved[endpoint] ?: 0) + held.values.sumOf { if (it.endpoint == endpoint) it.bytes else 0L }
@@ -69,9 +68,8 @@
     }
 
     private companion object {
-        const val FIRST_SHARES = 2.0
         const val SMALLEST_PART = 0.08
-        const val SHRINK = 0.75
-        const val GROWTH = 0.03
+        const val SHRINK = 0.8
+        const val GROWTH = 0.04
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -6,7 +6,6 @@
 import org.bilberryhead.core.serving.EndpointDirectory
 import org.bilberryhead.core.serving.EndpointEntry
 import org.bilberryhead.core.serving.EnginePlacement
-import org.bilberryhead.core.serving.EntryPlace
 import org.bilberryhead.core.serving.PieceEndpointChooser
 import org.bilberryhead.core.serving.ResultHandle
 import org.bilberryhead.core.serving.ServingPool
@@ -21,6 +20,10 @@
 import org.bilberryhead.forwarding.request.RequestAdmission
 import org.bilberryhead.forwarding.request.ServingState
 import org.bilberryhead.forwarding.request.WaitingRoom
+import org.bilberryhead.forwarding.peer.PeerClient
+import org.bilberryhead.forwarding.peer.PeerHandler
+import org.bilberryhead.forwarding.peer.Peers
+import org.bilberryhead.forwarding.stage.CoordinatedStage
 import org.bilberryhead.forwarding.stage.ResultReleaser
 import org.bilberryhead.forwarding.stage.StageContext
 import org.bilberryhead.forwarding.stage.StageRunner
@@ -28,6 +31,7 @@
 import org.bilberryhead.forwarding.store.EndpointListener
 import org.bilberryhead.forwarding.store.EntryRegistration
 import org.bilberryhead.forwarding.store.EntryRoster
+import org.bilberryhead.forwarding.store.EntryRow
 import org.bilberryhead.forwarding.store.StoreTableWatch
 import org.bilberryhead.forwarding.store.TableListener
 import org.bilberryhead.forwarding.store.WatchTimings
@@ -52,20 +56,23 @@
     private val decisions = DecisionLog(settings.decisionLinesPerSecond, thread::now)
     private val connector = Connector(thread, WireHeaders.REQUEST_ID)
     private val exchange = SingleExchange(thread, connector)
-    private val roster = EntryRoster(settings.id, settings.dataCentre)
+    private val ownRow = EntryRow(settings.dataCentre, settings.peers, settings.processorShare)
+    private val roster = EntryRoster(ownRow.toRecord(settings.id))
+    private val peers = Peers(settings.id, roster::records) { PeerClient(it, thread, decisions, connector) }
     private val directory = EndpointDirectory()
-    private val endpoints = Endpoints(thread, connector, directory, ::poolOf) { roster.place.entries }
+    private val endpoints = Endpoints(thread, connector, directory, ::poolOf) { roster.count }
     private val waitingRoom = WaitingRoom()
+    private val releaser = ResultReleaser(thread, endpoints::at)
     private val stageRunners = mutableMapOf<PoolName, StageRunner>()
+    private val stages = mutableMapOf<PoolName, CoordinatedStage>()
     private val state = ServingState(
         thread = thread,
         endpoints = endpoints,
         budget = SharedRetryBudget(settings.retryRatio, settings.retrySlack, settings.retryWindow) {
-            roster.place.entries
+            roster.count
         },
         placement = EnginePlacement(settings.dataCentre),
-        releaser = ResultReleaser(thread, endpoints::at) { handle -> stageRunners.values.forEach { it.released(handle) } },
-        stageRunner = ::stageRunner,
+        stage = ::stage,
         waitingRoom = waitingRoom,
         decisions = decisions,
         metrics = metrics,
@@ -82,9 +89,8 @@
         override val thread: EventThread get() = this@ForwardingDaemon.thread
         override val exchange: SingleExchange get() = this@ForwardingDaemon.exchange
         override val decisions: DecisionLog get() = this@ForwardingDaemon.decisions
-        override val place: EntryPlace get() = roster.place
 
-        override fun release(handle: ResultHandle) = state.releaser.release(listOf(handle))
+        override fun release(handles: List<ResultHandle>) = releaser.release(handles)
 
         override fun usable(pool: PoolName): List<EndpointEntry> = directory.usable(pool)
     }
@@ -94,7 +100,7 @@
         endpoints.roomFreed = waitingRoom::roomFreed
         callers.listen(settings.callers)
         SmallServer(thread, ::answerBalancer).listen(settings.readiness)
-        SmallServer(thread, ::answerPeer).listen(settings.peers)
+        CallerServer(thread, callerState, PeerHandler(thread, ::stageRunner, configurationListener::newestText)).listen(settings.peers)
         SmallServer(thread) { SmallAnswer(OK, metrics.scrape()) }.listen(settings.metrics)
         thread.loop.execute(::followStore)
         log.atInfo {
@@ -107,7 +113,7 @@
         watch(WireTables.OPERATOR, WatchTimings(wait = 2.seconds, pause = Duration.ZERO), configurationListener)
         watch(WireTables.ENDPOINTS, WatchTimings(wait = 2.seconds, pause = 400.milliseconds), endpointListener)
         watch(WireTables.ENTRIES, WatchTimings(wait = 25.seconds, pause = Duration.ZERO), roster)
-        EntryRegistration(settings.id, settings.dataCentre, settings.store, thread, exchange, decisions).start()
+        EntryRegistration(settings.id, ownRow, settings.store, thread, exchange, decisions).start()
         thread.every(TICK) { endpointListener.tick() }
         thread.every(FADE_INTERVAL) { endpoints.fade() }
     }
@@ -151,24 +157,20 @@
     private fun stageRunner(pool: PoolName): StageRunner? {
         val shape = poolOf(pool)?.pieces ?: return null
         return stageRunners.getOrPut(pool) {
-            StageRunner(pool, shape, stageContext, PieceEndpointChooser(settings.dataCentre, shape))
+            StageRunner(pool, shape, stageContext, PieceEndpointChooser(shape))
         }
     }
 
+    private fun stage(pool: PoolName): CoordinatedStage? {
+        val local = stageRunner(pool) ?: return null
+        return stages.getOrPut(pool) { CoordinatedStage(pool, local, peers, thread) }
+    }
+
     private fun answerBalancer(path: String): SmallAnswer {
         val isReady = drainingSince == null && state.matcher != null && !directory.isEmpty
         return if (path == WirePaths.READY && isReady) SmallAnswer(OK) else SmallAnswer(NOT_READY)
     }
 
-    private fun answerPeer(path: String): SmallAnswer {
-        val text = configurationListener.newestText
-        return if (path == PeerPaths.CONFIGURATION && text != null) {
-            SmallAnswer(OK, text, "application/json")
-        } else {
-            SmallAnswer(NOT_FOUND)
-        }
-    }
-
     private inner class DaemonCallerState : CallerServerState {
         override fun now(): Instant = thread.now()
 
@@ -184,7 +186,6 @@
 
     private companion object {
         const val OK = 200
-        const val NOT_FOUND = 404
         const val NOT_READY = 503
         val TICK = 200.milliseconds
         val FADE_INTERVAL = 1.seconds
@@ -201,9 +202,3 @@
         )
     }
 }
-
-/** Paths of the interface between entries. */
-internal object PeerPaths {
-    /** The newest configuration, as the operators wrote it. */
-    const val CONFIGURATION = "/configuration"
-}
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingSettings.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingSettings.kt
@@ -20,6 +20,7 @@
  * @property metrics where counters are served
  * @property seeds addresses of other entries' [peers], which may be out of date
  * @property store address of the platform's store
+ * @property processorShare cores that this entry has; entries with few coordinate no pool
  * @property drainLimit longest time that a graceful shutdown may take
  * @property retryRatio retries of all entries to a pool over its requests, in any [retryWindow]
  * @property retrySlack further retries of all entries to a pool in any [retryWindow]
@@ -36,12 +37,14 @@
     val seeds: List<@Serializable(with = SocketAddressTextSerializer::class) SocketAddress> = emptyList(),
     @Serializable(with = SocketAddressTextSerializer::class) val store: SocketAddress,
     @Serializable(with = DurationTextSerializer::class) val drainLimit: Duration = 8.seconds,
+    val processorShare: Double = 1.0,
     val retryRatio: Double = 0.2,
     val retrySlack: Double = 0.0,
     @Serializable(with = DurationTextSerializer::class) val retryWindow: Duration = 10.seconds,
     val decisionLinesPerSecond: Int = 100,
 ) : CheckedSettings {
     override fun check(): List<SettingsError> = buildList {
+        if (processorShare <= 0) add(SettingsError("processorShare", "$processorShare is not positive"))
         if (!drainLimit.isPositive()) add(SettingsError("drainLimit", "$drainLimit is not positive"))
         if (!retryWindow.isPositive()) add(SettingsError("retryWindow", "$retryWindow is not positive"))
         if (retryRatio < 0) add(SettingsError("retryRatio", "$retryRatio is negative"))
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerMessages.kt
@@ -0,0 +1,144 @@
+package org.bilberryhead.forwarding.peer
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.common.RequestId
+import org.bilberryhead.core.serving.ResultHandle
+import org.bilberryhead.core.serving.StagePiece
+import org.bilberryhead.forwarding.stage.PieceEnd
+import org.bilberryhead.platform.wire.StageCodec.PieceResult
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/** Paths of the interface between entries. */
+internal object PeerPaths {
+    /** The newest configuration, as the operators wrote it. */
+    const val CONFIGURATION = "/configuration"
+
+    /** Makes pieces; the head of the answer tells that they are queued, its body what became of them. */
+    const val PIECES = "/stage-pieces"
+
+    /** Gives up results. */
+    const val RELEASE = "/stage-results/release"
+
+    /** A sign of life. */
+    const val ALIVE = "/alive"
+}
+
+/**
+ * One piece on its way to the coordinator of its pool. Times are left times, since clocks differ.
+ *
+ * @property startsWithinMs when its call must begin for the request to meet its objective; may be negative
+ * @property remainingMs when its request has failed
+ */
+@Serializable
+internal data class PieceMessage(
+    val request: String,
+    val stage: Int,
+    val index: Int,
+    val key: String?,
+    val inputs: List<String>,
+    val priority: Int,
+    val startsWithinMs: Long,
+    val remainingMs: Long,
+    val resultBytes: Long,
+) {
+    fun toPiece(now: Instant) = StagePiece(
+        request = RequestId(request),
+        stage = stage,
+        index = index,
+        key = key,
+        inputs = inputs.map(::ResultHandle),
+        priority = priority,
+        latestStart = now + startsWithinMs.milliseconds,
+        deadline = now + remainingMs.milliseconds,
+        resultBytes = resultBytes,
+    )
+
+    companion object {
+        fun of(piece: StagePiece, now: Instant) = PieceMessage(
+            request = piece.request.value,
+            stage = piece.stage,
+            index = piece.index,
+            key = piece.key,
+            inputs = piece.inputs.map { it.value },
+            priority = piece.priority,
+            startsWithinMs = (piece.latestStart - now).inWholeMilliseconds,
+            remainingMs = (piece.deadline - now).inWholeMilliseconds,
+            resultBytes = piece.resultBytes,
+        )
+    }
+}
+
+/** Pieces of one request and one pool. */
+@Serializable
+internal data class PiecesMessage(val pool: PoolName, val pieces: List<PieceMessage>)
+
+/** How a piece ended, as a word. */
+@Serializable
+internal enum class PieceOutcome { MADE, LATE, INPUTS_GONE, NO_ROOM, FAILED, CALL_FAILED, EXPIRED }
+
+/** What became of one piece. */
+@Serializable
+internal data class PieceEndMessage(
+    val stage: Int,
+    val index: Int,
+    val outcome: PieceOutcome,
+    val handle: String? = null,
+    val reason: String? = null,
+) {
+    fun toEnd(): PieceEnd = when (outcome) {
+        PieceOutcome.MADE -> PieceEnd.Answered(handle?.let(PieceResult::Made) ?: PieceResult.Failed)
+        PieceOutcome.LATE -> PieceEnd.Answered(PieceResult.Late)
+        PieceOutcome.INPUTS_GONE -> PieceEnd.Answered(PieceResult.InputsGone)
+        PieceOutcome.NO_ROOM -> PieceEnd.Answered(PieceResult.NoRoom)
+        PieceOutcome.FAILED -> PieceEnd.Answered(PieceResult.Failed)
+        PieceOutcome.CALL_FAILED -> PieceEnd.CallFailed(reason ?: "the call failed")
+        PieceOutcome.EXPIRED -> PieceEnd.Expired
+    }
+
+    companion object {
+        fun of(piece: StagePiece, end: PieceEnd): PieceEndMessage {
+            val message = PieceEndMessage(piece.stage, piece.index, PieceOutcome.EXPIRED)
+            return when (end) {
+                is PieceEnd.Expired -> message
+                is PieceEnd.CallFailed -> message.copy(outcome = PieceOutcome.CALL_FAILED, reason = end.reason)
+                is PieceEnd.Answered -> when (val result = end.result) {
+                    is PieceResult.Made -> message.copy(outcome = PieceOutcome.MADE, handle = result.handle)
+                    PieceResult.Late -> message.copy(outcome = PieceOutcome.LATE)
+                    PieceResult.InputsGone -> message.copy(outcome = PieceOutcome.INPUTS_GONE)
+                    PieceResult.NoRoom -> message.copy(outcome = PieceOutcome.NO_ROOM)
+                    PieceResult.Failed -> message.copy(outcome = PieceOutcome.FAILED)
+                }
+            }
+        }
+    }
+}
+
+/** What became of all pieces of a [PiecesMessage]. */
+@Serializable
+internal data class PieceEndsMessage(val ends: List<PieceEndMessage>)
+
+/** Results of a pool that nobody needs any more. */
+@Serializable
+internal data class ReleaseMessage(val pool: PoolName, val handles: List<String>)
+
+/** Encodes messages between entries as CBOR. */
+@OptIn(ExperimentalSerializationApi::class)
+internal object PeerCodec {
+    private val cbor = Cbor { ignoreUnknownKeys = true }
+
+    fun <T> encode(serializer: KSerializer<T>, message: T): ByteArray = cbor.encodeToByteArray(serializer, message)
+
+    /** Returns the message in [bytes], or null when it is none. */
+    fun <T> decode(serializer: KSerializer<T>, bytes: ByteArray): T? = try {
+        cbor.decodeFromByteArray(serializer, bytes)
+    } catch (_: SerializationException) {
+        // Null says that the bytes are no such message; the caller logs where they came from.
+        null
+    }
+}
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/PreparationFactory.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/PreparationFactory.kt
@@ -20,6 +20,6 @@
             objectiveAt = request.caller.receivedAt + request.route.objective,
             deadline = request.endsAt,
         )
-        return Preparation(order, state.stageRunner, state.releaser, state.budget, state.thread, listener)
+        return Preparation(order, state.stage, state.budget, state.thread, listener)
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ServingState.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ServingState.kt
@@ -8,8 +8,7 @@
 import org.bilberryhead.forwarding.EventThread
 import org.bilberryhead.forwarding.ForwardingMetrics
 import org.bilberryhead.forwarding.endpoint.Endpoints
-import org.bilberryhead.forwarding.stage.ResultReleaser
-import org.bilberryhead.forwarding.stage.StageRunner
+import org.bilberryhead.forwarding.stage.CoordinatedStage
 import kotlin.random.Random
 
 /** What serving a request needs of the process. All of it belongs to the event thread. */
@@ -18,8 +17,7 @@
     val endpoints: Endpoints,
     val budget: SharedRetryBudget,
     val placement: EnginePlacement,
-    val releaser: ResultReleaser,
-    val stageRunner: (PoolName) -> StageRunner?,
+    val stage: (PoolName) -> CoordinatedStage?,
     val waitingRoom: WaitingRoom,
     val decisions: DecisionLog,
     val metrics: ForwardingMetrics,
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/Preparation.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/Preparation.kt
@@ -9,6 +9,7 @@
 import org.bilberryhead.core.serving.ResultHandle
 import org.bilberryhead.core.serving.SharedRetryBudget
 import org.bilberryhead.core.serving.StagePiece
+import org.bilberryhead.core.serving.StageResult
 import org.bilberryhead.forwarding.EventThread
 import org.bilberryhead.platform.wire.StageCodec.PieceResult
 import kotlin.time.Duration
@@ -38,8 +39,7 @@
 /** Has the preparation stages of one request made. */
 internal class Preparation(
     private val order: PreparationOrder,
-    private val runner: (PoolName) -> StageRunner?,
-    private val releaser: ResultReleaser,
+    private val stage: (PoolName) -> CoordinatedStage?,
     private val budget: SharedRetryBudget,
     private val thread: EventThread,
     private val listener: PreparationListener,
@@ -52,7 +52,7 @@
     /** Asks for what can be made now. */
     fun advance() {
         if (isOver) return
-        releaser.release(plan.takeUnneeded())
+        release(plan.takeUnneeded())
         if (plan.isComplete) {
             isOver = true
             listener.prepared(plan.finalInputs())
@@ -71,16 +71,20 @@
     /** Ends the preparation and gives up its results. */
     fun end() {
         isOver = true
-        order.stages.mapTo(mutableSetOf()) { it.pool }.forEach { runner(it)?.drop(order.request) }
+        order.stages.mapTo(mutableSetOf()) { it.pool }.forEach { stage(it)?.drop(order.request) }
         release()
     }
 
     /** Gives up all results: the request has read them, or needs them no more. */
-    fun release() = releaser.release(plan.takeAll())
+    fun release() = release(plan.takeAll())
+
+    private fun release(results: List<StageResult>) = results
+        .groupBy { order.stages[it.stage].pool }
+        .forEach { (pool, unneeded) -> stage(pool)?.release(unneeded.map { it.handle }) }
 
     private fun ask(pool: PoolName, ready: List<ReadyPiece>) {
-        val stageRunner = runner(pool) ?: return fail("no endpoints are known for a stage")
-        stageRunner.ask(ready.map(::piece)) { piece, end -> ended(PieceId(piece.stage, piece.index), pool, end) }
+        val coordinated = stage(pool) ?: return fail("no endpoints are known for a stage")
+        coordinated.ask(ready.map(::piece)) { piece, end -> ended(PieceId(piece.stage, piece.index), pool, end) }
     }
 
     private fun piece(ready: ReadyPiece) = StagePiece(
@@ -95,11 +99,11 @@
         resultBytes = order.stages[ready.id.stage].resultBytes,
     )
 
-    /** Usual time from the start of a call of [stage] until the answer of the request begins. */
-    private fun timeFrom(stage: Int): Duration {
-        val following = order.stages.indices.filter { stage in order.stages[it].after }
+    /** Usual time from the start of a call of the stage [index] until the answer of the request begins. */
+    private fun timeFrom(index: Int): Duration {
+        val following = order.stages.indices.filter { index in order.stages[it].after }
         val after = following.maxOfOrNull { timeFrom(it) + WAIT_FOR_CALL } ?: FIRST_EVENT_TIME
-        return after + (runner(order.stages[stage].pool)?.usualCallTime ?: Duration.ZERO)
+        return after + (stage(order.stages[index].pool)?.usualCallTime ?: Duration.ZERO)
     }
 
     private fun ended(id: PieceId, pool: PoolName, end: PieceEnd) {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/ResultReleaser.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/ResultReleaser.kt
@@ -18,7 +18,6 @@
 internal class ResultReleaser(
     private val thread: EventThread,
     private val endpointAt: (SocketAddress) -> Endpoint?,
-    private val released: (ResultHandle) -> Unit,
 ) {
     private val waiting = mutableMapOf<SocketAddress, MutableList<ResultHandle>>()
 
@@ -36,7 +35,6 @@
 
     private fun flush(maker: SocketAddress) {
         val handles = waiting.remove(maker) ?: return
-        handles.forEach(released)
         val endpoint = endpointAt(maker) ?: return
         endpoint.connections.acquire(
             mayRepeat = true,
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
@@ -5,7 +5,6 @@
 import org.bilberryhead.core.common.PoolName
 import org.bilberryhead.core.common.RequestId
 import org.bilberryhead.core.serving.EndpointEntry
-import org.bilberryhead.core.serving.EntryPlace
 import org.bilberryhead.core.serving.PieceEndpointChooser
 import org.bilberryhead.core.serving.PieceQueue
 import org.bilberryhead.core.serving.PieceShape
@@ -18,7 +17,6 @@
 import org.bilberryhead.forwarding.http.OutboundRequest
 import org.bilberryhead.forwarding.http.SingleExchange
 import org.bilberryhead.forwarding.http.WholeAnswer
-import org.bilberryhead.platform.wire.HeaderValues
 import org.bilberryhead.platform.wire.StageCodec
 import org.bilberryhead.platform.wire.StageCodec.PieceResult
 import org.bilberryhead.platform.wire.WireHeaders
@@ -45,11 +43,8 @@
     val exchange: SingleExchange
     val decisions: DecisionLog
 
-    /** This entry among all entries. */
-    val place: EntryPlace
-
-    /** Gives up a result that nobody needs. */
-    fun release(handle: ResultHandle)
+    /** Tells the endpoints that nobody needs the results at [handles]. */
+    fun release(handles: List<ResultHandle>)
 
     /** Endpoints of [pool] that may get new work. */
     fun usable(pool: PoolName): List<EndpointEntry>
@@ -62,7 +57,7 @@
     private val context: StageContext,
     private val chooser: PieceEndpointChooser,
 ) {
-    private val room = ResultRoom(shape.roomBytes, shape.keepTime) { context.place.entries }
+    private val room = ResultRoom(shape.roomBytes, shape.keepTime)
     private val queue = PieceQueue(shape.batchSize)
     private val listeners = mutableMapOf<StagePiece, (PieceEnd) -> Unit>()
     private var isPumpDue = false
@@ -83,9 +78,10 @@
         listeners.keys.removeAll { it.request == request }
     }
 
-    /** A result was given up; its room is free. */
-    fun released(handle: ResultHandle) {
-        room.released(handle)
+    /** Gives up results that nobody needs any more. */
+    fun release(handles: List<ResultHandle>) {
+        context.release(handles)
+        handles.forEach(room::released)
         if (queue.size > 0) pumpSoon(GATHER_TIME)
     }
 
@@ -105,7 +101,7 @@
             val candidates = context.usable(pool)
             if (candidates.isEmpty()) return failAll(now)
             val needed = queue.firstResultBytes(now)
-            val endpoint = chooser.choose(candidates, context.place, queue.size, now) { id ->
+            val endpoint = chooser.choose(candidates, now) { id ->
                 room.isUnused(id) || room.free(id, now) >= needed
             }
             if (endpoint == null) return pumpSoon(ROOM_CHECK)
@@ -123,12 +119,12 @@
         chooser.begin(endpoint.id)
         val bytes = pieces.sumOf { it.resultBytes }
         room.reserve(endpoint.id, bytes)
-        val expected = shape.callTime + shape.pieceTime * pieces.size
+        val expected = chooser.expectedTime(endpoint.id, pieces.size)
         val limit = expected * LIMIT_FACTOR + LIMIT_SLACK
         context.exchange.run(endpoint.address, request(endpoint, pieces, now), limit) { end ->
             val ended = context.thread.now()
-            val results = resultsOf(end, endpoint, pieces.size, ended)
-            chooser.end(endpoint.id, failed = results == null, ended)
+            val results = resultsOf(end, pieces.size)
+            chooser.end(endpoint.id, failed = results == null, slowness = (ended - now) / expected, ended)
             room.settle(endpoint.id, bytes, foundNoRoom = results.orEmpty().any { it is PieceResult.NoRoom })
             results?.let { keep(endpoint, pieces, it, ended) }
             log(endpoint, pieces, end, results, ended - now)
@@ -154,12 +150,11 @@
         val listener = listeners.remove(piece)
         if (listener != null) return listener(end)
         val result = (end as? PieceEnd.Answered)?.result
-        if (result is PieceResult.Made) context.release(ResultHandle(result.handle))
+        if (result is PieceResult.Made) release(listOf(ResultHandle(result.handle)))
     }
 
-    private fun resultsOf(end: ExchangeEnd, endpoint: EndpointEntry, count: Int, now: Instant): List<PieceResult>? {
+    private fun resultsOf(end: ExchangeEnd, count: Int): List<PieceResult>? {
         val answer = (end as? ExchangeEnd.Answered)?.answer ?: return null
-        HeaderValues.load(answer.head.headers[WireHeaders.LOAD])?.let { chooser.reported(endpoint.id, it, now) }
         return if (answer.head.status == OK) StageCodec.decodeRun(answer.text, count) else null
     }
 
@@ -214,7 +209,7 @@
         const val OK = 200
         const val LIMIT_FACTOR = 4
         val LIMIT_SLACK = 500.milliseconds
-        val GATHER_TIME = 10.milliseconds
+        val GATHER_TIME = 4.milliseconds
         val ROOM_CHECK = 50.milliseconds
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EntryRegistration.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EntryRegistration.kt
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import org.bilberryhead.core.common.DaemonId
-import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.forwarding.DecisionLog
 import org.bilberryhead.forwarding.EventThread
@@ -19,7 +18,7 @@
 /** Writes this entry's row into the store, until the store has it. Writing it twice does no harm. */
 internal class EntryRegistration(
     private val own: DaemonId,
-    private val dataCentre: DataCentre,
+    private val row: EntryRow,
     private val store: SocketAddress,
     private val thread: EventThread,
     private val exchange: SingleExchange,
@@ -41,7 +40,7 @@
 
     private fun request(): OutboundRequest {
         val headers = DefaultHttpHeaders().add("Host", store.toString()).add("Content-Type", "application/json")
-        val body = StoreCodec.encodePut(WireTables.ENTRIES, own.value, dataCentre.value)
+        val body = StoreCodec.encodePut(WireTables.ENTRIES, own.value, row.encode())
         return OutboundRequest(HttpMethod.POST, WirePaths.ROWS_TRANSACTION, headers, body.encodeToByteArray())
     }
 
