Make pieces near their inputs, and refuse what its caller will not wait for

Cause: results crossed data centres (the largest price), and requests that no caller waits for any more still took calls. Pieces wait 80 ms for the data centre of their inputs or their reader, and are given up once their request can not begin its answer before its caller leaves.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EnginePlacement.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EnginePlacement.kt
@@ -13,25 +13,36 @@
  * engine is busier than those that follow.
  */
 class EnginePlacement(private val own: DataCentre) {
-    /** Returns the engine for [prompt], or null without candidates. */
+    /**
+     * Returns the engine for [prompt], or null without candidates.
+     *
+     * @param near where the inputs of the generation lie, if they are large
+     */
     fun choose(
         candidates: List<EndpointEntry>,
         prompt: Prompt,
         books: (EndpointEntry) -> EngineBook,
+        near: DataCentre?,
         now: Instant,
     ): EndpointEntry? {
-        val shared = prompt.lastSharedPart ?: return candidates.minByOrNull { cost(it, prompt, books(it), now) }
+        val shared = prompt.lastSharedPart ?: return candidates.minByOrNull { cost(it, prompt, books(it), near, now) }
         return candidates
             .sortedByDescending { rendezvousWeight(shared.id.value, it.id.value) }
             .withIndex()
-            .minByOrNull { (rank, candidate) -> rankCost(rank) + cost(candidate, prompt, books(candidate), now, rank) }
+            .minByOrNull { (rank, candidate) -> rankCost(rank) + cost(candidate, prompt, books(candidate), near, now, rank) }
             ?.value
     }
 
+    /** Where the engine is that ranks first for [prompt], or null without candidates. */
+    fun homeOf(prompt: Prompt, candidates: List<EndpointEntry>): DataCentre? = prompt.lastSharedPart?.let { shared ->
+        candidates.maxByOrNull { rendezvousWeight(shared.id.value, it.id.value) }?.dataCentre
+    }
+
     private fun cost(
         candidate: EndpointEntry,
         prompt: Prompt,
         book: EngineBook,
+        near: DataCentre?,
         now: Instant,
         rank: Int = Int.MAX_VALUE,
     ): Duration {
@@ -40,13 +51,15 @@
         // Another entry has most likely had the shared parts read by the engine that ranks first.
         val tokens = if (rank == 0) minOf(known, maxOf(ownPart, 0)) else known
         val distance = if (candidate.dataCentre == own) Duration.ZERO else DISTANCE
-        return book.expectedFirstEvent(tokens, now) + distance
+        val transfer = if (near == null || candidate.dataCentre == near) Duration.ZERO else LARGE_INPUTS
+        return book.expectedFirstEvent(tokens, now) + distance + transfer
     }
 
     private fun rankCost(rank: Int): Duration = RANK_STEP * rank.coerceAtMost(LAST_RANK)
 
     private companion object {
         val DISTANCE = 5.milliseconds
+        val LARGE_INPUTS = 60.milliseconds
         val RANK_STEP = 40.milliseconds
         const val LAST_RANK = 3
     }
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/PieceEndpointChooser.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/PieceEndpointChooser.kt
@@ -1,5 +1,6 @@
 package org.bilberryhead.core.serving
 
+import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.EndpointId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -20,13 +21,18 @@
     /**
      * Returns the endpoint for a call that begins now, or null when all are busy.
      *
+     * @param preferred where the endpoint should be
      * @param hasRoom whether an endpoint has room for results of the next call
      */
-    fun choose(candidates: List<EndpointEntry>, now: Instant, hasRoom: (EndpointId) -> Boolean): EndpointEntry? =
-        candidates
-            .filter { (openCalls[it.id] ?: 0) < shape.concurrentCalls && hasRoom(it.id) }
-            .filter { isUsable(it.id, now) }
-            .minByOrNull { callTimes[it.id] ?: 1.0 }
+    fun choose(
+        candidates: List<EndpointEntry>,
+        preferred: DataCentre?,
+        now: Instant,
+        hasRoom: (EndpointId) -> Boolean,
+    ): EndpointEntry? = candidates
+        .filter { (openCalls[it.id] ?: 0) < shape.concurrentCalls && hasRoom(it.id) }
+        .filter { isUsable(it.id, now) }
+        .minByOrNull { (callTimes[it.id] ?: 1.0) + if (preferred == null || it.dataCentre == preferred) 0.0 else FAR }
 
     /** Counts a call that begins. */
     fun begin(endpoint: EndpointId) {
@@ -56,6 +62,9 @@
 
     private companion object {
         const val WEIGHT = 0.3
+
+        /** What another data centre weighs against slowness. */
+        const val FAR = 0.5
         val AVOID_TIME: Duration = 1.seconds - 200.milliseconds
     }
 }
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/PieceQueue.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/PieceQueue.kt
@@ -1,5 +1,6 @@
 package org.bilberryhead.core.serving
 
+import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.RequestId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -18,7 +19,9 @@
  * @property key what the piece is made from when the stage follows no other
  * @property inputs results that the piece is made from, in order
  * @property latestStart when its call must begin for the request to meet its objective
+ * @property hopelessAt when its call must have begun for the request to be served at all
  * @property resultBytes approximate size of the result
+ * @property preferred where its inputs lie, or where its result will be read; null without a preference
  */
 data class StagePiece(
     val request: RequestId,
@@ -29,7 +32,9 @@
     val priority: Int,
     val latestStart: Instant,
     val deadline: Instant,
+    val hopelessAt: Instant,
     val resultBytes: Long,
+    val preferred: DataCentre? = null,
 )
 
 /**
@@ -37,35 +42,44 @@
  *
  * Load that this answers: bursts of one kind of request on a pool that is fast only in full batches. Pieces whose request
  * can still meet its objective go first, in the order in which they must start, with a head start for the more urgent; the
- * pieces of one request stay together. Late ones are still made.
+ * pieces of one request stay together. Late ones are still made. A piece waits a little for an endpoint in the data
+ * centre that it prefers.
  */
 class PieceQueue(private val batchSize: Int) {
-    private val waiting = mutableListOf<StagePiece>()
+    private class Waiting(val piece: StagePiece, val since: Instant)
+
+    private val waiting = mutableListOf<Waiting>()
 
     /** Pieces that wait. */
     val size: Int get() = waiting.size
 
     /** Adds [pieces] of one request. */
-    fun add(pieces: List<StagePiece>) {
-        waiting += pieces
+    fun add(pieces: List<StagePiece>, now: Instant) {
+        pieces.forEach { waiting += Waiting(it, now) }
     }
 
     /** Drops the pieces of a request that needs none any more. */
     fun drop(request: RequestId) {
-        waiting.removeAll { it.request == request }
+        waiting.removeAll { it.piece.request == request }
     }
 
-    /** Takes out the pieces whose deadline has passed. */
+    /** Takes out the pieces that are of no use any more. */
     fun takeExpired(now: Instant): List<StagePiece> {
-        val expired = waiting.filter { it.deadline <= now }
+        val expired = waiting.filter { it.piece.hopelessAt <= now }
         if (expired.isNotEmpty()) waiting.removeAll(expired.toSet())
-        return expired
+        return expired.map { it.piece }
     }
 
+    /** Takes out everything. */
+    fun takeAll(): List<StagePiece> = waiting.map { it.piece }.also { waiting.clear() }
+
+    /** The piece that goes first, or null when nothing waits. */
+    fun first(now: Instant): StagePiece? = waiting.minByOrNull { rank(it.piece, now) }?.piece
+
     /** Bytes of the results of the request that goes first; 0 when nothing waits. */
     fun firstResultBytes(now: Instant): Long {
-        val first = waiting.minByOrNull { rank(it, now) } ?: return 0
-        return waiting.sumOf { if (it.request == first.request) it.resultBytes else 0L }
+        val first = first(now) ?: return 0
+        return waiting.sumOf { if (it.piece.request == first.request) it.piece.resultBytes else 0L }
     }
 
     /**
@@ -73,35 +87,48 @@
      * for the others; a request that does not fit by itself is divided.
      *
      * @param roomBytes room for their results
+     * @param at where the endpoint is
      */
-    fun takeBatch(now: Instant, roomBytes: Long): List<StagePiece> {
-        waiting.sortWith(compareBy({ rank(it, now) }, { it.request.value }))
+    fun takeBatch(now: Instant, roomBytes: Long, at: DataCentre): List<StagePiece> {
+        val eligible = waiting
+            .filter { it.piece.prefers(at) || now - it.since >= PREFERENCE_WAIT }
+            .map { it.piece }
+            .sortedWith(compareBy({ rank(it, now, at) }, { it.request.value }))
+        val batch = wholeRequests(eligible, roomBytes).ifEmpty { partOfFirst(eligible, roomBytes) }.toSet()
+        waiting.removeAll { it.piece in batch }
+        return batch.toList()
+    }
+
+    private fun wholeRequests(eligible: List<StagePiece>, roomBytes: Long): List<StagePiece> {
         val batch = mutableListOf<StagePiece>()
         var room = roomBytes
-        for ((_, pieces) in waiting.groupBy { it.request to it.stage }) {
+        for ((_, pieces) in eligible.groupBy { it.request to it.stage }) {
             val bytes = pieces.sumOf { it.resultBytes }
             if (batch.size + pieces.size > batchSize || bytes > room) continue
             batch += pieces
             room -= bytes
         }
-        if (batch.isEmpty()) batch += partOfFirst(roomBytes)
-        waiting.removeAll(batch.toSet())
         return batch
     }
 
-    private fun partOfFirst(roomBytes: Long): List<StagePiece> {
-        val first = waiting.firstOrNull() ?: return emptyList()
+    private fun partOfFirst(eligible: List<StagePiece>, roomBytes: Long): List<StagePiece> {
+        val first = eligible.firstOrNull() ?: return emptyList()
         val fitting = (roomBytes / first.resultBytes.coerceAtLeast(1)).coerceIn(1, batchSize.toLong()).toInt()
-        return waiting.takeWhile { it.request == first.request && it.stage == first.stage }.take(fitting)
+        return eligible.takeWhile { it.request == first.request && it.stage == first.stage }.take(fitting)
     }
 
-    private fun rank(piece: StagePiece, now: Instant): Instant {
+    private fun rank(piece: StagePiece, now: Instant, at: DataCentre? = null): Instant {
         val lateness = if (now > piece.latestStart) LATE_DELAY else Duration.ZERO
-        return piece.latestStart + PRIORITY_STEP * piece.priority + lateness
+        val distance = if (at == null || piece.prefers(at)) Duration.ZERO else DISTANCE_DELAY
+        return piece.latestStart + PRIORITY_STEP * piece.priority + lateness + distance
     }
 
+    private fun StagePiece.prefers(place: DataCentre): Boolean = preferred == null || preferred == place
+
     private companion object {
         val PRIORITY_STEP = 250.milliseconds
         val LATE_DELAY = 6.seconds
+        val DISTANCE_DELAY = 300.milliseconds
+        val PREFERENCE_WAIT = 80.milliseconds
     }
 }
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/ResultRoom.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ResultRoom.kt
@@ -44,7 +44,7 @@
         windows[endpoint] = if (foundNoRoom) {
             max(roomBytes * SMALLEST_PART, window * SHRINK)
         } else {
-            min(roomBytes, window + roomBytes * GROWTH)
+            min(roomBytes * LARGEST_PART, window + roomBytes * GROWTH)
         }
     }
 
@@ -58,7 +58,7 @@
         held.remove(handle)
     }
 
-    private fun window(endpoint: EndpointId): Double = windows[endpoint] ?: roomBytes
+    private fun window(endpoint: EndpointId): Double = windows[endpoint] ?: (roomBytes * LARGEST_PART)
 
     private fun used(endpoint: EndpointId): Long =
         (reserved[endpoint] ?: 0) + held.values.sumOf { if (it.endpoint == endpoint) it.bytes else 0L }
@@ -68,8 +68,10 @@
     }
 
     private companion object {
+        /** Sizes of results are approximate. */
+        const val LARGEST_PART = 0.92
         const val SMALLEST_PART = 0.08
-        const val SHRINK = 0.8
-        const val GROWTH = 0.04
+        const val SHRINK = 0.9
+        const val GROWTH = 0.01
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/Endpoints.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/Endpoints.kt
@@ -1,14 +1,17 @@
 package org.bilberryhead.forwarding.endpoint
 
+import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.EndpointId
 import org.bilberryhead.core.common.PoolName
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.core.serving.EndpointChange
 import org.bilberryhead.core.serving.EndpointDirectory
 import org.bilberryhead.core.serving.EndpointEntry
+import org.bilberryhead.core.serving.ResultHandle
 import org.bilberryhead.core.serving.ServingPool
 import org.bilberryhead.forwarding.EventThread
 import org.bilberryhead.forwarding.http.Connector
+import org.bilberryhead.platform.wire.StageCodec
 import kotlin.math.max
 
 /** The endpoints that are known, each with its load and connections. */
@@ -38,6 +41,10 @@
     /** The endpoint that listens on [address], or null. */
     fun at(address: SocketAddress): Endpoint? = directory.at(address)?.let(::of)
 
+    /** Where the result at [handle] lies, or null when its maker is not known. */
+    fun placeOf(handle: ResultHandle): DataCentre? =
+        StageCodec.makerOf(handle.value)?.let { directory.at(it)?.dataCentre }
+
     /** Takes changes of the directory. */
     fun changed(changes: List<EndpointChange>) {
         for (change in changes) {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerMessages.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerMessages.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
+import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.PoolName
 import org.bilberryhead.core.common.RequestId
 import org.bilberryhead.core.serving.ResultHandle
@@ -33,6 +34,7 @@
  * One piece on its way to the coordinator of its pool. Times are left times, since clocks differ.
  *
  * @property startsWithinMs when its call must begin for the request to meet its objective; may be negative
+ * @property usefulMs how long its call may still begin for the request to be served at all; may be negative
  * @property remainingMs when its request has failed
  */
 @Serializable
@@ -44,8 +46,10 @@
     val inputs: List<String>,
     val priority: Int,
     val startsWithinMs: Long,
+    val usefulMs: Long,
     val remainingMs: Long,
     val resultBytes: Long,
+    val preferred: DataCentre? = null,
 ) {
     fun toPiece(now: Instant) = StagePiece(
         request = RequestId(request),
@@ -56,7 +60,9 @@
         priority = priority,
         latestStart = now + startsWithinMs.milliseconds,
         deadline = now + remainingMs.milliseconds,
+        hopelessAt = now + usefulMs.milliseconds,
         resultBytes = resultBytes,
+        preferred = preferred,
     )
 
     companion object {
@@ -68,8 +74,10 @@
             inputs = piece.inputs.map { it.value },
             priority = piece.priority,
             startsWithinMs = (piece.latestStart - now).inWholeMilliseconds,
+            usefulMs = (piece.hopelessAt - now).inWholeMilliseconds,
             remainingMs = (piece.deadline - now).inWholeMilliseconds,
             resultBytes = piece.resultBytes,
+            preferred = piece.preferred,
         )
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestRun.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestRun.kt
@@ -1,6 +1,7 @@
 package org.bilberryhead.forwarding.request
 
 import org.bilberryhead.core.common.ClientAccount
+import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.PoolName
 import org.bilberryhead.core.common.RequestId
 import org.bilberryhead.core.serving.AttemptHistory
@@ -117,10 +118,14 @@
         if (prompt == null || open.first().engine == null) return open.minBy { it.load.expectedAnswerTime(now) }
         val byEntry = open.associateBy { it.entry }
         val books = { entry: EndpointEntry -> checkNotNull(byEntry.getValue(entry).engine) }
-        val chosen = state.placement.choose(byEntry.keys.toList(), prompt, books, now)
+        val chosen = state.placement.choose(byEntry.keys.toList(), prompt, books, largeInputsAt(), now)
         return byEntry.getValue(checkNotNull(chosen))
     }
 
+    private fun largeInputsAt(): DataCentre? = inputs.firstOrNull()
+        ?.takeIf { route.stages.last().resultBytes * inputs.size >= LARGE_INPUT_BYTES }
+        ?.let(state.endpoints::placeOf)
+
     private fun send(endpoint: Endpoint) {
         val started = Attempt(endpoint, route.repeatRule, request.prompt, order, state.thread, this)
         attempt = started
@@ -294,6 +299,7 @@
 
     private companion object {
         const val INPUTS_GONE = 409
+        const val LARGE_INPUT_BYTES = 500_000L
         const val MILLISECONDS_PER_SECOND = 1_000
         const val PAUSE_FACTOR = 3
         const val MAXIMUM_UNREACHED = 4
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/Preparation.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/Preparation.kt
@@ -1,5 +1,6 @@
 package org.bilberryhead.forwarding.stage
 
+import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.PoolName
 import org.bilberryhead.core.common.RequestId
 import org.bilberryhead.core.serving.PieceId
@@ -16,7 +17,12 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
-/** What the preparation of a request is about. */
+/**
+ * What the preparation of a request is about.
+ *
+ * @property abandonedAt when the caller leaves unless its answer has begun
+ * @property readAt where the request will most likely read its inputs; null when that is not known
+ */
 internal class PreparationOrder(
     val request: RequestId,
     val stages: List<PreparationStage>,
@@ -25,6 +31,8 @@
     val priority: Int,
     val objectiveAt: Instant,
     val deadline: Instant,
+    val abandonedAt: Instant,
+    val readAt: DataCentre?,
 )
 
 /** Hears how the preparation of a request ends. */
@@ -42,6 +50,7 @@
     private val stage: (PoolName) -> CoordinatedStage?,
     private val budget: SharedRetryBudget,
     private val thread: EventThread,
+    private val placeOf: (ResultHandle) -> DataCentre?,
     private val listener: PreparationListener,
 ) {
     private val plan = PreparationPlan(order.stages, order.pieceCounts)
@@ -96,9 +105,21 @@
         priority = order.priority,
         latestStart = order.objectiveAt - timeFrom(ready.id.stage),
         deadline = order.deadline,
+        hopelessAt = minOf(order.abandonedAt, order.deadline) - timeFrom(ready.id.stage),
         resultBytes = order.stages[ready.id.stage].resultBytes,
+        preferred = preferred(ready),
     )
 
+    private fun preferred(ready: ReadyPiece): DataCentre? {
+        val stage = ready.id.stage
+        val isLast = order.stages.none { stage in it.after }
+        return when {
+            ready.inputs.isNotEmpty() -> placeOf(ready.inputs.first())
+            isLast && order.stages[stage].resultBytes >= LARGE_RESULT_BYTES -> order.readAt
+            else -> null
+        }
+    }
+
     /** Usual time from the start of a call of the stage [index] until the answer of the request begins. */
     private fun timeFrom(index: Int): Duration {
         val following = order.stages.indices.filter { index in order.stages[it].after }
@@ -109,7 +130,7 @@
     private fun ended(id: PieceId, pool: PoolName, end: PieceEnd) {
         if (isOver) return
         when (end) {
-            is PieceEnd.Expired -> fail("its deadline passed while a stage waited")
+            is PieceEnd.Expired -> fail("it can not be served any more before its caller leaves")
             is PieceEnd.CallFailed -> retry(id, pool, end.reason)
             is PieceEnd.Answered -> take(id, pool, end.result)
         }
@@ -158,6 +179,7 @@
     }
 
     private companion object {
+        const val LARGE_RESULT_BYTES = 200_000L
         const val MAXIMUM_RETRIES = 3
         val WAIT_FOR_CALL = 150.milliseconds
         val FIRST_EVENT_TIME = 150.milliseconds
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
@@ -68,7 +68,7 @@
     /** Asks for [pieces] of one request; [ended] is told once of each, unless they are dropped. */
     fun ask(pieces: List<StagePiece>, ended: (StagePiece, PieceEnd) -> Unit) {
         pieces.forEach { piece -> listeners[piece] = { end -> ended(piece, end) } }
-        queue.add(pieces)
+        queue.add(pieces, context.thread.now())
         pumpSoon(GATHER_TIME)
     }
 
@@ -99,21 +99,19 @@
         queue.takeExpired(now).forEach { tell(it, PieceEnd.Expired) }
         while (queue.size > 0) {
             val candidates = context.usable(pool)
-            if (candidates.isEmpty()) return failAll(now)
+            if (candidates.isEmpty()) return failAll()
             val needed = queue.firstResultBytes(now)
-            val endpoint = chooser.choose(candidates, now) { id ->
+            val endpoint = chooser.choose(candidates, queue.first(now)?.preferred, now) { id ->
                 room.isUnused(id) || room.free(id, now) >= needed
             }
             if (endpoint == null) return pumpSoon(ROOM_CHECK)
-            call(endpoint, queue.takeBatch(now, room.free(endpoint.id, now)), now)
+            val batch = queue.takeBatch(now, room.free(endpoint.id, now), endpoint.dataCentre)
+            if (batch.isEmpty()) return pumpSoon(PREFERENCE_CHECK)
+            call(endpoint, batch, now)
         }
     }
 
-    private fun failAll(now: Instant) {
-        while (queue.size > 0) {
-            queue.takeBatch(now, Long.MAX_VALUE).forEach { tell(it, PieceEnd.CallFailed("no endpoint is known")) }
-        }
-    }
+    private fun failAll() = queue.takeAll().forEach { tell(it, PieceEnd.CallFailed("no endpoint is known")) }
 
     private fun call(endpoint: EndpointEntry, pieces: List<StagePiece>, now: Instant) {
         chooser.begin(endpoint.id)
@@ -210,6 +208,7 @@
         const val LIMIT_FACTOR = 4
         val LIMIT_SLACK = 500.milliseconds
         val GATHER_TIME = 4.milliseconds
+        val PREFERENCE_CHECK = 20.milliseconds
         val ROOM_CHECK = 50.milliseconds
     }
 }
