--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -1,6 +1,7 @@
 package org.bilberryhead.forwarding
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.handler.codec.http.FullHttpRequest
 import org.bilberryhead.core.common.PoolName
 import org.bilberryhead.core.serving.CallerLimits
 import org.bilberryhead.core.serving.EndpointDirectory
@@ -125,6 +126,7 @@
     fun drain(ended: () -> Unit) = thread.loop.execute {
         val now = thread.now()
         drainingSince = now
+        admission.endsAt = now + settings.drainLimit - DRAIN_RESERVE
         log.atInfo {
             message = "draining"
             payload = mapOf("requests" to admission.runningCount)
@@ -143,6 +145,7 @@
             ended()
             return
         }
+        if (elapsed >= BALANCER_NOTICES) callers.closeIdle()
         thread.after(DRAIN_CHECK) { awaitDrained(since, ended) }
     }
 
@@ -166,9 +169,9 @@
         return stages.getOrPut(pool) { CoordinatedStage(pool, local, peers, thread) }
     }
 
-    private fun answerBalancer(path: String): SmallAnswer {
+    private fun answerBalancer(request: FullHttpRequest): SmallAnswer {
         val isReady = drainingSince == null && state.matcher != null && !directory.isEmpty
-        return if (path == WirePaths.READY && isReady) SmallAnswer(OK) else SmallAnswer(NOT_READY)
+        return if (request.uri() == WirePaths.READY && isReady) SmallAnswer(OK) else SmallAnswer(NOT_READY)
     }
 
     private inner class DaemonCallerState : CallerServerState {
@@ -190,7 +193,7 @@
         val TICK = 200.milliseconds
         val FADE_INTERVAL = 1.seconds
         val DRAIN_CHECK = 100.milliseconds
-        val DRAIN_RESERVE = 500.milliseconds
+        val DRAIN_RESERVE = 300.milliseconds
 
         /** The balancer takes an entry out after two questions a second apart. */
         val BALANCER_NOTICES = 3.seconds
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/Endpoints.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/Endpoints.kt
@@ -30,6 +30,10 @@
     /** Endpoints of [pool] that may get new work. */
     fun usable(pool: PoolName): List<Endpoint> = directory.usable(pool).map(::of)
 
+    /** Whether [endpoint] may still get new work. */
+    fun isUsable(endpoint: Endpoint): Boolean =
+        directory.entry(endpoint.entry.id)?.let { !it.isDraining && it.startedAt == endpoint.entry.startedAt } ?: false
+
     /** The endpoint of [entry]. */
     fun of(entry: EndpointEntry): Endpoint {
         val before = known[entry.id]
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
@@ -119,7 +119,9 @@
             return
         }
         val id = response.headers()[idHeader]
-        if (expectedId != null && id != expectedId && (id != null || response.status().code() in SUCCESSFUL)) {
+        if (expectedId != null && id != expectedId) {
+            // Without an id it may be the answer to an earlier request as well as to this one.
+            if (id == null) return fail("an answer without a request id")
             isSkipping = true
             isReusable = false
             return
@@ -180,7 +182,6 @@
 
     private companion object {
         val INFORMATIONAL = 100..199
-        val SUCCESSFUL = 200..299
         val WITHOUT_BODY = setOf(204, 304)
         const val KEEP_ALIVE = "Keep-Alive"
         val TIMEOUT = Regex("""timeout=(\d+)""")
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/SmallServer.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/SmallServer.kt
@@ -21,10 +21,18 @@
 import java.net.InetSocketAddress
 
 /** A short answer of this process about itself. */
-internal class SmallAnswer(val status: Int, val body: String = "", val contentType: String = "text/plain")
+internal class SmallAnswer(
+    val status: Int,
+    val body: String = "",
+    val contentType: String = "text/plain",
+    val headers: Map<String, String> = emptyMap(),
+)
 
 /** Answers short questions about this process. */
-internal class SmallServer(private val thread: EventThread, private val answer: (path: String) -> SmallAnswer) {
+internal class SmallServer(
+    private val thread: EventThread,
+    private val answer: (request: FullHttpRequest) -> SmallAnswer,
+) {
     /** Listens on [address]. Throws `IOException` when it can not. */
     fun listen(address: SocketAddress): Channel = ServerBootstrap()
         .group(thread.loop)
@@ -46,13 +54,14 @@
 
     private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-            val answer = answer(request.uri())
+            val answer = answer(request)
             val response = DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(answer.status),
                 Unpooled.wrappedBuffer(answer.body.encodeToByteArray()),
             )
             response.headers().set("Content-Type", answer.contentType)
+            answer.headers.forEach { (name, value) -> response.headers().set(name, value) }
             HttpUtil.setContentLength(response, response.content().readableBytes().toLong())
             val keepAlive = HttpUtil.isKeepAlive(request)
             HttpUtil.setKeepAlive(response, keepAlive)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
@@ -12,7 +12,10 @@
 import org.bilberryhead.forwarding.caller.RequestHandler
 import org.bilberryhead.platform.wire.HeaderValues
 import org.bilberryhead.platform.wire.WireHeaders
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /** Finds out what a request is and who sends it, and starts to serve it or turns it away. */
 internal class RequestAdmission(private val state: ServingState) : RequestHandler {
@@ -21,17 +24,27 @@
     /** Requests that are being served. */
     val runningCount: Int get() = runs.size
 
+    /** When the process ends, or null while it is not asked to. */
+    var endsAt: Instant? = null
+
     override fun serve(request: CallerRequest, answer: CallerAnswer): CallerGone {
-        val matcher = state.matcher ?: return refuseUnconfigured(request, answer)
+        val matcher = state.matcher ?: return refuse(request, answer, "no configuration is known yet", START_WAIT)
         val id = request.headers[WireHeaders.REQUEST_ID]
         if (id.isNullOrBlank()) return reject(request, answer, BAD_REQUEST, "no request id")
         val route = matcher.route(request.host, request.path)
             ?: return reject(request, answer, NOT_FOUND, "no route", matcher)
         val identity = matcher.identity(route, request.headers[WireHeaders.API_KEY]?.let { ApiKey(it.trim()) })
         if (identity is CallerIdentity.Unknown) return reject(request, answer, UNAUTHORISED, "unknown key", matcher)
+        if (!isInTime(route)) return refuse(request, answer, "the process ends soon", DRAIN_WAIT)
         return start(admitted(RequestId(id), request, route, identity, matcher), answer)
     }
 
+    /** While the process drains, takes only what it can most likely finish. */
+    private fun isInTime(route: ServingRoute): Boolean {
+        val left = (endsAt ?: return true) - state.thread.now()
+        return left > if (route.repeatRule.isStream) STREAM_TIME else route.objective * OBJECTIVES
+    }
+
     private fun start(request: AdmittedRequest, answer: CallerAnswer): CallerGone {
         val now = state.thread.now()
         state.budget.countRequest(request.pool, now)
@@ -65,10 +78,10 @@
         )
     }
 
-    private fun refuseUnconfigured(request: CallerRequest, answer: CallerAnswer): CallerGone {
+    private fun refuse(request: CallerRequest, answer: CallerAnswer, reason: String, wait: Duration): CallerGone {
         val id = request.headers[WireHeaders.REQUEST_ID]
-        state.decisions.write("request refused") { mapOf("request" to id, "reason" to "no configuration is known") }
-        answer.whole(Refusals.notRun(id, "no configuration is known yet", START_WAIT))
+        state.decisions.write("request refused") { mapOf("request" to id, "reason" to reason) }
+        answer.whole(Refusals.notRun(id, reason, wait))
         return NOTHING_TO_DO
     }
 
@@ -98,6 +111,11 @@
         const val BAD_REQUEST = 400
         const val UNAUTHORISED = 401
         const val NOT_FOUND = 404
+        const val OBJECTIVES = 3
+
+        /** Usual time of a long stream with its stages. */
+        val STREAM_TIME = 5.seconds
+        val DRAIN_WAIT = 50.milliseconds
         val START_WAIT = 500.milliseconds
         val NOTHING_TO_DO = CallerGone { }
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestRun.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestRun.kt
@@ -21,6 +21,7 @@
 import org.bilberryhead.forwarding.caller.CallerRequest
 import org.bilberryhead.forwarding.endpoint.Endpoint
 import org.bilberryhead.forwarding.http.AnswerHead
+import org.bilberryhead.forwarding.http.OutboundConnection
 import org.bilberryhead.forwarding.http.WholeAnswer
 import org.bilberryhead.forwarding.stage.Preparation
 import org.bilberryhead.forwarding.stage.PreparationListener
@@ -133,19 +134,24 @@
         endpoint.connections.acquire(
             mayRepeat = route.repeatRule.mayRepeat,
             opened = { connection ->
-                if (attempt !== started || isOver) {
-                    connection.release()
-                } else {
-                    attempts++
-                    started.connection = connection
-                    connection.send(outbound(endpoint), request.id.value, started)
-                    watch(started)
-                }
+                if (attempt !== started || isOver) connection.release() else begin(started, connection)
             },
             failed = { started.notConnected(it) },
         )
     }
 
+    private fun begin(started: Attempt, connection: OutboundConnection) {
+        val endpoint = started.endpoint
+        if (!state.endpoints.isUsable(endpoint)) {
+            connection.release()
+            return started.notConnected("the endpoint began to leave while the connection was opened")
+        }
+        attempts++
+        started.connection = connection
+        connection.send(outbound(endpoint), request.id.value, started)
+        watch(started)
+    }
+
     private fun outbound(endpoint: Endpoint) =
         OutboundRequests.of(request, endpoint.entry.id, inputs, order.last, state.thread.now())
 
