--- a/core/src/main/kotlin/org/bilberryhead/core/serving/CoordinatorRanking.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/CoordinatorRanking.kt
@@ -25,9 +25,9 @@
 /**
  * Ranks the entries that may coordinate the calls of a pool of stage endpoints.
  *
- * Load that this answers: many entries that each hold a few pieces of a pool with few endpoints. One of them gathers the
- * pieces of all, so that calls are full and the endpoints' memory is known. All entries rank alike, without telling each
- * other; an entry that can not be reached is passed over, each entry by its own observation.
+ * Load that this answers: many entries that each hold a few pieces of a pool with few endpoints. One of them gathers
+ * the pieces of all, so that calls are full and the endpoints' memory is known. All entries rank alike, without
+ * telling each other; an entry that can not be reached is passed over, each entry by its own observation.
  */
 object CoordinatorRanking {
     /** Returns [entries] in the order in which they should coordinate [pool]. Much weaker ones come last. */
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointLoad.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointLoad.kt
@@ -81,7 +81,8 @@
     /** Share of recent exchanges that failed, fading with time so that an endpoint is tried again. */
     fun currentFaultRate(now: Instant): Double {
         val since = faultAt ?: return 0.0
-        return faultRate * exp(-(now - since).toDouble(DurationUnit.SECONDS) / FAULT_MEMORY.toDouble(DurationUnit.SECONDS))
+        return faultRate *
+            exp(-(now - since).toDouble(DurationUnit.SECONDS) / FAULT_MEMORY.toDouble(DurationUnit.SECONDS))
     }
 
     /** A request that has waited for long already tells more than those that ended. */
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EnginePlacement.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EnginePlacement.kt
@@ -8,9 +8,9 @@
 /**
  * Chooses the engine of a generation: the earliest first event, with a preference for engines that hold the prompt.
  *
- * Load that this answers: bursts of long prompts with shared parts, on engines that differ in speed. All entries rank the
- * engines for a shared part alike by rendezvous hashing, without telling each other, and go down the ranks only while an
- * engine is busier than those that follow.
+ * Load that this answers: bursts of long prompts with shared parts, on engines that differ in speed. All entries rank
+ * the engines for a shared part alike by rendezvous hashing, without telling each other, and go down the ranks only
+ * while an engine is busier than those that follow.
  */
 class EnginePlacement(private val own: DataCentre) {
     /**
@@ -29,7 +29,10 @@
         return candidates
             .sortedByDescending { rendezvousWeight(shared.id.value, it.id.value) }
             .withIndex()
-            .minByOrNull { (rank, candidate) -> rankCost(rank) + cost(candidate, prompt, books(candidate), near, now, rank) }
+            .minByOrNull { (rank, candidate) ->
+                rankCost(rank) +
+                    cost(candidate, prompt, books(candidate), near, now, rank)
+            }
             ?.value
     }
 
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/PieceQueue.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/PieceQueue.kt
@@ -40,10 +40,10 @@
 /**
  * Pieces that wait for a call to an endpoint of one pool.
  *
- * Load that this answers: bursts of one kind of request on a pool that is fast only in full batches. Pieces whose request
- * can still meet its objective go first, in the order in which they must start, with a head start for the more urgent; the
- * pieces of one request stay together. Late ones are still made. A piece waits a little for an endpoint in the data
- * centre that it prefers.
+ * Load that this answers: bursts of one kind of request on a pool that is fast only in full batches. Pieces whose
+ * request can still meet its objective go first, in the order in which they must start, with a head start for the more
+ * urgent; the pieces of one request stay together. Late ones are still made. A piece waits a little for an endpoint in
+ * the data centre that it prefers.
  */
 class PieceQueue(private val batchSize: Int) {
     private class Waiting(val piece: StagePiece, val since: Instant)
@@ -83,8 +83,8 @@
     }
 
     /**
-     * Takes out the pieces of the next call. The pieces of a request go together, so that none of its results waits long
-     * for the others; a request that does not fit by itself is divided.
+     * Takes out the pieces of the next call. The pieces of a request go together, so that none of its results waits
+     * long for the others; a request that does not fit by itself is divided.
      *
      * @param roomBytes room for their results
      * @param at where the endpoint is
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/PreparationPlan.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/PreparationPlan.kt
@@ -25,7 +25,9 @@
     /** Returns the pieces that can be made and were not returned before. */
     fun takeReady(): List<ReadyPiece> = stages.indices
         .filter { stage -> stages[stage].after.all(::isStageMade) }
-        .flatMap { stage -> idsOf(stage).filter { it !in results && asked.add(it) }.map { ReadyPiece(it, inputsOf(stage)) } }
+        .flatMap { stage ->
+            idsOf(stage).filter { it !in results && asked.add(it) }.map { ReadyPiece(it, inputsOf(stage)) }
+        }
 
     /** The piece [id] is made. */
     fun made(id: PieceId, handle: ResultHandle) {
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/ResultRoom.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ResultRoom.kt
@@ -9,9 +9,9 @@
 /**
  * How many bytes of results a coordinator may have made at each endpoint of a pool.
  *
- * Load that this answers: bursts that a pool could work off in time, if only its memory for results were not full. Others
- * may use that memory too, after a change of coordinator, so that the room is a window that grows while pieces find room
- * and shrinks when one does not.
+ * Load that this answers: bursts that a pool could work off in time, if only its memory for results were not full.
+ * Others may use that memory too, after a change of coordinator, so that the room is a window that grows while pieces
+ * find room and shrinks when one does not.
  *
  * @param roomBytes memory for results at one endpoint
  * @param keepTime how long an endpoint keeps a result that nobody gives up
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/SharedRetryBudget.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/SharedRetryBudget.kt
@@ -8,8 +8,9 @@
 /**
  * This entry's share of the retries that all entries together may send to a pool.
  *
- * Over any [window] the entries may send [ratio] times the requests for a pool and [slack] further ones. An entry counts
- * its own requests and takes its part of the slack, so that the sum stays within the bound whatever the others do.
+ * Over any [window] the entries may send [ratio] times the requests for a pool and [slack] further ones. An entry
+ * counts its own requests and takes its part of the slack, so that the sum stays within the bound whatever the others
+ * do.
  *
  * @param entries how many entries share the slack, an upper bound
  */
--- /dev/null
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/CoordinatorRankingTest.kt
@@ -0,0 +1,61 @@
+package org.bilberryhead.core.serving
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import org.bilberryhead.core.common.DaemonId
+import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.common.SocketAddress
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+private fun entry(id: Int, share: Double = 0.5) =
+    EntryRecord(DaemonId("entry-$id"), DataCentre("x"), SocketAddress("10.0.0.$id", 80), share)
+
+class CoordinatorRankingTest :
+    DescribeSpec({
+        val entries = List(6) { entry(it) }
+
+        describe("the order of the entries for a pool") {
+            it("is the same wherever it is made") {
+                val pool = PoolName("p")
+                CoordinatorRanking.order(pool, entries) shouldContainExactly
+                    CoordinatorRanking.order(pool, entries.reversed())
+            }
+
+            it("spreads the pools over the entries") {
+                val first = List(60) { CoordinatorRanking.order(PoolName("pool-$it"), entries).first().id }
+                first.toSet().size shouldBeGreaterThan 4
+            }
+
+            it("keeps the order of the others when one entry is missing") {
+                val pool = PoolName("p")
+                val whole = CoordinatorRanking.order(pool, entries)
+                CoordinatorRanking.order(pool, entries - whole.first()) shouldContainExactly whole.drop(1)
+            }
+
+            it("puts entries with much less processor last") {
+                val weak = entry(9, share = 0.2)
+                List(20) { CoordinatorRanking.order(PoolName("pool-$it"), entries + weak).last() }
+                    .all { it == weak } shouldBe true
+            }
+        }
+
+        describe("a peer that can not be reached") {
+            val start = Instant.fromEpochSeconds(1_000)
+
+            it("is passed over for longer each time, and used again once it answers") {
+                val peer = PeerReachability()
+                peer.failed(start)
+                peer.isUsable(start + 900.milliseconds) shouldBe false
+                peer.isUsable(start + 1.seconds) shouldBe true
+                peer.failed(start + 1.seconds)
+                peer.isUsable(start + 2.seconds) shouldBe false
+                peer.answered()
+                peer.isUsable(start + 2.seconds) shouldBe true
+            }
+        }
+    })
--- /dev/null
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/EndpointDirectoryTest.kt
@@ -0,0 +1,72 @@
+package org.bilberryhead.core.serving
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import org.bilberryhead.core.common.EndpointId
+import org.bilberryhead.core.common.PoolName
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class EndpointDirectoryTest :
+    DescribeSpec({
+        val start = Instant.fromEpochSeconds(1_000)
+        val pool = PoolName("p")
+
+        fun EndpointDirectory.usableIds() = usable(pool).map { it.id.value }
+
+        describe("entries of the store") {
+            it("are usable from their appearance until they drain") {
+                val directory = EndpointDirectory()
+                directory.replaceAll(listOf(endpointEntry("a"), endpointEntry("b")), start)
+                directory.usableIds() shouldContainExactly listOf("a", "b")
+                directory.update(listOf(endpointEntry("a", isDraining = true)), emptyList(), start)
+                    .shouldContainExactly(EndpointChange.Draining(EndpointId("a")))
+                directory.usableIds() shouldContainExactly listOf("b")
+            }
+
+            it("are gone at once when they are removed while the store answers") {
+                val directory = EndpointDirectory()
+                directory.replaceAll(listOf(endpointEntry("a")), start)
+                directory.update(emptyList(), listOf(EndpointId("a")), start)
+                    .shouldContainExactly(EndpointChange.Gone(EndpointId("a")))
+                directory.usableIds().shouldBeEmpty()
+            }
+
+            it("are new when they start again under the same id") {
+                val directory = EndpointDirectory()
+                directory.replaceAll(listOf(endpointEntry("a", startedAt = 1)), start)
+                val again = endpointEntry("a", startedAt = 2)
+                directory.update(listOf(again), emptyList(), start)
+                    .shouldContainExactly(EndpointChange.Appeared(again))
+            }
+        }
+
+        describe("after an outage of the store") {
+            fun afterOutage() = EndpointDirectory().apply {
+                replaceAll(listOf(endpointEntry("a"), endpointEntry("b", isDraining = true)), start)
+                storeRegained(start + 10.seconds)
+                replaceAll(emptyList(), start + 10.seconds)
+            }
+
+            it("entries that lapsed are used until the time to return is over") {
+                val directory = afterOutage()
+                directory.usableIds() shouldContainExactly listOf("a")
+                directory.tick(start + 11.seconds).shouldBeEmpty()
+                directory.tick(start + 12.seconds).shouldContainExactly(EndpointChange.Gone(EndpointId("a")))
+                directory.usableIds().shouldBeEmpty()
+            }
+
+            it("entries that return stay") {
+                val directory = afterOutage()
+                directory.update(listOf(endpointEntry("a")), emptyList(), start + 11.seconds)
+                directory.tick(start + 13.seconds).shouldBeEmpty()
+                directory.usableIds() shouldContainExactly listOf("a")
+            }
+
+            it("entries that were leaving are gone at once") {
+                afterOutage().entry(EndpointId("b")) shouldBe null
+            }
+        }
+    })
--- /dev/null
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/EventSplitterTest.kt
@@ -0,0 +1,57 @@
+package org.bilberryhead.core.serving
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.checkAll
+
+class EventSplitterTest :
+    DescribeSpec({
+        describe("a stream of events") {
+            val text = "id: 7\ndata: a\n\nid: 8\r\ndata: b\r\n\r\nid: 9\ndata: partial"
+
+            it("is cut at blank lines, with either line end") {
+                val splitter = EventSplitter()
+                val events = splitter.add(text.encodeToByteArray())
+                events.map { it.id } shouldContainExactly listOf(7L, 8L)
+                splitter.hasPartialEvent shouldBe true
+            }
+
+            it("gives the same events however its bytes arrive") {
+                val whole = EventSplitter().add(text.encodeToByteArray()).map { it.bytes.decodeToString() }
+                checkAll(100, Arb.list(Arb.int(1..9), 0..30)) { lengths ->
+                    val splitter = EventSplitter()
+                    var rest = text.encodeToByteArray()
+                    val events = mutableListOf<String>()
+                    for (length in lengths + text.length) {
+                        val part = rest.take(length).toByteArray()
+                        rest = rest.drop(part.size).toByteArray()
+                        events += splitter.add(part).map { it.bytes.decodeToString() }
+                    }
+                    events shouldContainExactly whole
+                }
+            }
+        }
+
+        describe("the order of events") {
+            fun event(id: Long?) = StreamEvent(ByteArray(0), id)
+
+            it("takes each next number and refuses a gap or a repetition") {
+                val order = EventOrder(lastDelivered = null)
+                order.accept(event(4)) shouldBe true
+                order.accept(event(5)) shouldBe true
+                order.accept(event(5)) shouldBe false
+                order.accept(event(7)) shouldBe false
+                order.accept(event(6)) shouldBe true
+                order.last shouldBe 6
+            }
+
+            it("goes on after the event that the caller has") {
+                EventOrder(lastDelivered = 9).accept(event(1)) shouldBe false
+                EventOrder(lastDelivered = 9).accept(event(10)) shouldBe true
+            }
+        }
+    })
--- /dev/null
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/ResultRoomTest.kt
@@ -0,0 +1,105 @@
+package org.bilberryhead.core.serving
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.common.EndpointId
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class ResultRoomTest :
+    DescribeSpec({
+        val now = Instant.fromEpochSeconds(1_000)
+        val maker = EndpointId("a")
+
+        fun room() = ResultRoom(roomBytes = 1_000.0, keepTime = 4.seconds)
+
+        describe("the room at an endpoint") {
+            it("is taken by what is asked for and by what lies there") {
+                val room = room()
+                val whole = room.free(maker, now)
+                room.reserve(maker, 300)
+                room.free(maker, now) shouldBe whole - 300
+                room.settle(maker, 300, foundNoRoom = false)
+                room.made(ResultHandle("r"), maker, 300, now)
+                room.free(maker, now) shouldBe whole - 300
+                room.released(ResultHandle("r"))
+                room.free(maker, now) shouldBe whole
+            }
+
+            it("is free again when the endpoint drops a result that nobody gave up") {
+                val room = room()
+                room.made(ResultHandle("r"), maker, 300, now)
+                room.isUnused(maker) shouldBe false
+                room.free(maker, now + 4.seconds)
+                room.isUnused(maker) shouldBe true
+            }
+
+            it("shrinks when a piece found none, and grows again") {
+                val room = room()
+                val whole = room.free(maker, now)
+                room.settle(maker, 0, foundNoRoom = true)
+                val shrunk = room.free(maker, now)
+                shrunk shouldBeLessThan whole
+                repeat(5) { room.settle(maker, 0, foundNoRoom = false) }
+                room.free(maker, now) shouldBeGreaterThan shrunk
+            }
+        }
+    })
+
+class PieceEndpointChooserTest :
+    DescribeSpec({
+        val now = Instant.fromEpochSeconds(1_000)
+        val near = endpointEntry("near", dataCentre = "x")
+        val far = endpointEntry("far", dataCentre = "y")
+        val both = listOf(far, near)
+
+        fun PieceEndpointChooser.choose(preferred: String? = "x") = choose(both, preferred?.let(::DataCentre), now) {
+            true
+        }
+
+        describe("the endpoint of a call") {
+            it("is in the preferred data centre while it has a free place there") {
+                val chooser = PieceEndpointChooser(pieceShape())
+                chooser.choose() shouldBe near
+                chooser.begin(near.id)
+                chooser.choose() shouldBe far
+                chooser.begin(far.id)
+                chooser.choose() shouldBe null
+            }
+
+            it("is one with room for the results") {
+                PieceEndpointChooser(pieceShape()).choose(both, DataCentre("x"), now) { it == far.id } shouldBe far
+            }
+
+            it("is not one that has just failed") {
+                val chooser = PieceEndpointChooser(pieceShape())
+                chooser.begin(near.id)
+                chooser.end(near.id, failed = true, slowness = 1.0, now)
+                chooser.choose() shouldBe far
+                chooser.choose(both, DataCentre("x"), now + 2.seconds) { true } shouldBe near
+            }
+
+            it("is not one that has become much slower") {
+                val chooser = PieceEndpointChooser(pieceShape())
+                repeat(5) {
+                    chooser.begin(near.id)
+                    chooser.end(near.id, failed = false, slowness = 4.0, now)
+                }
+                chooser.choose() shouldBe far
+            }
+        }
+
+        describe("the expected time of a call") {
+            it("grows with its pieces and with the slowness of the endpoint") {
+                val chooser = PieceEndpointChooser(pieceShape())
+                chooser.expectedTime(near.id, pieces = 4) shouldBe 280.milliseconds
+                chooser.begin(near.id)
+                chooser.end(near.id, failed = false, slowness = 2.0, now)
+                chooser.expectedTime(near.id, pieces = 4) shouldBeGreaterThan 280.milliseconds
+            }
+        }
+    })
--- /dev/null
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/SharedRetryBudgetTest.kt
@@ -0,0 +1,56 @@
+package org.bilberryhead.core.serving
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
+import io.kotest.matchers.shouldBe
+import org.bilberryhead.core.common.PoolName
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class SharedRetryBudgetTest :
+    DescribeSpec({
+        val start = Instant.fromEpochSeconds(1_000)
+        val pool = PoolName("p")
+
+        describe("one entry among five") {
+            it("has its part of the slack and a share of its requests, in any window") {
+                val budget = SharedRetryBudget(ratio = 0.2, slack = 50.0) { 5 }
+                repeat(100) { budget.countRequest(pool, start) }
+                List(100) { budget.tryRetry(pool, start + 1.seconds) }.count { it } shouldBe 27
+                budget.tryRetry(pool, start + 9.seconds) shouldBe false
+                budget.tryRetry(pool, start + 12.seconds) shouldBe true
+            }
+
+            it("does not lend from one pool to another") {
+                val budget = SharedRetryBudget(ratio = 0.2, slack = 0.0) { 5 }
+                repeat(100) { budget.countRequest(pool, start) }
+                budget.tryRetry(PoolName("other"), start) shouldBe false
+            }
+        }
+
+        describe("all entries together") {
+            it("stay within the bound in every window when each wants a retry for every request") {
+                val random = Random(7)
+                val entries = List(5) { SharedRetryBudget(ratio = 0.2, slack = 58.0) { 5 } }
+                val requests = mutableListOf<Instant>()
+                val retries = mutableListOf<Instant>()
+                for (step in 0 until 6_000) {
+                    val now = start + (step * 10).milliseconds
+                    val entry = entries[random.nextInt(entries.size)]
+                    if (step / 1_000 % 2 == 0) {
+                        entry.countRequest(pool, now)
+                        requests += now
+                    }
+                    if (entry.tryRetry(pool, now)) retries += now
+                }
+                for (end in retries) {
+                    val begin = end - 10.seconds
+                    val sent = retries.count { it > begin && it <= end }
+                    val asked = requests.count { it > begin && it <= end }
+                    sent.toDouble() shouldBeLessThanOrEqualTo 0.2 * asked + 58
+                }
+            }
+        }
+    })
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -18,12 +18,12 @@
 import org.bilberryhead.forwarding.http.SingleExchange
 import org.bilberryhead.forwarding.http.SmallAnswer
 import org.bilberryhead.forwarding.http.SmallServer
-import org.bilberryhead.forwarding.request.RequestAdmission
-import org.bilberryhead.forwarding.request.ServingState
-import org.bilberryhead.forwarding.request.WaitingRoom
 import org.bilberryhead.forwarding.peer.PeerClient
 import org.bilberryhead.forwarding.peer.PeerHandler
 import org.bilberryhead.forwarding.peer.Peers
+import org.bilberryhead.forwarding.request.RequestAdmission
+import org.bilberryhead.forwarding.request.ServingState
+import org.bilberryhead.forwarding.request.WaitingRoom
 import org.bilberryhead.forwarding.stage.CoordinatedStage
 import org.bilberryhead.forwarding.stage.ResultReleaser
 import org.bilberryhead.forwarding.stage.StageContext
@@ -101,7 +101,11 @@
         endpoints.roomFreed = waitingRoom::roomFreed
         callers.listen(settings.callers)
         SmallServer(thread, ::answerBalancer).listen(settings.readiness)
-        CallerServer(thread, callerState, PeerHandler(thread, ::stageRunner, configurationListener::newestText)).listen(settings.peers)
+        CallerServer(
+            thread,
+            callerState,
+            PeerHandler(thread, ::stageRunner, configurationListener::newestText),
+        ).listen(settings.peers)
         SmallServer(thread) { SmallAnswer(OK, metrics.scrape()) }.listen(settings.metrics)
         thread.loop.execute(::followStore)
         log.atInfo {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingMetrics.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingMetrics.kt
@@ -5,6 +5,8 @@
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.toJavaDuration
 
 /** Counts and times what the entry does. */
@@ -18,7 +20,9 @@
                 .description("Requests by route and status, and the time until their final answer")
                 .tag("route", route)
                 .tag("status", status?.toString() ?: "none")
-                .serviceLevelObjectives(*BUCKETS)
+                .publishPercentileHistogram()
+                .minimumExpectedValue(SHORTEST)
+                .maximumExpectedValue(LONGEST)
                 .register(registry)
         }
         timer.record(elapsed.toJavaDuration())
@@ -48,7 +52,7 @@
     fun scrape(): String = registry.scrape()
 
     private companion object {
-        val BUCKETS: Array<java.time.Duration> =
-            listOf(10L, 50L, 100L, 300L, 1_000L, 3_000L, 10_000L).map(java.time.Duration::ofMillis).toTypedArray()
+        val SHORTEST: java.time.Duration = 5.milliseconds.toJavaDuration()
+        val LONGEST: java.time.Duration = 20.seconds.toJavaDuration()
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingSettings.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingSettings.kt
@@ -34,7 +34,10 @@
     @Serializable(with = SocketAddressTextSerializer::class) val readiness: SocketAddress,
     @Serializable(with = SocketAddressTextSerializer::class) val peers: SocketAddress,
     @Serializable(with = SocketAddressTextSerializer::class) val metrics: SocketAddress,
-    val seeds: List<@Serializable(with = SocketAddressTextSerializer::class) SocketAddress> = emptyList(),
+    val seeds: List<
+        @Serializable(with = SocketAddressTextSerializer::class)
+        SocketAddress,
+        > = emptyList(),
     @Serializable(with = SocketAddressTextSerializer::class) val store: SocketAddress,
     @Serializable(with = DurationTextSerializer::class) val drainLimit: Duration = 8.seconds,
     val processorShare: Double = 1.0,
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -143,7 +143,10 @@
             channel.close()
             return
         }
-        writeWhole(WholeAnswer(AnswerHead(status, EmptyHttpHeaders.INSTANCE), reason.encodeToByteArray()), closes = true)
+        writeWhole(
+            WholeAnswer(AnswerHead(status, EmptyHttpHeaders.INSTANCE), reason.encodeToByteArray()),
+            closes = true,
+        )
     }
 
     private fun writeWhole(answer: WholeAnswer, closes: Boolean, isHead: Boolean = false) {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/EndpointConnections.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/EndpointConnections.kt
@@ -33,13 +33,14 @@
     /**
      * Gets a connection on which an exchange can begin.
      *
-     * @param mayRepeat whether the exchange could be repeated; others get no connection that was idle for long, since the
-     * endpoint may be closing it
+     * @param mayRepeat whether the exchange could be repeated; others get no connection that was idle for long, since
+     * the endpoint may be closing it
      */
     fun acquire(mayRepeat: Boolean, opened: (OutboundConnection) -> Unit, failed: (String) -> Unit) {
         dropUnusable()
         val kept = idle.lastOrNull()
-        if (kept != null && (mayRepeat || thread.now() - kept.idleSince < FRESH || open.size + opening >= limit())) {
+        val needsFresh = !mayRepeat && open.size + opening < limit()
+        if (kept != null && (!needsFresh || thread.now() - kept.idleSince < FRESH)) {
             idle.removeLast()
             opened(kept)
             return
@@ -88,7 +89,7 @@
 
     private fun dropUnusable() {
         val now = thread.now()
-        idle.filter { !it.isOpen || !it.isReusable || it.isStale(now) }.forEach {
+        idle.filterNot { it.isUsable(now) }.forEach {
             release(it)
             it.close()
         }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/Messages.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/Messages.kt
@@ -4,12 +4,7 @@
 import io.netty.handler.codec.http.HttpMethod
 
 /** A whole request that is sent to another process. */
-internal class OutboundRequest(
-    val method: HttpMethod,
-    val uri: String,
-    val headers: HttpHeaders,
-    val body: ByteArray,
-)
+internal class OutboundRequest(val method: HttpMethod, val uri: String, val headers: HttpHeaders, val body: ByteArray)
 
 /** Status and headers of an answer. */
 internal class AnswerHead(val status: Int, val headers: HttpHeaders)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
@@ -50,8 +50,8 @@
     /** Whether the connection is open. */
     val isOpen: Boolean get() = channel.isActive
 
-    /** Whether the other side may close the connection any moment, for having been idle. */
-    fun isStale(at: Instant): Boolean = at - idleSince >= keepAlive
+    /** Whether another exchange may begin: the other side is not about to close the connection for being idle. */
+    fun isUsable(at: Instant): Boolean = isOpen && isReusable && at - idleSince < keepAlive
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
@@ -131,7 +131,8 @@
     }
 
     private fun takeConnectionHeaders(response: HttpResponse) {
-        endsWithConnection = !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response) &&
+        endsWithConnection = !HttpUtil.isContentLengthSet(response) &&
+            !HttpUtil.isTransferEncodingChunked(response) &&
             response.status().code() !in WITHOUT_BODY
         if (!HttpUtil.isKeepAlive(response) || endsWithConnection) isReusable = false
         val seconds = response.headers()[KEEP_ALIVE]?.let { TIMEOUT.find(it)?.groupValues?.get(1) }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
@@ -159,7 +159,13 @@
         isOver = true
         val now = thread.now()
         endpoint.load.end(result, now - startedAt, now)
-        visit?.let { endpoint.engine?.end(it, failed = result == ExchangeResult.FAILED || result == ExchangeResult.REFUSED) }
+        visit?.let {
+            endpoint.engine?.end(
+                it,
+                failed =
+                result == ExchangeResult.FAILED || result == ExchangeResult.REFUSED,
+            )
+        }
         return true
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestRun.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestRun.kt
@@ -1,24 +1,16 @@
 package org.bilberryhead.forwarding.request
 
-import org.bilberryhead.core.common.ClientAccount
-import org.bilberryhead.core.common.DataCentre
-import org.bilberryhead.core.common.PoolName
-import org.bilberryhead.core.common.RequestId
 import org.bilberryhead.core.serving.AttemptHistory
 import org.bilberryhead.core.serving.AttemptOutcome
 import org.bilberryhead.core.serving.AttemptRule
-import org.bilberryhead.core.serving.EndpointEntry
 import org.bilberryhead.core.serving.EventOrder
 import org.bilberryhead.core.serving.NextStep
-import org.bilberryhead.core.serving.Prompt
 import org.bilberryhead.core.serving.RepeatRule
 import org.bilberryhead.core.serving.ResultHandle
-import org.bilberryhead.core.serving.ServingRoute
 import org.bilberryhead.core.serving.StreamEvent
 import org.bilberryhead.forwarding.Timer
 import org.bilberryhead.forwarding.caller.CallerAnswer
 import org.bilberryhead.forwarding.caller.CallerGone
-import org.bilberryhead.forwarding.caller.CallerRequest
 import org.bilberryhead.forwarding.endpoint.Endpoint
 import org.bilberryhead.forwarding.http.AnswerHead
 import org.bilberryhead.forwarding.http.OutboundConnection
@@ -28,23 +20,6 @@
 import org.bilberryhead.platform.wire.WireHeaders
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Instant
-
-/** A request whose route and account are known. */
-internal class AdmittedRequest(
-    val id: RequestId,
-    val caller: CallerRequest,
-    val route: ServingRoute,
-    val pool: PoolName,
-    val account: ClientAccount?,
-    val priority: Int,
-    val prompt: Prompt?,
-    val deadline: Instant?,
-    val configurationVersion: Long,
-) {
-    /** When the request must have its final answer. */
-    val endsAt: Instant = (caller.receivedAt + route.timeout).let { end -> deadline?.let { minOf(it, end) } ?: end }
-}
 
 /** Takes one request from its admission to its final answer. */
 internal class RequestRun(
@@ -56,7 +31,7 @@
     PreparationListener,
     CallerGone {
     private val route = request.route
-    private val order = EventOrder(firstEventId())
+    private val order = EventOrder(request.lastEventId)
     private val journal = RequestJournal(request, state)
     private var preparation: Preparation? = null
     private var inputs: List<ResultHandle> = emptyList()
@@ -71,9 +46,6 @@
     private var watchTimer: Timer? = null
     private val avoided = mutableSetOf<Endpoint>()
 
-    private fun firstEventId(): Long? =
-        if (route.repeatRule == RepeatRule.RESUMABLE_STREAM) request.caller.headers[WireHeaders.LAST_EVENT_ID]?.trim()?.toLongOrNull() else null
-
     /** Begins to serve the request. */
     fun start() {
         endTimer = state.thread.after(request.endsAt - state.thread.now()) { timeIsOver() }
@@ -96,12 +68,11 @@
 
     private fun dispatch() {
         if (isOver) return
-        val candidates = state.endpoints.usable(request.pool)
-        val fresh = candidates.filter { it !in avoided }.ifEmpty { candidates }
-        if (fresh.isEmpty()) return refuse("no endpoint of ${request.pool} is known", LONG_WAIT)
-        val open = fresh.filter { it.connections.hasRoom() }
-        if (open.isEmpty()) return waitForRoom()
-        send(choose(open))
+        when (val choice = EndpointChoice(state).choose(request, inputs, avoided)) {
+            EndpointChoice.Choice.NoneKnown -> refuse("no endpoint of ${request.pool} is known", LONG_WAIT)
+            EndpointChoice.Choice.NoneFree -> waitForRoom()
+            is EndpointChoice.Choice.Use -> send(choice.endpoint)
+        }
     }
 
     private fun waitForRoom() {
@@ -113,20 +84,6 @@
         state.waitingRoom.enter(waiting)
     }
 
-    private fun choose(open: List<Endpoint>): Endpoint {
-        val now = state.thread.now()
-        val prompt = request.prompt
-        if (prompt == null || open.first().engine == null) return open.minBy { it.load.expectedAnswerTime(now) }
-        val byEntry = open.associateBy { it.entry }
-        val books = { entry: EndpointEntry -> checkNotNull(byEntry.getValue(entry).engine) }
-        val chosen = state.placement.choose(byEntry.keys.toList(), prompt, books, largeInputsAt(), now)
-        return byEntry.getValue(checkNotNull(chosen))
-    }
-
-    private fun largeInputsAt(): DataCentre? = inputs.firstOrNull()
-        ?.takeIf { route.stages.last().resultBytes * inputs.size >= LARGE_INPUT_BYTES }
-        ?.let(state.endpoints::placeOf)
-
     private fun send(endpoint: Endpoint) {
         val started = Attempt(endpoint, route.repeatRule, request.prompt, order, state.thread, this)
         attempt = started
@@ -148,34 +105,27 @@
         }
         attempts++
         started.connection = connection
-        connection.send(outbound(endpoint), request.id.value, started)
+        val outbound = OutboundRequests.of(request, endpoint.entry.id, inputs, order.last, state.thread.now())
+        connection.send(outbound, request.id.value, started)
         watch(started)
     }
 
-    private fun outbound(endpoint: Endpoint) =
-        OutboundRequests.of(request, endpoint.entry.id, inputs, order.last, state.thread.now())
-
     /** Gives up on an endpoint that is silent for long when another may take over. */
     private fun watch(watched: Attempt) {
         if (!route.repeatRule.mayRepeat) return
         watchTimer = state.thread.after(PATIENCE_CHECK) {
             if (attempt === watched && !isOver) {
-                if (isStalled(watched) && mayRetry()) takeElsewhere(watched) else watch(watched)
+                if (AttemptPatience.isOver(route, watched, state.thread.now()) &&
+                    mayRetry()
+                ) {
+                    takeElsewhere(watched)
+                } else {
+                    watch(watched)
+                }
             }
         }
     }
 
-    private fun isStalled(watched: Attempt): Boolean {
-        val silence = state.thread.now() - watched.lastEventAt
-        val expected = watched.expectedFirstEvent
-        val patience = when {
-            watched.hasEvents -> maxOf(route.longestPause ?: Duration.ZERO, SHORTEST_PAUSE) * PAUSE_FACTOR
-            expected != null -> maxOf(expected * FIRST_EVENT_FACTOR, route.objective)
-            else -> route.objective
-        }
-        return silence > patience
-    }
-
     private fun mayRetry(): Boolean =
         attempts < route.maximumAttempts && state.budget.tryRetry(request.pool, state.thread.now())
 
@@ -224,13 +174,21 @@
         attempt = null
         endpoint?.let { avoided += it }
         val history = AttemptHistory(attempts, mayRunAlready)
-        val step = AttemptRule.next(route.repeatRule, outcome, history, route.maximumAttempts) { isRetryAllowed(outcome) }
+        val step = AttemptRule.next(route.repeatRule, outcome, history, route.maximumAttempts) {
+            isRetryAllowed(outcome)
+        }
         mayRunAlready = mayRunAlready || (outcome != AttemptOutcome.NotSent && outcome != AttemptOutcome.NotRun)
         journal.failed(endpoint, reason, step.toString())
         when (step) {
             NextStep.TryElsewhere -> if (answer?.head?.status == INPUTS_GONE) preparation?.restart() else again()
             NextStep.ReportNotRun -> refuse(reason, retryAfter(answer))
-            NextStep.ReportUnknown -> if (hasBegun) breakOff(reason) else finish(unknown(reason), endpoint)
+            NextStep.ReportUnknown -> if (hasBegun) {
+                breakOff(
+                    reason,
+                )
+            } else {
+                finish(Refusals.unknown(request.id.value, reason), endpoint)
+            }
             NextStep.PassOn -> if (hasBegun) breakOff(reason) else finish(checkNotNull(answer), endpoint)
         }
     }
@@ -242,8 +200,6 @@
         return unreached <= MAXIMUM_UNREACHED
     }
 
-    private fun unknown(reason: String) = Refusals.unknown(request.id.value, reason)
-
     private fun retryAfter(answer: WholeAnswer?): Duration {
         val seconds = answer?.head?.headers?.get(WireHeaders.RETRY_AFTER)?.toDoubleOrNull()
         return seconds?.let { (it * MILLISECONDS_PER_SECOND).milliseconds } ?: SHORT_WAIT
@@ -253,7 +209,7 @@
         if (isOver) return
         if (hasBegun) return breakOff(reason)
         val answer = if (mayRunAlready) {
-            unknown(reason)
+            Refusals.unknown(request.id.value, reason)
         } else {
             Refusals.notRun(request.id.value, reason, wait * (1 + state.random.nextDouble()))
         }
@@ -305,12 +261,8 @@
 
     private companion object {
         const val INPUTS_GONE = 409
-        const val LARGE_INPUT_BYTES = 500_000L
         const val MILLISECONDS_PER_SECOND = 1_000
-        const val PAUSE_FACTOR = 3
         const val MAXIMUM_UNREACHED = 4
-        const val FIRST_EVENT_FACTOR = 4
-        val SHORTEST_PAUSE = 300.milliseconds
         val PATIENCE_CHECK = 50.milliseconds
         val SHORT_WAIT = 100.milliseconds
         val LONG_WAIT = 500.milliseconds
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/CoordinatedStage.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/CoordinatedStage.kt
@@ -40,11 +40,7 @@
     /** Asks for [pieces] of one request; [ended] is told once of each, unless they are dropped. */
     fun ask(pieces: List<StagePiece>, ended: (StagePiece, PieceEnd) -> Unit) = ask(pieces, emptySet(), ended)
 
-    private fun ask(
-        pieces: List<StagePiece>,
-        passedOver: Set<PeerClient>,
-        ended: (StagePiece, PieceEnd) -> Unit,
-    ) {
+    private fun ask(pieces: List<StagePiece>, passedOver: Set<PeerClient>, ended: (StagePiece, PieceEnd) -> Unit) {
         val peer = coordinator(passedOver) ?: return local.ask(pieces, ended)
         val request = pieces.first().request
         val now = thread.now()
@@ -66,7 +62,10 @@
     private fun deliver(pieces: List<StagePiece>, message: PieceEndsMessage, ended: (StagePiece, PieceEnd) -> Unit) {
         val ends = message.ends.associateBy { it.stage to it.index }
         for (piece in pieces) {
-            ended(piece, ends[piece.stage to piece.index]?.toEnd() ?: PieceEnd.CallFailed("the coordinator left it out"))
+            ended(
+                piece,
+                ends[piece.stage to piece.index]?.toEnd() ?: PieceEnd.CallFailed("the coordinator left it out"),
+            )
         }
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/ResultReleaser.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/ResultReleaser.kt
@@ -15,10 +15,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Tells endpoints which results are not needed any more, several at a time. A call that fails is not repeated. */
-internal class ResultReleaser(
-    private val thread: EventThread,
-    private val endpointAt: (SocketAddress) -> Endpoint?,
-) {
+internal class ResultReleaser(private val thread: EventThread, private val endpointAt: (SocketAddress) -> Endpoint?) {
     private val waiting = mutableMapOf<SocketAddress, MutableList<ResultHandle>>()
 
     /** Gives up the results at [handles]. */
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/ConfigurationListener.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/ConfigurationListener.kt
@@ -8,10 +8,8 @@
 import org.bilberryhead.platform.wire.WireTables
 
 /** Puts each newer configuration in force; an older one never replaces a newer one. */
-internal class ConfigurationListener(
-    private val decisions: DecisionLog,
-    private val inForce: (RouteMatcher) -> Unit,
-) : TableListener {
+internal class ConfigurationListener(private val decisions: DecisionLog, private val inForce: (RouteMatcher) -> Unit) :
+    TableListener {
     private var current: ServingConfiguration? = null
 
     /** The newest configuration as it was written, for entries that can not read it. */
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreTableWatch.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreTableWatch.kt
@@ -98,7 +98,7 @@
 
     private fun call(path: String, limit: Duration, taken: (StoreRows) -> Unit) {
         val open = connection
-        if (open != null && open.isOpen && open.isReusable && !open.isStale(thread.now())) {
+        if (open != null && open.isUsable(thread.now())) {
             exchange(open, path, limit, taken)
             return
         }
--- a/load/src/main/kotlin/org/bilberryhead/load/policy/Scenario.kt
+++ b/load/src/main/kotlin/org/bilberryhead/load/policy/Scenario.kt
@@ -14,7 +14,8 @@
  * One course of load and faults.
  *
  * @property speeds relative speeds of the endpoints of each pool, in turn
- * @property condition what is wrong with the endpoint [EXCEPTIONAL_ENDPOINT] from [conditionFrom] until [conditionUntil]
+ * @property condition what is wrong with the endpoint [EXCEPTIONAL_ENDPOINT] from [conditionFrom] until
+ * [conditionUntil]
  * @property burstFactor factor on the load from [burstFrom] until [burstUntil]
  * @property floodFactor factor on the load of the account [FLOODING_ACCOUNT] from [burstFrom] on
  * @property reportLag how late load reports arrive
