Bound calls by the makers' memory, and refuse hopeless pieces at once

Late pieces waited for up to 7 s and then failed. Room is free once the maker has answered, calls are no larger than the memory carries, and a late piece is refused once its turn comes too late, with the time that the backlog takes as Retry-After.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/PieceQueue.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/PieceQueue.kt
@@ -2,9 +2,11 @@
 
 import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.RequestId
+import kotlin.math.max
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 import kotlin.time.Instant
 
 /** Where the result of a piece lies. */
@@ -45,10 +47,11 @@
  * urgent; the pieces of one request stay together. Late ones are still made. A piece waits a little for an endpoint in
  * the data centre that it prefers.
  */
-class PieceQueue(private val batchSize: Int) {
+class PieceQueue {
     private class Waiting(val piece: StagePiece, val since: Instant)
 
     private val waiting = mutableListOf<Waiting>()
+    private val lateTaken = ArrayDeque<Instant>()
 
     /** Pieces that wait. */
     val size: Int get() = waiting.size
@@ -63,11 +66,28 @@
         waiting.removeAll { it.piece.request == request }
     }
 
-    /** Takes out the pieces that are of no use any more. */
-    fun takeExpired(now: Instant): List<StagePiece> {
-        val expired = waiting.filter { it.piece.hopelessAt <= now }
-        if (expired.isNotEmpty()) waiting.removeAll(expired.toSet())
-        return expired.map { it.piece }
+    /**
+     * Takes out the pieces that will not be of use any more when their turn comes. Late pieces get only what the others
+     * leave, so that their turn is judged by how many late ones went lately.
+     *
+     * @param perSecond pieces that the pool makes in a second
+     */
+    fun takeHopeless(now: Instant, perSecond: Double): List<StagePiece> {
+        val latePerSecond = max(lateRate(now), perSecond * LEAST_LATE_PART)
+        var ahead = Duration.ZERO
+        val hopeless = waiting.sortedBy { rank(it.piece, now) }.filterTo(mutableSetOf()) {
+            val useful = it.piece.hopelessAt - now
+            val isHopeless = useful <= Duration.ZERO || ahead > useful + TURN_SLACK
+            if (!isHopeless) ahead += 1.seconds / (if (now > it.piece.latestStart) latePerSecond else perSecond)
+            isHopeless
+        }
+        if (hopeless.isNotEmpty()) waiting.removeAll(hopeless)
+        return hopeless.map { it.piece }
+    }
+
+    private fun lateRate(now: Instant): Double {
+        while (lateTaken.isNotEmpty() && lateTaken.first() + LATE_WINDOW < now) lateTaken.removeFirst()
+        return lateTaken.size / LATE_WINDOW.toDouble(DurationUnit.SECONDS)
     }
 
     /** Takes out everything. */
@@ -86,34 +106,36 @@
      * Takes out the pieces of the next call. The pieces of a request go together, so that none of its results waits
      * long for the others; a request that does not fit by itself is divided.
      *
+     * @param most most pieces in the call
      * @param roomBytes room for their results
      * @param at where the endpoint is
      */
-    fun takeBatch(now: Instant, roomBytes: Long, at: DataCentre): List<StagePiece> {
+    fun takeBatch(now: Instant, most: Int, roomBytes: Long, at: DataCentre): List<StagePiece> {
         val eligible = waiting
             .filter { it.piece.prefers(at) || now - it.since >= PREFERENCE_WAIT }
             .map { it.piece }
             .sortedWith(compareBy({ rank(it, now, at) }, { it.request.value }))
-        val batch = wholeRequests(eligible, roomBytes).ifEmpty { partOfFirst(eligible, roomBytes) }.toSet()
+        val batch = wholeRequests(eligible, most, roomBytes).ifEmpty { partOfFirst(eligible, most, roomBytes) }.toSet()
         waiting.removeAll { it.piece in batch }
+        batch.forEach { if (now > it.latestStart) lateTaken.addLast(now) }
         return batch.toList()
     }
 
-    private fun wholeRequests(eligible: List<StagePiece>, roomBytes: Long): List<StagePiece> {
+    private fun wholeRequests(eligible: List<StagePiece>, most: Int, roomBytes: Long): List<StagePiece> {
         val batch = mutableListOf<StagePiece>()
         var room = roomBytes
         for ((_, pieces) in eligible.groupBy { it.request to it.stage }) {
             val bytes = pieces.sumOf { it.resultBytes }
-            if (batch.size + pieces.size > batchSize || bytes > room) continue
+            if (batch.size + pieces.size > most || bytes > room) continue
             batch += pieces
             room -= bytes
         }
         return batch
     }
 
-    private fun partOfFirst(eligible: List<StagePiece>, roomBytes: Long): List<StagePiece> {
+    private fun partOfFirst(eligible: List<StagePiece>, most: Int, roomBytes: Long): List<StagePiece> {
         val first = eligible.firstOrNull() ?: return emptyList()
-        val fitting = (roomBytes / first.resultBytes.coerceAtLeast(1)).coerceIn(1, batchSize.toLong()).toInt()
+        val fitting = (roomBytes / first.resultBytes.coerceAtLeast(1)).coerceIn(1, most.toLong()).toInt()
         return eligible.takeWhile { it.request == first.request && it.stage == first.stage }.take(fitting)
     }
 
@@ -129,6 +151,11 @@
         val PRIORITY_STEP = 250.milliseconds
         val LATE_DELAY = 6.seconds
         val DISTANCE_DELAY = 300.milliseconds
+        val LATE_WINDOW = 1.seconds
+
+        /** Part of the pool's rate that late pieces are taken to have when none went lately. */
+        const val LEAST_LATE_PART = 0.15
+        val TURN_SLACK = 500.milliseconds
         val PREFERENCE_WAIT = 80.milliseconds
     }
 }
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/ResultRoom.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ResultRoom.kt
@@ -4,6 +4,7 @@
 import kotlin.math.max
 import kotlin.math.min
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
 /**
@@ -17,11 +18,12 @@
  * @param keepTime how long an endpoint keeps a result that nobody gives up
  */
 class ResultRoom(private val roomBytes: Double, private val keepTime: Duration) {
-    private class Held(val endpoint: EndpointId, val bytes: Long, val until: Instant)
+    private class Held(val endpoint: EndpointId, val bytes: Long, val madeAt: Instant)
 
     private val windows = mutableMapOf<EndpointId, Double>()
     private val reserved = mutableMapOf<EndpointId, Long>()
     private val held = LinkedHashMap<ResultHandle, Held>()
+    private var holdTime = FIRST_HOLD_TIME
 
     /** Bytes that may still be added at [endpoint]. */
     fun free(endpoint: EndpointId, now: Instant): Long {
@@ -50,12 +52,25 @@
 
     /** Counts a result that was made. */
     fun made(handle: ResultHandle, endpoint: EndpointId, bytes: Long, now: Instant) {
-        held[handle] = Held(endpoint, bytes, now + keepTime)
+        held[handle] = Held(endpoint, bytes, now)
     }
 
     /** Takes out a result that was given up. */
-    fun released(handle: ResultHandle) {
-        held.remove(handle)
+    fun released(handle: ResultHandle, now: Instant) {
+        val result = held.remove(handle) ?: return
+        holdTime = holdTime * (1 - HOLD_WEIGHT) + (now - result.madeAt) * HOLD_WEIGHT
+    }
+
+    /**
+     * Returns how many pieces a call should have at most. Larger calls are faster by piece, but their results take room
+     * from the start of the call on; beyond this size there is no room left for the results of the calls before.
+     */
+    fun steadyBatch(shape: PieceShape, bytesPerPiece: Long): Int {
+        val places = roomBytes * LARGEST_PART / bytesPerPiece.coerceAtLeast(1)
+        return (shape.batchSize downTo 1).firstOrNull { pieces ->
+            val callTime = shape.callTime + shape.pieceTime * pieces
+            pieces * (1 + holdTime / callTime) <= places
+        } ?: 1
     }
 
     private fun window(endpoint: EndpointId): Double = windows[endpoint] ?: (roomBytes * LARGEST_PART)
@@ -64,13 +79,15 @@
         (reserved[endpoint] ?: 0) + held.values.sumOf { if (it.endpoint == endpoint) it.bytes else 0L }
 
     private fun expire(now: Instant) {
-        while (held.isNotEmpty() && held.values.first().until <= now) held.remove(held.keys.first())
+        while (held.isNotEmpty() && held.values.first().madeAt + keepTime <= now) held.remove(held.keys.first())
     }
 
     private companion object {
         /** Sizes of results are approximate. */
         const val LARGEST_PART = 0.92
         const val SMALLEST_PART = 0.08
+        val FIRST_HOLD_TIME = 500.milliseconds
+        const val HOLD_WEIGHT = 0.02
         const val SHRINK = 0.9
         const val GROWTH = 0.01
     }
--- a/core/src/test/kotlin/org/bilberryhead/core/serving/ResultRoomTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/ResultRoomTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.matchers.shouldBe
 import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.EndpointId
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -26,7 +27,7 @@
                 room.settle(maker, 300, foundNoRoom = false)
                 room.made(ResultHandle("r"), maker, 300, now)
                 room.free(maker, now) shouldBe whole - 300
-                room.released(ResultHandle("r"))
+                room.released(ResultHandle("r"), now)
                 room.free(maker, now) shouldBe whole
             }
 
@@ -38,6 +39,21 @@
                 room.isUnused(maker) shouldBe true
             }
 
+            it("bounds the size of calls by how long results are held") {
+                val shape = pieceShape(batchSize = 40, roomBytes = 7_200.0, pieceTime = 5.milliseconds)
+                fun batchAfter(hold: Duration): Int {
+                    val room = ResultRoom(shape.roomBytes, shape.keepTime)
+                    repeat(300) {
+                        room.made(ResultHandle("$it"), maker, 100, now)
+                        room.released(ResultHandle("$it"), now + hold)
+                    }
+                    return room.steadyBatch(shape, bytesPerPiece = 100)
+                }
+                batchAfter(100.milliseconds) shouldBe 40
+                (batchAfter(600.milliseconds) in 22..28) shouldBe true
+                batchAfter(2.seconds) shouldBeLessThan 15
+            }
+
             it("shrinks when a piece found none, and grows again") {
                 val room = room()
                 val whole = room.free(maker, now)
--- a/core/src/test/kotlin/org/bilberryhead/core/serving/StageLoadTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/StageLoadTest.kt
@@ -20,17 +20,22 @@
     }
 
     private inner class Coordinator {
-        val queue = PieceQueue(shape.batchSize)
+        val queue = PieceQueue()
         val chooser = PieceEndpointChooser(shape)
         val room = ResultRoom(shape.roomBytes, shape.keepTime)
 
         fun pump(now: Instant) {
-            queue.takeExpired(now)
+            queue.takeHopeless(now, PER_SECOND)
             while (queue.size > 0) {
                 val needed = queue.firstResultBytes(now)
                 val chosen = chooser.choose(entries, null, now) { room.isUnused(it) || room.free(it, now) >= needed }
                     ?: return
-                val batch = queue.takeBatch(now, room.free(chosen.id, now), chosen.dataCentre)
+                val batch = queue.takeBatch(
+                    now,
+                    room.steadyBatch(shape, RESULT_BYTES),
+                    room.free(chosen.id, now),
+                    chosen.dataCentre,
+                )
                 if (batch.isEmpty()) return
                 call(this, endpoints.getValue(chosen.id), batch, now)
             }
@@ -64,7 +69,12 @@
 
     private fun arrive(part: Coordinator, name: String, now: Instant) {
         val latest = now + OBJECTIVE - 400.milliseconds
-        part.queue.add(List(PIECES) { stagePiece(name, it, latest, latest + 2.seconds, resultBytes = 60) }, now)
+        part.queue.add(
+            List(PIECES) {
+                stagePiece(name, it, latest, latest + 2.seconds, resultBytes = RESULT_BYTES)
+            },
+            now,
+        )
         part.pump(now)
     }
 
@@ -100,7 +110,7 @@
             val handle = ResultHandle("${piece.request}/${piece.index}")
             part.room.made(handle, id, piece.resultBytes, now)
             schedule(now + READ_TIME) {
-                part.room.released(handle)
+                part.room.released(handle, it)
                 endpoint.held -= piece.resultBytes
                 part.pump(it)
             }
@@ -122,6 +132,8 @@
 
     private companion object {
         const val PIECES = 4
+        const val RESULT_BYTES = 60L
+        const val PER_SECOND = 200.0
         val OBJECTIVE = 1_200.milliseconds
         val READ_TIME = 400.milliseconds
         val start = Instant.fromEpochSeconds(1_000)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -91,7 +91,8 @@
         override val exchange: SingleExchange get() = this@ForwardingDaemon.exchange
         override val decisions: DecisionLog get() = this@ForwardingDaemon.decisions
 
-        override fun release(handles: List<ResultHandle>) = releaser.release(handles)
+        override fun release(handles: List<ResultHandle>, done: (ResultHandle) -> Unit) =
+            releaser.release(handles, done)
 
         override fun usable(pool: PoolName): List<EndpointEntry> = directory.usable(pool)
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerMessages.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerMessages.kt
@@ -88,9 +88,13 @@
 
 /** How a piece ended, as a word. */
 @Serializable
-internal enum class PieceOutcome { MADE, LATE, INPUTS_GONE, NO_ROOM, FAILED, CALL_FAILED, EXPIRED }
+internal enum class PieceOutcome { MADE, LATE, INPUTS_GONE, NO_ROOM, FAILED, CALL_FAILED, HOPELESS }
 
-/** What became of one piece. */
+/**
+ * What became of one piece.
+ *
+ * @property backlogMs time that the pieces ahead of a hopeless one take
+ */
 @Serializable
 internal data class PieceEndMessage(
     val stage: Int,
@@ -98,6 +102,7 @@
     val outcome: PieceOutcome,
     val handle: String? = null,
     val reason: String? = null,
+    val backlogMs: Long = 0,
 ) {
     fun toEnd(): PieceEnd = when (outcome) {
         PieceOutcome.MADE -> PieceEnd.Answered(handle?.let(PieceResult::Made) ?: PieceResult.Failed)
@@ -106,14 +111,14 @@
         PieceOutcome.NO_ROOM -> PieceEnd.Answered(PieceResult.NoRoom)
         PieceOutcome.FAILED -> PieceEnd.Answered(PieceResult.Failed)
         PieceOutcome.CALL_FAILED -> PieceEnd.CallFailed(reason ?: "the call failed")
-        PieceOutcome.EXPIRED -> PieceEnd.Expired
+        PieceOutcome.HOPELESS -> PieceEnd.Hopeless(backlogMs.milliseconds)
     }
 
     companion object {
         fun of(piece: StagePiece, end: PieceEnd): PieceEndMessage {
-            val message = PieceEndMessage(piece.stage, piece.index, PieceOutcome.EXPIRED)
+            val message = PieceEndMessage(piece.stage, piece.index, PieceOutcome.HOPELESS)
             return when (end) {
-                is PieceEnd.Expired -> message
+                is PieceEnd.Hopeless -> message.copy(backlogMs = end.backlog.inWholeMilliseconds)
                 is PieceEnd.CallFailed -> message.copy(outcome = PieceOutcome.CALL_FAILED, reason = end.reason)
                 is PieceEnd.Answered -> when (val result = end.result) {
                     is PieceResult.Made -> message.copy(outcome = PieceOutcome.MADE, handle = result.handle)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestRun.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestRun.kt
@@ -64,7 +64,7 @@
         dispatch()
     }
 
-    override fun notPrepared(reason: String) = refuse(reason, SHORT_WAIT)
+    override fun notPrepared(reason: String, retryAfter: Duration) = refuse(reason, maxOf(retryAfter, SHORT_WAIT))
 
     private fun dispatch() {
         if (isOver) return
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/Preparation.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/Preparation.kt
@@ -40,8 +40,8 @@
     /** The results that the request is given. */
     fun prepared(inputs: List<ResultHandle>)
 
-    /** The request can not be prepared; it has not run. */
-    fun notPrepared(reason: String)
+    /** The request can not be prepared; it has not run, and may be sent again after [retryAfter]. */
+    fun notPrepared(reason: String, retryAfter: Duration)
 }
 
 /** Has the preparation stages of one request made. */
@@ -130,7 +130,7 @@
     private fun ended(id: PieceId, pool: PoolName, end: PieceEnd) {
         if (isOver) return
         when (end) {
-            is PieceEnd.Expired -> fail("it can not be served any more before its caller leaves")
+            is PieceEnd.Hopeless -> fail("it can not be served any more before its caller leaves", end.backlog)
             is PieceEnd.CallFailed -> retry(id, pool, end.reason)
             is PieceEnd.Answered -> take(id, pool, end.result)
         }
@@ -172,17 +172,17 @@
         return true
     }
 
-    private fun fail(reason: String) {
+    private fun fail(reason: String, retryAfter: Duration = RETRY_DELAY) {
         if (isOver) return
         end()
-        listener.notPrepared(reason)
+        listener.notPrepared(reason, retryAfter)
     }
 
     private companion object {
         const val LARGE_RESULT_BYTES = 200_000L
         const val MAXIMUM_RETRIES = 3
-        val WAIT_FOR_CALL = 150.milliseconds
-        val FIRST_EVENT_TIME = 150.milliseconds
+        val WAIT_FOR_CALL = 200.milliseconds
+        val FIRST_EVENT_TIME = 250.milliseconds
         val RETRY_DELAY = 100.milliseconds
         val SAME_CALL = 20.milliseconds
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/ResultReleaser.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/ResultReleaser.kt
@@ -7,6 +7,7 @@
 import org.bilberryhead.forwarding.EventThread
 import org.bilberryhead.forwarding.endpoint.Endpoint
 import org.bilberryhead.forwarding.http.AnswerCollector
+import org.bilberryhead.forwarding.http.ExchangeEnd
 import org.bilberryhead.forwarding.http.OutboundRequest
 import org.bilberryhead.platform.wire.StageCodec
 import org.bilberryhead.platform.wire.WireHeaders
@@ -16,28 +17,34 @@
 
 /** Tells endpoints which results are not needed any more, several at a time. A call that fails is not repeated. */
 internal class ResultReleaser(private val thread: EventThread, private val endpointAt: (SocketAddress) -> Endpoint?) {
-    private val waiting = mutableMapOf<SocketAddress, MutableList<ResultHandle>>()
+    private class Release(val handle: ResultHandle, val done: (ResultHandle) -> Unit)
 
-    /** Gives up the results at [handles]. */
-    fun release(handles: List<ResultHandle>) {
+    private val waiting = mutableMapOf<SocketAddress, MutableList<Release>>()
+
+    /** Gives up the results at [handles]; [done] is told of each that its endpoint has dropped. */
+    fun release(handles: List<ResultHandle>, done: (ResultHandle) -> Unit) {
         for (handle in handles) {
             val maker = StageCodec.makerOf(handle.value) ?: continue
             val list = waiting.getOrPut(maker) {
                 thread.after(GATHER_TIME) { flush(maker) }
                 mutableListOf()
             }
-            list += handle
+            list += Release(handle, done)
         }
     }
 
     private fun flush(maker: SocketAddress) {
-        val handles = waiting.remove(maker) ?: return
+        val releases = waiting.remove(maker) ?: return
         val endpoint = endpointAt(maker) ?: return
         endpoint.connections.acquire(
             mayRepeat = true,
             opened = { connection ->
                 val timer = thread.after(ANSWER_LIMIT) { connection.close() }
-                connection.send(request(endpoint, handles), requestId = null, AnswerCollector { timer.cancel() })
+                val collector = AnswerCollector { end ->
+                    timer.cancel()
+                    if (end is ExchangeEnd.Answered) releases.forEach { it.done(it.handle) }
+                }
+                connection.send(request(endpoint, releases.map { it.handle }), requestId = null, collector)
             },
             // The results end by themselves after the time that the endpoint keeps them.
             failed = {},
@@ -54,7 +61,7 @@
     }
 
     private companion object {
-        val GATHER_TIME = 20.milliseconds
+        val GATHER_TIME = 5.milliseconds
         val ANSWER_LIMIT = 2.seconds
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
@@ -23,6 +23,8 @@
 import org.bilberryhead.platform.wire.WirePaths
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 import kotlin.time.Instant
 
 /** What became of a piece that was asked for. */
@@ -33,8 +35,8 @@
     /** The call was refused or failed; the piece may be asked for again. */
     data class CallFailed(val reason: String) : PieceEnd
 
-    /** The deadline passed before its turn. */
-    data object Expired : PieceEnd
+    /** It will not be of use any more when its turn comes; the pieces ahead of it take [backlog]. */
+    data class Hopeless(val backlog: Duration) : PieceEnd
 }
 
 /** What a [StageRunner] needs of the process. */
@@ -43,8 +45,8 @@
     val exchange: SingleExchange
     val decisions: DecisionLog
 
-    /** Tells the endpoints that nobody needs the results at [handles]. */
-    fun release(handles: List<ResultHandle>)
+    /** Tells the endpoints that nobody needs the results at [handles]; [done] is told of each that was dropped. */
+    fun release(handles: List<ResultHandle>, done: (ResultHandle) -> Unit)
 
     /** Endpoints of [pool] that may get new work. */
     fun usable(pool: PoolName): List<EndpointEntry>
@@ -58,15 +60,18 @@
     private val chooser: PieceEndpointChooser,
 ) {
     private val room = ResultRoom(shape.roomBytes, shape.keepTime)
-    private val queue = PieceQueue(shape.batchSize)
+    private val queue = PieceQueue()
     private val listeners = mutableMapOf<StagePiece, (PieceEnd) -> Unit>()
     private var isPumpDue = false
+    private var nextCheckAt = context.thread.now()
+    private var meanResultBytes = 1.0
 
     /** Usual time from the start of a call to its end. */
     val usualCallTime: Duration get() = shape.callTime + shape.pieceTime * (shape.batchSize / 2)
 
     /** Asks for [pieces] of one request; [ended] is told once of each, unless they are dropped. */
     fun ask(pieces: List<StagePiece>, ended: (StagePiece, PieceEnd) -> Unit) {
+        pieces.forEach { meanResultBytes += (it.resultBytes - meanResultBytes) * SIZE_WEIGHT }
         pieces.forEach { piece -> listeners[piece] = { end -> ended(piece, end) } }
         queue.add(pieces, context.thread.now())
         pumpSoon(GATHER_TIME)
@@ -78,10 +83,9 @@
         listeners.keys.removeAll { it.request == request }
     }
 
-    /** Gives up results that nobody needs any more. */
-    fun release(handles: List<ResultHandle>) {
-        context.release(handles)
-        handles.forEach(room::released)
+    /** Gives up results that nobody needs any more. Their room is free once their endpoints say so. */
+    fun release(handles: List<ResultHandle>) = context.release(handles) { handle ->
+        room.released(handle, context.thread.now())
         if (queue.size > 0) pumpSoon(GATHER_TIME)
     }
 
@@ -96,7 +100,7 @@
 
     private fun pump() {
         val now = context.thread.now()
-        queue.takeExpired(now).forEach { tell(it, PieceEnd.Expired) }
+        refuseHopeless(now)
         while (queue.size > 0) {
             val candidates = context.usable(pool)
             if (candidates.isEmpty()) return failAll()
@@ -105,12 +109,30 @@
                 room.isUnused(id) || room.free(id, now) >= needed
             }
             if (endpoint == null) return pumpSoon(ROOM_CHECK)
-            val batch = queue.takeBatch(now, room.free(endpoint.id, now), endpoint.dataCentre)
+            val batch = queue.takeBatch(now, steadyBatch(), room.free(endpoint.id, now), endpoint.dataCentre)
             if (batch.isEmpty()) return pumpSoon(PREFERENCE_CHECK)
             call(endpoint, batch, now)
         }
     }
 
+    private fun refuseHopeless(now: Instant) {
+        if (now < nextCheckAt) return
+        nextCheckAt = now + HOPELESS_CHECK
+        val perSecond = perSecond()
+        val hopeless = queue.takeHopeless(now, perSecond)
+        val backlog = (queue.size / perSecond).seconds
+        hopeless.forEach { tell(it, PieceEnd.Hopeless(backlog)) }
+    }
+
+    /** Pieces that the known endpoints make in a second, in calls of the usual size. */
+    private fun perSecond(): Double {
+        val places = context.usable(pool).size.coerceAtLeast(1) * shape.concurrentCalls
+        val pieces = steadyBatch()
+        return places * pieces / (shape.callTime + shape.pieceTime * pieces).toDouble(DurationUnit.SECONDS)
+    }
+
+    private fun steadyBatch(): Int = room.steadyBatch(shape, meanResultBytes.toLong())
+
     private fun failAll() = queue.takeAll().forEach { tell(it, PieceEnd.CallFailed("no endpoint is known")) }
 
     private fun call(endpoint: EndpointEntry, pieces: List<StagePiece>, now: Instant) {
@@ -209,6 +231,8 @@
         val LIMIT_SLACK = 500.milliseconds
         val GATHER_TIME = 4.milliseconds
         val PREFERENCE_CHECK = 20.milliseconds
+        val HOPELESS_CHECK = 100.milliseconds
+        const val SIZE_WEIGHT = 0.05
         val ROOM_CHECK = 50.milliseconds
     }
 }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -56,8 +56,6 @@
         awaitFeed()
     }
 
-    private val feeds = CountDownLatch(2)
-
     private fun awaitFeed() {
         repeat(MOST_TRIES) {
             val status = Socket(HOST, settings.readiness.port).use {
@@ -94,7 +92,9 @@
     /** Opens a connection as a caller. */
     fun connect() = Socket(HOST, settings.callers.port).apply { soTimeout = 10_000 }
 
-    /** Sends [text] on a connection of its own and returns the answer, or null when the connection ended without one. */
+    /**
+     * Sends [text] on a connection of its own and returns the answer, or null when the connection ended without one.
+     */
     fun send(text: String): RawMessage? = connect().use {
         it.getOutputStream().writeText(text)
         it.getInputStream().readMessage()
