--- a/core/src/main/kotlin/org/bilberryhead/core/serving/ResultRoom.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ResultRoom.kt
@@ -39,14 +39,16 @@
         reserved.merge(endpoint, bytes, Long::plus)
     }
 
-    /** Ends a reservation of [bytes]; what was made is counted with [made]. */
-    fun settle(endpoint: EndpointId, bytes: Long, foundNoRoom: Boolean) {
+    /**
+     * Ends a reservation of [bytes], of which [madeBytes] were made. Where a piece found no room, what this coordinator
+     * has there is all that fits beside the results of others.
+     */
+    fun settle(endpoint: EndpointId, bytes: Long, madeBytes: Long, foundNoRoom: Boolean) {
         reserved.merge(endpoint, -bytes, Long::plus)
-        val window = window(endpoint)
         windows[endpoint] = if (foundNoRoom) {
-            max(roomBytes * SMALLEST_PART, window * SHRINK)
+            max(roomBytes * SMALLEST_PART, min(window(endpoint), (used(endpoint) + madeBytes).toDouble()))
         } else {
-            min(roomBytes * LARGEST_PART, window + roomBytes * GROWTH)
+            min(roomBytes * LARGEST_PART, window(endpoint) + roomBytes * GROWTH)
         }
     }
 
@@ -85,10 +87,9 @@
     private companion object {
         /** Sizes of results are approximate. */
         const val LARGEST_PART = 0.92
-        const val SMALLEST_PART = 0.08
+        const val SMALLEST_PART = 0.12
         val FIRST_HOLD_TIME = 500.milliseconds
         const val HOLD_WEIGHT = 0.02
-        const val SHRINK = 0.9
-        const val GROWTH = 0.01
+        const val GROWTH = 0.03
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/Main.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/Main.kt
@@ -5,11 +5,15 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.serialization.json.Json
 import org.bilberryhead.daemon.DaemonCommand
 import org.bilberryhead.daemon.MonotonicClock
 import org.bilberryhead.daemon.TerminationSignal
 import org.bilberryhead.daemon.newMeterRegistry
 import sun.misc.Signal
+import kotlin.concurrent.thread
+import kotlin.io.path.createTempFile
+import kotlin.io.path.writeText
 import kotlin.random.Random
 import kotlin.system.exitProcess
 
@@ -17,7 +21,8 @@
 class ForwardingCommand : DaemonCommand<ForwardingSettings>("bilberry-forwarding", ForwardingSettings.serializer()) {
     override suspend fun serve(settings: ForwardingSettings) {
         val signal = TerminationSignal(settings.drainLimit)
-        val daemon = startDaemon(settings)
+        val daemon = ForwardingDaemon(settings, newEventThread(), ForwardingMetrics(newMeterRegistry()), Random.Default)
+        daemon.start()
         Signal.handle(Signal("HUP")) { daemon.reload() }
         signal.await()
         val drained = CompletableDeferred<Unit>()
@@ -32,22 +37,20 @@
     return EventThread(loop, MonotonicClock())
 }
 
-private fun startDaemon(settings: ForwardingSettings): ForwardingDaemon {
-    val metrics = ForwardingMetrics(newMeterRegistry())
-    val daemon = ForwardingDaemon(settings, newEventThread(), metrics, Random.Default)
-    daemon.start()
-    return daemon
-}
-
 private const val TRAINING_OPTION = "--training-run"
 
+/** Starts the command as a user would, with [settings] in a file. */
+private fun startCommand(settings: ForwardingSettings) {
+    val file = createTempFile("training", ".json")
+    file.toFile().deleteOnExit()
+    file.writeText(Json.encodeToString(ForwardingSettings.serializer(), settings))
+    thread(isDaemon = true) { ForwardingCommand().main(listOf("--settings", file.toString())) }
+}
+
 /** Starts an entry; with `--training-run` only serves a few requests of its own on loopback and ends. */
 fun main(arguments: Array<String>) {
     if (TRAINING_OPTION in arguments) {
-        // The settings given beside the option are read and checked, so that the archive holds what reading takes.
-        val others = arguments.filter { it != TRAINING_OPTION }
-        if (others.isNotEmpty()) ForwardingCommand().main(others)
-        val answered = TrainingRun(::newEventThread) { startDaemon(it) }.run()
+        val answered = TrainingRun(::newEventThread, ::startCommand).run()
         exitProcess(if (answered > 0) 0 else 1)
     }
     ForwardingCommand().main(arguments)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
@@ -137,28 +137,37 @@
 
     private fun call(endpoint: EndpointEntry, pieces: List<StagePiece>, now: Instant) {
         chooser.begin(endpoint.id)
-        val bytes = pieces.sumOf { it.resultBytes }
-        room.reserve(endpoint.id, bytes)
+        room.reserve(endpoint.id, pieces.sumOf { it.resultBytes })
         val expected = chooser.expectedTime(endpoint.id, pieces.size)
         val limit = expected * LIMIT_FACTOR + LIMIT_SLACK
         context.exchange.run(endpoint.address, request(endpoint, pieces, now), limit) { end ->
             val ended = context.thread.now()
             val results = resultsOf(end, pieces.size)
             chooser.end(endpoint.id, failed = results == null, slowness = (ended - now) / expected, ended)
-            room.settle(endpoint.id, bytes, foundNoRoom = results.orEmpty().any { it is PieceResult.NoRoom })
-            results?.let { keep(endpoint, pieces, it, ended) }
+            settleRoom(endpoint, pieces, results.orEmpty(), ended)
             log(endpoint, pieces, end, results, ended - now)
             deliver(pieces, results, end)
             pumpSoon(Duration.ZERO)
         }
     }
 
-    private fun keep(endpoint: EndpointEntry, pieces: List<StagePiece>, results: List<PieceResult>, now: Instant) =
-        results.forEachIndexed { index, result ->
-            if (result is PieceResult.Made) {
-                room.made(ResultHandle(result.handle), endpoint.id, pieces[index].resultBytes, now)
-            }
+    private fun settleRoom(
+        endpoint: EndpointEntry,
+        pieces: List<StagePiece>,
+        results: List<PieceResult>,
+        now: Instant,
+    ) {
+        val made = pieces.zip(results).filter { (_, result) -> result is PieceResult.Made }
+        room.settle(
+            endpoint.id,
+            bytes = pieces.sumOf { it.resultBytes },
+            madeBytes = made.sumOf { (piece, _) -> piece.resultBytes },
+            foundNoRoom = results.any { it is PieceResult.NoRoom },
+        )
+        for ((piece, result) in made) {
+            if (result is PieceResult.Made) room.made(ResultHandle(result.handle), endpoint.id, piece.resultBytes, now)
         }
+    }
 
     private fun deliver(pieces: List<StagePiece>, results: List<PieceResult>?, end: ExchangeEnd) {
         pieces.forEachIndexed { index, piece ->
