Catch up from other entries while the store does not answer

Cause: an entry that started while the store was away, or that the store turned away, had no configuration, no endpoints or old ones. It now asks the other entries for what the store told them, and takes what is newer. A test found that a draining entry refused plain requests of routes without an objective; what is usual is now bounded by the time of the route.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -18,9 +18,12 @@
 import org.bilberryhead.forwarding.http.SingleExchange
 import org.bilberryhead.forwarding.http.SmallAnswer
 import org.bilberryhead.forwarding.http.SmallServer
+import org.bilberryhead.forwarding.peer.PeerCatchUp
 import org.bilberryhead.forwarding.peer.PeerClient
 import org.bilberryhead.forwarding.peer.PeerHandler
 import org.bilberryhead.forwarding.peer.Peers
+import org.bilberryhead.forwarding.peer.SnapshotMessage
+import org.bilberryhead.forwarding.peer.StoreKnowledge
 import org.bilberryhead.forwarding.request.RequestAdmission
 import org.bilberryhead.forwarding.request.ServingState
 import org.bilberryhead.forwarding.request.WaitingRoom
@@ -82,6 +85,10 @@
     private val admission = RequestAdmission(state)
     private val endpointListener = EndpointListener(directory, endpoints, thread, decisions)
     private val configurationListener = ConfigurationListener(decisions) { state.matcher = it }
+    private val operatorWatch =
+        watch(WireTables.OPERATOR, WatchTimings(wait = 2.seconds, pause = Duration.ZERO), configurationListener)
+    private val endpointWatch =
+        watch(WireTables.ENDPOINTS, WatchTimings(wait = 2.seconds, pause = 400.milliseconds), endpointListener)
     private val callerState = DaemonCallerState()
     private val callers = CallerServer(thread, callerState, admission)
     private var drainingSince: Instant? = null
@@ -97,6 +104,16 @@
         override fun usable(pool: PoolName): List<EndpointEntry> = directory.usable(pool)
     }
 
+    private val knowledge = object : StoreKnowledge {
+        override val isFresh: Boolean get() = operatorWatch.isAnswering && endpointWatch.isAnswering
+        override val age: Duration? get() = endpointsAge()
+
+        override fun take(snapshot: SnapshotMessage, withEndpoints: Boolean) {
+            snapshot.configuration?.let(configurationListener::take)
+            if (withEndpoints) endpointListener.takeFromPeer(snapshot.endpoints)
+        }
+    }
+
     /** Listens and begins to follow the store. Throws `IOException` when an address can not be listened on. */
     fun start() {
         endpoints.roomFreed = waitingRoom::roomFreed
@@ -105,7 +122,7 @@
         CallerServer(
             thread,
             callerState,
-            PeerHandler(thread, ::stageRunner, configurationListener::newestText),
+            PeerHandler(thread, ::stageRunner, ::snapshot),
         ).listen(settings.peers)
         SmallServer(thread) { SmallAnswer(OK, metrics.scrape()) }.listen(settings.metrics)
         thread.loop.execute(::followStore)
@@ -116,16 +133,28 @@
     }
 
     private fun followStore() {
-        watch(WireTables.OPERATOR, WatchTimings(wait = 2.seconds, pause = Duration.ZERO), configurationListener)
-        watch(WireTables.ENDPOINTS, WatchTimings(wait = 2.seconds, pause = 400.milliseconds), endpointListener)
-        watch(WireTables.ENTRIES, WatchTimings(wait = 25.seconds, pause = Duration.ZERO), roster)
+        operatorWatch.start()
+        endpointWatch.start()
+        watch(WireTables.ENTRIES, WatchTimings(wait = 25.seconds, pause = Duration.ZERO), roster).start()
+        PeerCatchUp(thread, exchange, knowledge, decisions, ::peerAddresses).start()
         EntryRegistration(settings.id, ownRow, settings.store, thread, exchange, decisions).start()
         thread.every(TICK) { endpointListener.tick() }
         thread.every(FADE_INTERVAL) { endpoints.fade() }
     }
 
     private fun watch(table: String, timings: WatchTimings, listener: TableListener) =
-        StoreTableWatch(table, settings.store, timings, thread, connector, decisions, metrics, random, listener).start()
+        StoreTableWatch(table, settings.store, timings, thread, connector, decisions, metrics, random, listener)
+
+    private fun peerAddresses() =
+        (settings.seeds + roster.records.map { it.peers }).distinct().filter { it != settings.peers }
+
+    private fun snapshot() = SnapshotMessage(
+        configuration = configurationListener.newestText,
+        endpoints = endpointListener.newestTexts,
+        ageMs = endpointsAge()?.inWholeMilliseconds,
+    )
+
+    private fun endpointsAge(): Duration? = endpointWatch.freshAt?.let { thread.now() - it }
 
     /** Begins to end: takes no new connections, finishes what is being served, then calls [ended]. */
     fun drain(ended: () -> Unit) = thread.loop.execute {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerHandler.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerHandler.kt
@@ -19,12 +19,12 @@
 internal class PeerHandler(
     private val thread: EventThread,
     private val runner: (PoolName) -> StageRunner?,
-    private val configuration: () -> String?,
+    private val snapshot: () -> SnapshotMessage,
 ) : RequestHandler {
     override fun serve(request: CallerRequest, answer: CallerAnswer): CallerGone {
         when (request.path) {
             PeerPaths.ALIVE -> answer.whole(plain(OK))
-            PeerPaths.CONFIGURATION -> answer.whole(configuration()?.let { plain(OK, it) } ?: plain(NOT_FOUND))
+            PeerPaths.SNAPSHOT -> answer.whole(message(PeerCodec.encode(SnapshotMessage.serializer(), snapshot())))
             PeerPaths.RELEASE -> release(request, answer)
             PeerPaths.PIECES -> return makePieces(request, answer)
             else -> answer.whole(plain(NOT_FOUND))
@@ -45,7 +45,7 @@
             answer.whole(plain(if (message == null) BAD_REQUEST else NOT_FOUND))
             return CallerGone { }
         }
-        answer.begin(AnswerHead(OK, DefaultHttpHeaders().add("Content-Type", "application/cbor")))
+        answer.begin(AnswerHead(OK, cborHeaders()))
         answer.part(ByteArray(0))
         val pieces = message.pieces.map { it.toPiece(thread.now()) }
         val ends = mutableListOf<PieceEndMessage>()
@@ -66,8 +66,11 @@
         answer.finish()
     }
 
-    private fun plain(status: Int, text: String = "") =
-        WholeAnswer(AnswerHead(status, EmptyHttpHeaders.INSTANCE), text.encodeToByteArray())
+    private fun plain(status: Int) = WholeAnswer(AnswerHead(status, EmptyHttpHeaders.INSTANCE), ByteArray(0))
+
+    private fun message(body: ByteArray) = WholeAnswer(AnswerHead(OK, cborHeaders()), body)
+
+    private fun cborHeaders() = DefaultHttpHeaders().add("Content-Type", "application/cbor")
 
     private companion object {
         const val OK = 200
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerMessages.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerMessages.kt
@@ -17,8 +17,8 @@
 
 /** Paths of the interface between entries. */
 internal object PeerPaths {
-    /** The newest configuration, as the operators wrote it. */
-    const val CONFIGURATION = "/configuration"
+    /** What the entry knows from the store. */
+    const val SNAPSHOT = "/snapshot"
 
     /** Makes pieces; the head of the answer tells that they are queued, its body what became of them. */
     const val PIECES = "/stage-pieces"
@@ -136,6 +136,16 @@
 @Serializable
 internal data class PieceEndsMessage(val ends: List<PieceEndMessage>)
 
+/**
+ * What an entry knows from the store.
+ *
+ * @property configuration the newest configuration as operators wrote it, or null before the first
+ * @property endpoints what endpoints wrote about themselves, by their ids
+ * @property ageMs how long ago the store told the endpoints, or null when it never did
+ */
+@Serializable
+internal data class SnapshotMessage(val configuration: String?, val endpoints: Map<String, String>, val ageMs: Long?)
+
 /** Results of a pool that nobody needs any more. */
 @Serializable
 internal data class ReleaseMessage(val pool: PoolName, val handles: List<String>)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
@@ -42,7 +42,8 @@
     /** While the process drains, takes only what it can most likely finish. */
     private fun isInTime(route: ServingRoute): Boolean {
         val left = (endsAt ?: return true) - state.thread.now()
-        return left > if (route.repeatRule.isStream) STREAM_TIME else route.objective * OBJECTIVES
+        val usual = if (route.repeatRule.isStream) STREAM_TIME else route.objective * OBJECTIVES
+        return left > minOf(usual, route.timeout)
     }
 
     private fun start(request: AdmittedRequest, answer: CallerAnswer): CallerGone {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EndpointListener.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EndpointListener.kt
@@ -17,6 +17,15 @@
     private val thread: EventThread,
     private val decisions: DecisionLog,
 ) : TableListener {
+    private val texts = mutableMapOf<EndpointId, String>()
+
+    /** What the known endpoints wrote, by their ids, for entries that can not read the store. */
+    val newestTexts: Map<String, String> get() = texts.entries.associate { (id, text) -> id.value to text }
+
+    /** Takes what a peer knows in place of what this entry last read from the store. */
+    fun takeFromPeer(known: Map<String, String>) =
+        apply(directory.replaceAll(known.mapNotNull { (id, text) -> decode(id, text) }, thread.now()))
+
     override fun replaced(rows: List<StoreRow>, afterOutage: Boolean) {
         val now = thread.now()
         if (afterOutage) directory.storeRegained(now)
@@ -34,15 +43,21 @@
     /** Drops what has lapsed for too long. */
     fun tick() = apply(directory.tick(thread.now()))
 
-    private fun decode(row: StoreRow): EndpointEntry? {
-        val value = row.value ?: return null
-        val entry = EndpointEntryDecoder.decode(row.key, value)
-        if (entry == null) decisions.write("endpoint entry unreadable") { mapOf("endpoint" to row.key) }
+    private fun decode(row: StoreRow): EndpointEntry? = row.value?.let { decode(row.key, it) }
+
+    private fun decode(id: String, text: String): EndpointEntry? {
+        val entry = EndpointEntryDecoder.decode(id, text)
+        if (entry == null) {
+            decisions.write("endpoint entry unreadable") { mapOf("endpoint" to id) }
+        } else {
+            texts[entry.id] = text
+        }
         return entry
     }
 
     private fun apply(changes: List<EndpointChange>) {
         endpoints.changed(changes)
+        changes.forEach { if (it is EndpointChange.Gone) texts.remove(it.id) }
         for (change in changes) {
             decisions.write("endpoint changed") {
                 mapOf("endpoint" to change.id, "change" to change::class.simpleName, "pool" to poolOf(change))
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ForwardingTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ForwardingTest.kt
@@ -259,6 +259,56 @@
             }
         }
 
+        describe("an entry that starts while the store is away") {
+            it("serves with what another entry knows") {
+                ScriptedEndpoint { answer(body = "found") }.use { endpoint ->
+                    LoopbackDeployment(LoopbackDeployment.CONFIGURATION, mapOf("p" to listOf(endpoint))).use { first ->
+                        LoopbackDeployment(
+                            null,
+                            emptyMap(),
+                            listOf(first.settings.peers),
+                            isStoreUp = false,
+                        ).use { second ->
+                            second.isReady() shouldBe true
+                            second.get("/lookup/a").shouldNotBeNull().body shouldBe "found"
+                        }
+                    }
+                }
+            }
+        }
+
+        describe("an entry that is asked to end") {
+            it("is not ready, serves what still comes on open connections and closes them, and ends") {
+                deploy({ answer() }) { entry, _ ->
+                    entry.connect().use {
+                        val request = "GET /order/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nX-Api-Key: k\r\n\r\n"
+                        it.getOutputStream().writeText(request)
+                        it.getInputStream().readMessage().shouldNotBeNull().header("Connection") shouldBe null
+                        val ended = entry.drain()
+                        while (entry.isReady()) TimeUnit.MILLISECONDS.sleep(5)
+                        it.getOutputStream().writeText(request)
+                        val last = it.getInputStream().readMessage().shouldNotBeNull()
+                        last.head shouldStartWith "HTTP/1.1 200"
+                        last.header("Connection") shouldBe "close"
+                        it.getInputStream().read() shouldBe -1
+                        ended.await(10, TimeUnit.SECONDS) shouldBe true
+                    }
+                }
+            }
+
+            it("refuses what it can not finish in the time that is left, as not run") {
+                deploy({ answer() }) { entry, endpoints ->
+                    val ended = entry.drain()
+                    var answer = entry.get("/stream/a").shouldNotBeNull()
+                    while (" 503 " !in answer.head && ended.count > 0) answer = entry.get("/stream/a").shouldNotBeNull()
+                    val arrived = arrivals(endpoints).size
+                    answer.head shouldContain " 503 "
+                    answer.header("Retry-After").shouldNotBeNull()
+                    arrivals(endpoints) shouldHaveSize arrived
+                }
+            }
+        }
+
         describe("a request that is not served") {
             it("is told so by its status") {
                 deploy({ answer() }) { entry, endpoints ->
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -30,6 +30,8 @@
 internal class LoopbackDeployment(
     private val configuration: String?,
     private val pools: Map<String, List<ScriptedEndpoint>>,
+    private val seeds: List<SocketAddress> = emptyList(),
+    private val isStoreUp: Boolean = true,
 ) : AutoCloseable {
     private val storeThread = newThread()
     private val entryThread = newThread()
@@ -42,6 +44,7 @@
         readiness = freeAddress(),
         peers = freeAddress(),
         metrics = freeAddress(),
+        seeds = seeds,
         store = store,
         drainLimit = 8.seconds,
         retrySlack = 50.0,
@@ -49,24 +52,29 @@
     private val daemon = ForwardingDaemon(settings, entryThread, ForwardingMetrics(newMeterRegistry()), Random(1))
 
     init {
-        SmallServer(storeThread, ::answer).listen(store)
+        if (isStoreUp) SmallServer(storeThread, ::answer).listen(store)
         daemon.start()
-        check(allRead.await(10, TimeUnit.SECONDS)) { "the entry did not read the store" }
+        if (isStoreUp) check(allRead.await(10, TimeUnit.SECONDS)) { "the entry did not read the store" }
         // What was read is in force once the entry's thread has nothing older to do.
         awaitFeed()
     }
 
     private fun awaitFeed() {
         repeat(MOST_TRIES) {
-            val status = Socket(HOST, settings.readiness.port).use {
-                it.getOutputStream().writeText("GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n")
-                it.getInputStream().readMessage()?.head.orEmpty()
-            }
-            if (" 200 " in status || configuration == null) return
+            if (isReady() || (configuration == null && isStoreUp)) return
             TimeUnit.MILLISECONDS.sleep(20)
         }
     }
 
+    /** What the balancer is told. */
+    fun isReady(): Boolean = Socket(HOST, settings.readiness.port).use {
+        it.getOutputStream().writeText("GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        " 200 " in it.getInputStream().readMessage()?.head.orEmpty()
+    }
+
+    /** Asks the entry to end; returns what happens when it has. */
+    fun drain(): CountDownLatch = CountDownLatch(1).also { ended -> daemon.drain { ended.countDown() } }
+
     private fun answer(request: FullHttpRequest): SmallAnswer {
         val uri = request.uri()
         return when {
