Hand a pool over to the next coordinator when its own drains

Cause: while all entries were restarted in turn, pieces in flight at a coordinator were lost with it, and their results kept memory for 4 s. A draining entry makes what was asked of it and refuses new pieces. The window for results grows faster again, pieces wait longer for their data centre, and the endpoints' table is read less often.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/PieceQueue.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/PieceQueue.kt
@@ -150,12 +150,12 @@
     private companion object {
         val PRIORITY_STEP = 250.milliseconds
         val LATE_DELAY = 6.seconds
-        val DISTANCE_DELAY = 300.milliseconds
+        val DISTANCE_DELAY = 600.milliseconds
         val LATE_WINDOW = 1.seconds
 
         /** Part of the pool's rate that late pieces are taken to have when none went lately. */
         const val LEAST_LATE_PART = 0.15
         val TURN_SLACK = 500.milliseconds
-        val PREFERENCE_WAIT = 80.milliseconds
+        val PREFERENCE_WAIT = 150.milliseconds
     }
 }
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/ResultRoom.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ResultRoom.kt
@@ -90,6 +90,6 @@
         const val SMALLEST_PART = 0.12
         val FIRST_HOLD_TIME = 500.milliseconds
         const val HOLD_WEIGHT = 0.02
-        const val GROWTH = 0.03
+        const val GROWTH = 0.08
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -88,7 +88,7 @@
     private val operatorWatch =
         watch(WireTables.OPERATOR, WatchTimings(wait = 2.seconds, pause = Duration.ZERO), configurationListener)
     private val endpointWatch =
-        watch(WireTables.ENDPOINTS, WatchTimings(wait = 2.seconds, pause = 400.milliseconds), endpointListener)
+        watch(WireTables.ENDPOINTS, WatchTimings(wait = 2.seconds, pause = 900.milliseconds), endpointListener)
     private val callerState = DaemonCallerState()
     private val callers = CallerServer(thread, callerState, admission)
     private var drainingSince: Instant? = null
@@ -122,7 +122,7 @@
         CallerServer(
             thread,
             callerState,
-            PeerHandler(thread, ::stageRunner, ::snapshot),
+            PeerHandler(thread, ::stageRunner, ::snapshot) { drainingSince != null },
         ).listen(settings.peers)
         SmallServer(thread) { SmallAnswer(OK, metrics.scrape()) }.listen(settings.metrics)
         thread.loop.execute(::followStore)
@@ -200,7 +200,7 @@
 
     private fun stage(pool: PoolName): CoordinatedStage? {
         val local = stageRunner(pool) ?: return null
-        return stages.getOrPut(pool) { CoordinatedStage(pool, local, peers, thread) }
+        return stages.getOrPut(pool) { CoordinatedStage(pool, local, peers, thread) { drainingSince != null } }
     }
 
     private fun answerBalancer(request: FullHttpRequest): SmallAnswer {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerClient.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerClient.kt
@@ -55,6 +55,9 @@
     /** Where the peer is reached. */
     val address: SocketAddress get() = record.peers
 
+    /** Passes the peer over for a while: it said that it leaves. */
+    fun passOver() = reachability.failed(thread.now())
+
     /** Sends [body] to [path]; [ended] hears once how it went, unless the exchange is called off. */
     fun call(path: String, body: ByteArray, ended: (ExchangeEnd) -> Unit): PeerExchange {
         val exchange = PeerExchange()
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerHandler.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerHandler.kt
@@ -20,13 +20,15 @@
     private val thread: EventThread,
     private val runner: (PoolName) -> StageRunner?,
     private val snapshot: () -> SnapshotMessage,
+    private val isDraining: () -> Boolean,
 ) : RequestHandler {
     override fun serve(request: CallerRequest, answer: CallerAnswer): CallerGone {
         when (request.path) {
             PeerPaths.ALIVE -> answer.whole(plain(OK))
             PeerPaths.SNAPSHOT -> answer.whole(message(PeerCodec.encode(SnapshotMessage.serializer(), snapshot())))
             PeerPaths.RELEASE -> release(request, answer)
-            PeerPaths.PIECES -> return makePieces(request, answer)
+            // What is asked for already is still made; who asks now finds the next coordinator.
+            PeerPaths.PIECES -> if (isDraining()) answer.whole(plain(LEAVING)) else return makePieces(request, answer)
             else -> answer.whole(plain(NOT_FOUND))
         }
         return CallerGone { }
@@ -76,5 +78,6 @@
         const val OK = 200
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
+        const val LEAVING = 503
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/CoordinatedStage.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/CoordinatedStage.kt
@@ -30,6 +30,7 @@
     private val local: StageRunner,
     private val coordinators: Coordinators,
     private val thread: EventThread,
+    private val isDraining: () -> Boolean,
 ) {
     private val exchanges = mutableMapOf<RequestId, MutableSet<PeerExchange>>()
     private val released = mutableListOf<ResultHandle>()
@@ -50,7 +51,12 @@
         exchange = peer.call(PeerPaths.PIECES, body) { end ->
             exchange?.let { exchanges[request]?.remove(it) }
             val ends = endsOf(end)
-            if (ends == null) ask(pieces, passedOver + peer, ended) else deliver(pieces, ends, ended)
+            if (ends == null) {
+                peer.passOver()
+                ask(pieces, passedOver + peer, ended)
+            } else {
+                deliver(pieces, ends, ended)
+            }
         }
         exchanges.getOrPut(request) { mutableSetOf() } += exchange
     }
@@ -90,9 +96,9 @@
         peer.call(PeerPaths.RELEASE, body) { end -> if (end !is ExchangeEnd.Answered) local.release(handles) }
     }
 
-    /** The peer that coordinates, or null when this entry does. */
+    /** The peer that coordinates, or null when this entry does. An entry that ends leaves it to the others. */
     private fun coordinator(passedOver: Set<PeerClient>): PeerClient? = coordinators.of(pool)
-        .firstOrNull { (_, peer) -> peer == null || (peer.isUsable && peer !in passedOver) }
+        .firstOrNull { (_, peer) -> if (peer == null) !isDraining() else peer.isUsable && peer !in passedOver }
         ?.second
 
     private companion object {
