--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointLoad.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointLoad.kt
@@ -75,9 +75,6 @@
         return currentTime(now) * rounds * (1 + FAULT_PENALTY * currentFaultRate(now))
     }
 
-    /** Share of the slots that are taken, after the newest report and this entry's own requests. */
-    fun occupancy(now: Instant): Double = (inFlight + othersInFlight(now)) / slots.toDouble()
-
     /** Share of recent exchanges that failed, fading with time so that an endpoint is tried again. */
     fun currentFaultRate(now: Instant): Double {
         val since = faultAt ?: return 0.0
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EngineBook.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EngineBook.kt
@@ -57,9 +57,6 @@
         return maxOf(milliseconds.milliseconds * slowness, longestWait / 2)
     }
 
-    /** Requests at the engine by the newest report and this entry's own books. */
-    fun occupied(now: Instant): Int = running + othersRunning(now)
-
     /** Counts a request that is sent now and returns the record to end it with. */
     fun begin(prompt: Prompt, now: Instant): EngineVisit {
         val tokens = tokensToRead(prompt, now)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -125,6 +125,10 @@
             PeerHandler(thread, ::stageRunner, ::snapshot) { drainingSince != null },
         ).listen(settings.peers)
         SmallServer(thread) { SmallAnswer(OK, metrics.scrape()) }.listen(settings.metrics)
+        metrics.gauge("bilberry.requests.running", "Requests that are being served") { admission.runningCount }
+        metrics.gauge("bilberry.pieces.waiting", "Pieces that wait for a call of this coordinator") {
+            stageRunners.values.sumOf { it.waitingCount }
+        }
         thread.loop.execute(::followStore)
         log.atInfo {
             message = "started"
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
@@ -69,6 +69,9 @@
     /** Usual time from the start of a call to its end. */
     val usualCallTime: Duration get() = shape.callTime + shape.pieceTime * (shape.batchSize / 2)
 
+    /** Pieces that wait for a call. */
+    val waitingCount: Int get() = queue.size
+
     /** Asks for [pieces] of one request; [ended] is told once of each, unless they are dropped. */
     fun ask(pieces: List<StagePiece>, ended: (StagePiece, PieceEnd) -> Unit) {
         pieces.forEach { meanResultBytes += (it.resultBytes - meanResultBytes) * SIZE_WEIGHT }
