Add the fault soak

Entries run as processes of their own behind proxies that delay, reset, silence or cut one way; they are killed, stopped, paused and signalled, the store is cut off or turns calls away, and endpoints refuse, fail, break off and answer twice. What endpoints ran is compared with what callers were told; after the faults every entry has to serve every kind.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/TrainingRun.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/TrainingRun.kt
@@ -7,6 +7,7 @@
 import org.bilberryhead.forwarding.http.SmallAnswer
 import org.bilberryhead.forwarding.http.SmallServer
 import org.bilberryhead.platform.wire.SampleDeployment
+import org.bilberryhead.platform.wire.SampleEndpoint
 import org.bilberryhead.platform.wire.WireHeaders
 import java.io.IOException
 import java.net.HttpURLConnection
@@ -20,7 +21,10 @@
 internal class TrainingRun(private val newThread: () -> EventThread, private val start: (ForwardingSettings) -> Unit) {
     private val store = freeAddress()
     private val endpoint = freeAddress()
-    private val sample = SampleDeployment(HOST, endpoint.toString())
+    private val sample = SampleDeployment(
+        HOST,
+        SampleDeployment.Pool.entries.map { SampleEndpoint(it.wireName, it.wireName, endpoint.toString()) },
+    )
     private val settings = ForwardingSettings(
         id = DaemonId("training"),
         dataCentre = DataCentre("here"),
@@ -53,7 +57,7 @@
             WireHeaders.SIGNATURE to "signature",
             WireHeaders.LOAD to "1,0,4",
         )
-        return SmallAnswer(OK, sample.endpointAnswer(request.uri()), headers = headers)
+        return SmallAnswer(OK, sample.endpointAnswer(endpoint.toString(), request.uri()), headers = headers)
     }
 
     private fun isServed(path: String, id: String): Boolean {
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ForwardingTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ForwardingTest.kt
@@ -8,11 +8,14 @@
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldNotContain
 import io.kotest.matchers.string.shouldStartWith
+import org.bilberryhead.core.testing.http.RawMessage
+import org.bilberryhead.core.testing.http.readMessage
+import org.bilberryhead.core.testing.http.writeText
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 
-private const val CUT = "(cut)"
+private const val CUT = RawMessage.CUT
 
 class ForwardingTest :
     DescribeSpec({
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -7,6 +7,9 @@
 import org.bilberryhead.core.common.DaemonId
 import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.testing.http.RawMessage
+import org.bilberryhead.core.testing.http.readMessage
+import org.bilberryhead.core.testing.http.writeText
 import org.bilberryhead.daemon.MonotonicClock
 import org.bilberryhead.daemon.newMeterRegistry
 import org.bilberryhead.forwarding.http.SmallAnswer
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ScriptedEndpoint.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ScriptedEndpoint.kt
@@ -1,7 +1,8 @@
 package org.bilberryhead.forwarding
 
-import java.io.InputStream
-import java.io.OutputStream
+import org.bilberryhead.core.testing.http.RawMessage
+import org.bilberryhead.core.testing.http.readMessage
+import org.bilberryhead.core.testing.http.writeText
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -10,50 +11,6 @@
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 
-/** One HTTP message as it came: its head and its body. */
-internal class RawMessage(val head: String, val body: String) {
-    fun header(name: String): String? = head.lines()
-        .firstOrNull { it.startsWith("$name:", ignoreCase = true) }
-        ?.substringAfter(':')
-        ?.trim()
-
-    override fun toString(): String = "$head\n$body"
-}
-
-/** Returns the bytes up to and with [end], or null when the stream ended before. */
-private fun InputStream.readUntil(end: String): String? {
-    val text = StringBuilder()
-    while (!text.endsWith(end)) {
-        val next = read()
-        if (next < 0) return null
-        text.append(next.toChar())
-    }
-    return text.toString()
-}
-
-internal fun InputStream.readMessage(): RawMessage? {
-    val head = readUntil("\r\n\r\n") ?: return null
-    val message = RawMessage(head.trim(), "")
-    val length = message.header("Content-Length")?.toInt()
-    return when {
-        length != null -> RawMessage(message.head, readNBytes(length).decodeToString())
-        message.header("Transfer-Encoding") == "chunked" -> RawMessage(message.head, readChunks())
-        else -> message
-    }
-}
-
-/** The chunks that came; ends with "(cut)" when the last one is missing. */
-private fun InputStream.readChunks(): String {
-    val text = StringBuilder()
-    while (true) {
-        val size = readUntil("\r\n")?.trim()?.toInt(radix = 16) ?: return "$text(cut)"
-        val chunk = readNBytes(size).decodeToString()
-        readUntil("\r\n") ?: return "$text$chunk(cut)"
-        if (size == 0) return text.toString()
-        text.append(chunk)
-    }
-}
-
 /** An endpoint that does with each request what [behaviour] says, and remembers what it got. */
 internal class ScriptedEndpoint(private val behaviour: Visit.() -> Unit) : AutoCloseable {
     /** One request at the endpoint. */
@@ -110,8 +67,3 @@
 
     override fun close() = server.close()
 }
-
-internal fun OutputStream.writeText(text: String) {
-    write(text.encodeToByteArray())
-    flush()
-}
--- /dev/null
+++ b/soak/src/main/kotlin/org/bilberryhead/soak/EntryProcess.kt
@@ -0,0 +1,68 @@
+package org.bilberryhead.soak
+
+import java.io.IOException
+import java.net.Socket
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+import kotlin.io.path.createDirectories
+import kotlin.io.path.writeText
+
+/** One entry as a process of its own. Only this process is ever signalled, by its id. */
+internal class EntryProcess(number: Int, private val ports: Ports, directory: Path, storePort: Int) {
+    /** Ports that the entry listens on. */
+    class Ports(val callers: Int, val readiness: Int, val peers: Int, val metrics: Int)
+
+    private val settings = directory.createDirectories().resolve("entry-$number.json")
+    private val log = directory.resolve("entry-$number.log").toFile()
+    private var process: Process? = null
+
+    /** Where callers connect. */
+    val callerPort: Int get() = ports.callers
+
+    /** Whether the process runs. */
+    val isAlive: Boolean get() = process?.isAlive == true
+
+    init {
+        settings.writeText(
+            """
+            {"id":"entry-$number","dataCentre":"here","callers":"127.0.0.1:${ports.callers}","readiness":"127.0.0.1:${ports.readiness}",
+            "peers":"127.0.0.1:${ports.peers}","metrics":"127.0.0.1:${ports.metrics}","store":"127.0.0.1:$storePort","drainLimit":"6s",
+            "retrySlack":200}
+            """.trimIndent(),
+        )
+    }
+
+    /** Starts the process. */
+    fun start() {
+        process = ProcessBuilder(
+            "${System.getProperty("java.home")}/bin/java", "-Xmx96m", "-Xss256k", "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+            "org.bilberryhead.forwarding.MainKt", "--settings", settings.toString(),
+        ).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log)).start()
+    }
+
+    /** Sends the process a signal, such as `TERM`. */
+    fun signal(name: String) {
+        val pid = process?.pid() ?: return
+        ProcessBuilder("kill", "-$name", "$pid").redirectErrorStream(true).start().waitFor()
+    }
+
+    /** Waits for the end of the process; returns whether it came within [seconds]. */
+    fun awaitEnd(seconds: Long): Boolean = process?.waitFor(seconds, TimeUnit.SECONDS) ?: true
+
+    /** Whether the entry says that it is ready. */
+    fun isReady(): Boolean = try {
+        Socket("127.0.0.1", ports.readiness).use { socket ->
+            socket.soTimeout = READY_TIMEOUT_MS
+            socket.getOutputStream().write("GET /v1/ready HTTP/1.1\r\nHost: soak\r\n\r\n".encodeToByteArray())
+            " 200 " in socket.getInputStream().bufferedReader().readLine().orEmpty()
+        }
+    } catch (_: IOException) {
+        // Not listening, or not answering: not ready.
+        false
+    }
+
+    private companion object {
+        const val READY_TIMEOUT_MS = 1_000
+    }
+}
--- /dev/null
+++ b/soak/src/test/kotlin/org/bilberryhead/soak/SoakTest.kt
@@ -0,0 +1,19 @@
+package org.bilberryhead.soak
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import java.nio.file.Path
+import kotlin.time.Duration.Companion.seconds
+
+class SoakTest :
+    DescribeSpec({
+        describe("entries under kills, pauses, cut links and a failing store") {
+            for (seed in listOf(1, 2)) {
+                it("keep every promise to their callers, seed $seed") {
+                    val report = SoakRun(seed, entryCount = 3, Path.of("target/soak/seed-$seed")).play(8.seconds)
+                    println(report.text())
+                    report.violations.shouldBeEmpty()
+                }
+            }
+        }
+    })
