Answer what still waits before a draining entry ends

Requests that were taken in the 3 s after SIGTERM waited for their stages until the process ended, and their connections were closed with no answer. From half of the drain limit on, what was not sent is refused as not run; at the end what was sent is told as unknown. The test fails without the change.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -176,14 +176,17 @@
         val elapsed = thread.now() - since
         val isIdle = admission.runningCount == 0 && !callers.isBusy
         if (elapsed >= settings.drainLimit - DRAIN_RESERVE || (isIdle && elapsed >= BALANCER_NOTICES)) {
+            val left = admission.runningCount
+            admission.endAll()
             log.atInfo {
                 message = "stopped"
-                payload = mapOf("requests_left" to admission.runningCount, "after_ms" to elapsed.inWholeMilliseconds)
+                payload = mapOf("requests_left" to left, "after_ms" to elapsed.inWholeMilliseconds)
             }
             ended()
             return
         }
         if (elapsed >= BALANCER_NOTICES) callers.closeIdle()
+        if (elapsed >= settings.drainLimit / 2) admission.refuseWaiting()
         thread.after(DRAIN_CHECK) { awaitDrained(since, ended) }
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Refusals.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Refusals.kt
@@ -6,6 +6,7 @@
 import org.bilberryhead.platform.wire.WireHeaders
 import java.util.Locale
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
 /** Answers of this entry's own. None of them bears an endpoint's signature. */
@@ -25,6 +26,10 @@
     /** The request is not allowed, or names nothing that exists. */
     fun rejected(status: Int, requestId: String?, reason: String): WholeAnswer = answer(status, requestId, reason)
 
+    /** The time to come back that an endpoint gave, or null. */
+    fun retryAfter(answer: WholeAnswer?): Duration? =
+        answer?.head?.headers?.get(WireHeaders.RETRY_AFTER)?.toDoubleOrNull()?.seconds
+
     private fun answer(
         status: Int,
         requestId: String?,
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
@@ -27,6 +27,12 @@
     /** When the process ends, or null while it is not asked to. */
     var endsAt: Instant? = null
 
+    /** Refuses what was not sent to an endpoint yet. */
+    fun refuseWaiting() = runs.toList().forEach { it.refuseIfWaiting() }
+
+    /** Ends every request with what is known of it. */
+    fun endAll() = runs.toList().forEach { it.endNow() }
+
     override fun serve(request: CallerRequest, answer: CallerAnswer): CallerGone {
         val matcher = state.matcher ?: return refuse(request, answer, "no configuration is known yet", START_WAIT)
         val id = request.headers[WireHeaders.REQUEST_ID]
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestRun.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestRun.kt
@@ -181,7 +181,7 @@
         journal.failed(endpoint, reason, step.toString())
         when (step) {
             NextStep.TryElsewhere -> if (answer?.head?.status == INPUTS_GONE) preparation?.restart() else again()
-            NextStep.ReportNotRun -> refuse(reason, retryAfter(answer))
+            NextStep.ReportNotRun -> refuse(reason, Refusals.retryAfter(answer) ?: SHORT_WAIT)
             NextStep.ReportUnknown -> if (hasBegun) {
                 breakOff(
                     reason,
@@ -200,11 +200,6 @@
         return unreached <= MAXIMUM_UNREACHED
     }
 
-    private fun retryAfter(answer: WholeAnswer?): Duration {
-        val seconds = answer?.head?.headers?.get(WireHeaders.RETRY_AFTER)?.toDoubleOrNull()
-        return seconds?.let { (it * MILLISECONDS_PER_SECOND).milliseconds } ?: SHORT_WAIT
-    }
-
     private fun refuse(reason: String, wait: Duration) {
         if (isOver) return
         if (hasBegun) return breakOff(reason)
@@ -228,6 +223,25 @@
         }
     }
 
+    /** The process ends soon: refuses the request if nothing of it was sent, so that its caller can go elsewhere. */
+    fun refuseIfWaiting() {
+        if (attempt?.connection == null && !hasBegun && !mayRunAlready) refuse("the process ends soon", SHORT_WAIT)
+    }
+
+    /** The process ends now: tells the caller what is known. */
+    fun endNow() {
+        refuseIfWaiting()
+        if (isOver) return
+        val reason = "the process ends"
+        if (hasBegun) {
+            breakOff(
+                reason,
+            )
+        } else {
+            finish(Refusals.unknown(request.id.value, reason), attempt?.endpoint, reason)
+        }
+    }
+
     override fun callerGone() {
         if (isOver) return
         if (route.repeatRule == RepeatRule.AT_MOST_ONCE && attempt?.connection != null) {
@@ -261,7 +275,6 @@
 
     private companion object {
         const val INPUTS_GONE = 409
-        const val MILLISECONDS_PER_SECOND = 1_000
         const val MAXIMUM_UNREACHED = 4
         val PATIENCE_CHECK = 50.milliseconds
         val SHORT_WAIT = 100.milliseconds
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ForwardingTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ForwardingTest.kt
@@ -299,6 +299,32 @@
                 }
             }
 
+            it("gives back what still waits for its stages, and tells the truth about what was sent") {
+                val hold: ScriptedEndpoint.Visit.() -> Unit = { awaitEnd() }
+                ScriptedEndpoint(hold).use { stage ->
+                    ScriptedEndpoint(hold).use { engine ->
+                        val pools = mapOf("p" to listOf(engine), "s" to listOf(stage))
+                        LoopbackDeployment(LoopbackDeployment.CONFIGURATION, pools).use { entry ->
+                            entry.connect().use { waiting ->
+                                entry.connect().use { sent ->
+                                    val start = "HTTP/1.1\r\nHost: h\r\nX-Api-Key: k\r\nX-Request-Id:"
+                                    waiting.getOutputStream().writeText(
+                                        "GET /staged/a $start r1\r\nX-Pieces: 1,1\r\nX-Piece-Key: k\r\n\r\n",
+                                    )
+                                    sent.getOutputStream().writeText("GET /long/a $start r2\r\n\r\n")
+                                    stage.awaitRequest()
+                                    engine.awaitRequest()
+                                    val ended = entry.drain()
+                                    waiting.getInputStream().readMessage().shouldNotBeNull().status shouldBe 503
+                                    sent.getInputStream().readMessage().shouldNotBeNull().status shouldBe 502
+                                    ended.await(10, TimeUnit.SECONDS) shouldBe true
+                                }
+                            }
+                        }
+                    }
+                }
+            }
+
             it("refuses what it can not finish in the time that is left, as not run") {
                 deploy({ answer() }) { entry, endpoints ->
                     val ended = entry.drain()
