--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestRun.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestRun.kt
@@ -17,7 +17,6 @@
 import org.bilberryhead.forwarding.http.WholeAnswer
 import org.bilberryhead.forwarding.stage.Preparation
 import org.bilberryhead.forwarding.stage.PreparationListener
-import org.bilberryhead.platform.wire.WireHeaders
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -49,10 +48,7 @@
     /** Begins to serve the request. */
     fun start() {
         endTimer = state.thread.after(request.endsAt - state.thread.now()) { timeIsOver() }
-        if (route.stages.isEmpty()) dispatch() else prepare()
-    }
-
-    private fun prepare() {
+        if (route.stages.isEmpty()) return dispatch()
         val started = PreparationFactory(state).create(request, this)
         preparation = started
         started.advance()
