Measure the slowness of a stage endpoint against its usual time

Cause: found in reading. Slowness was measured against the time that the learnt slowness already stood in, so that an endpoint four times too slow was taken for twice too slow.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/PieceEndpointChooser.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/PieceEndpointChooser.kt
@@ -42,7 +42,7 @@
     /**
      * Counts the end of a call; after a failure the endpoint is avoided for a while.
      *
-     * @param slowness time that the call took over the time that it should have taken
+     * @param slowness time that the call took over its [usualTime]
      */
     fun end(endpoint: EndpointId, failed: Boolean, slowness: Double, now: Instant) {
         val left = (openCalls[endpoint] ?: 0) - 1
@@ -54,9 +54,12 @@
         }
     }
 
+    /** Time that a call with [pieces] pieces takes at an endpoint that is as fast as it should be. */
+    fun usualTime(pieces: Int): Duration = shape.callTime + shape.pieceTime * pieces
+
     /** Time after which a call to [endpoint] with [pieces] pieces should have been answered. */
     fun expectedTime(endpoint: EndpointId, pieces: Int): Duration =
-        (shape.callTime + shape.pieceTime * pieces) * (callTimes[endpoint] ?: 1.0).coerceAtLeast(1.0)
+        usualTime(pieces) * (callTimes[endpoint] ?: 1.0).coerceAtLeast(1.0)
 
     private fun isUsable(endpoint: EndpointId, now: Instant): Boolean = avoidUntil[endpoint]?.let { it <= now } ?: true
 
--- a/core/src/test/kotlin/org/bilberryhead/core/serving/ResultRoomTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/ResultRoomTest.kt
@@ -109,6 +109,16 @@
         }
 
         describe("the expected time of a call") {
+            it("becomes what calls to a slow endpoint take") {
+                val chooser = PieceEndpointChooser(pieceShape())
+                repeat(40) {
+                    chooser.begin(near.id)
+                    val slowness = chooser.usualTime(pieces = 4) * 4 / chooser.usualTime(pieces = 4)
+                    chooser.end(near.id, failed = false, slowness, now)
+                }
+                (chooser.expectedTime(near.id, pieces = 4) / chooser.usualTime(pieces = 4) in 3.9..4.1) shouldBe true
+            }
+
             it("grows with its pieces and with the slowness of the endpoint") {
                 val chooser = PieceEndpointChooser(pieceShape())
                 chooser.expectedTime(near.id, pieces = 4) shouldBe 280.milliseconds
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
@@ -16,7 +16,6 @@
 import org.bilberryhead.forwarding.http.ExchangeEnd
 import org.bilberryhead.forwarding.http.OutboundRequest
 import org.bilberryhead.forwarding.http.SingleExchange
-import org.bilberryhead.forwarding.http.WholeAnswer
 import org.bilberryhead.platform.wire.StageCodec
 import org.bilberryhead.platform.wire.StageCodec.PieceResult
 import org.bilberryhead.platform.wire.WireHeaders
@@ -141,12 +140,12 @@
     private fun call(endpoint: EndpointEntry, pieces: List<StagePiece>, now: Instant) {
         chooser.begin(endpoint.id)
         room.reserve(endpoint.id, pieces.sumOf { it.resultBytes })
-        val expected = chooser.expectedTime(endpoint.id, pieces.size)
-        val limit = expected * LIMIT_FACTOR + LIMIT_SLACK
+        val usual = chooser.usualTime(pieces.size)
+        val limit = chooser.expectedTime(endpoint.id, pieces.size) * LIMIT_FACTOR + LIMIT_SLACK
         context.exchange.run(endpoint.address, request(endpoint, pieces, now), limit) { end ->
             val ended = context.thread.now()
             val results = resultsOf(end, pieces.size)
-            chooser.end(endpoint.id, failed = results == null, slowness = (ended - now) / expected, ended)
+            chooser.end(endpoint.id, failed = results == null, slowness = (ended - now) / usual, ended)
             settleRoom(endpoint, pieces, results.orEmpty(), ended)
             log(endpoint, pieces, end, results, ended - now)
             deliver(pieces, results, end)
@@ -230,13 +229,11 @@
     }
 
     private fun ExchangeEnd.toReason(): String = when (this) {
-        is ExchangeEnd.Answered -> "status ${answer.describe()}"
+        is ExchangeEnd.Answered -> "status ${answer.head.status}"
         is ExchangeEnd.NotSent -> reason
         is ExchangeEnd.Unknown -> reason
     }
 
-    private fun WholeAnswer.describe(): String = head.status.toString()
-
     private companion object {
         const val OK = 200
         const val LIMIT_FACTOR = 4
