--- a/entry/src/test/kotlin/org/bilberryhead/entry/EntryTlsTest.kt
+++ b/entry/src/test/kotlin/org/bilberryhead/entry/EntryTlsTest.kt
@@ -19,12 +19,12 @@
 import org.bilberryhead.core.common.DaemonId
 import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.testing.FreePorts
 import org.bilberryhead.core.testing.TestClock
 import org.bilberryhead.daemon.MonotonicClock
 import org.bilberryhead.daemon.ReloadedValue
 import org.bilberryhead.daemon.ServerTls
 import org.bilberryhead.daemon.TlsSettings
-import java.net.ServerSocket
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
@@ -48,13 +48,12 @@
         val first = TestAuthority("first")
         val second = TestAuthority("second")
 
-        fun freePort() = ServerSocket(0).use { it.localPort }
 
         fun settings() = EntrySettings(
             id = DaemonId("entry-0"),
             dataCentre = DataCentre("nashua"),
-            listen = SocketAddress("127.0.0.1", freePort()),
-            peerListen = SocketAddress("127.0.0.1", freePort()),
+            listen = SocketAddress("127.0.0.1", FreePorts.next()),
+            peerListen = SocketAddress("127.0.0.1", FreePorts.next()),
             platformUrl = "http://127.0.0.1:1",
             clientAccounts = listOf(AccountToken(TEST_ACCOUNT, digest(TEST_TOKEN))),
             operators = listOf(OperatorToken("ann", digest(OPERATOR_TOKEN))),
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -7,6 +7,7 @@
 import org.bilberryhead.core.common.DaemonId
 import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.testing.FreePorts
 import org.bilberryhead.core.testing.http.RawMessage
 import org.bilberryhead.core.testing.http.readMessage
 import org.bilberryhead.core.testing.http.writeText
@@ -14,7 +15,6 @@
 import org.bilberryhead.daemon.newMeterRegistry
 import org.bilberryhead.forwarding.http.SmallAnswer
 import org.bilberryhead.forwarding.http.SmallServer
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.Base64
 import java.util.concurrent.CountDownLatch
@@ -24,7 +24,7 @@
 
 private const val HOST = "127.0.0.1"
 
-private fun freeAddress() = ServerSocket(0).use { SocketAddress(HOST, it.localPort) }
+private fun freeAddress() = SocketAddress(HOST, FreePorts.next())
 
 private fun newThread(): EventThread =
     EventThread(MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next() as EventLoop, MonotonicClock())
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/StoreTableWatchTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/StoreTableWatchTest.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.testing.FreePorts
 import org.bilberryhead.daemon.MonotonicClock
 import org.bilberryhead.daemon.newMeterRegistry
 import org.bilberryhead.forwarding.http.Connector
@@ -16,7 +17,6 @@
 import org.bilberryhead.forwarding.store.TableListener
 import org.bilberryhead.forwarding.store.WatchTimings
 import org.bilberryhead.platform.wire.StoreRow
-import java.net.ServerSocket
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
@@ -32,7 +32,7 @@
         MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next() as EventLoop,
         MonotonicClock(),
     )
-    private val address = ServerSocket(0).use { SocketAddress("127.0.0.1", it.localPort) }
+    private val address = SocketAddress("127.0.0.1", FreePorts.next())
     val asked = LinkedBlockingQueue<String>()
     val heard = LinkedBlockingQueue<String>()
     private var next = 0
--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarDaemon.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarDaemon.kt
@@ -126,8 +126,10 @@
     private fun handle(event: GateEvent) = control.post { step(event) }
 
     private fun step(event: GateEvent) {
-        gate.handle(event, clock.now()).forEach(::perform)
+        val actions = gate.handle(event, clock.now())
+        // Published first: whoever has been told of a change also reads it, in a welcome or at the operations address.
         status = gate.status
+        actions.forEach(::perform)
     }
 
     private fun perform(action: GateAction) {
--- a/standin/src/main/kotlin/org/bilberryhead/standin/EndpointStandin.kt
+++ b/standin/src/main/kotlin/org/bilberryhead/standin/EndpointStandin.kt
@@ -24,6 +24,7 @@
 import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -38,6 +39,7 @@
     private val limits = ConcurrentHashMap<String, Semaphore>()
     private val faults = ConcurrentHashMap<String, FaultSwitch<EndpointFault>>()
     private val effects = ConcurrentLinkedQueue<RecordedEffect>()
+    private val begunCalls = AtomicInteger()
 
     /** Adds the routes of the endpoints, of their faults and of the recorded effects. */
     fun install(route: Route) = with(route) {
@@ -48,8 +50,10 @@
             call.respondText("set\n")
         }
         get("/effects") { call.respondText(json.encodeToString(effects.toList()), ContentType.Application.Json) }
+        get("/effects/calls") { call.respondText(begunCalls.toString()) }
         delete("/effects") {
             effects.clear()
+            begunCalls.set(0)
             call.respondText("cleared\n")
         }
     }
@@ -65,6 +69,7 @@
             else -> Unit
         }
         val effect = effectOf(endpoint)
+        begunCalls.incrementAndGet()
         limitOf(endpoint).withPermit {
             delay(serviceTime(endpoint, hit))
             effects += effect
--- a/system-tests/src/test/kotlin/org/bilberryhead/system/EntryFaultTest.kt
+++ b/system-tests/src/test/kotlin/org/bilberryhead/system/EntryFaultTest.kt
@@ -66,6 +66,8 @@
                 val answers = coroutineScope {
                     val sent = List(8) { async { system.send(Kind.ORDER, entry = 1) } }
                     eventually(EVENT_LIMIT) { system.shouldHaveInFlight(entry = 1, count = 8) }
+                    // What has not left the entry when it freezes takes effect only once it wakes up.
+                    eventually(EVENT_LIMIT) { system.begunCalls() shouldBe 8 }
                     system.entries[1].signal(Signal.STOP)
                     eventually(EVENT_LIMIT) { system.effects().size shouldBe 8 }
                     system.entries[1].signal(Signal.CONT)
--- a/system-tests/src/test/kotlin/org/bilberryhead/system/TestSystem.kt
+++ b/system-tests/src/test/kotlin/org/bilberryhead/system/TestSystem.kt
@@ -162,6 +162,9 @@
     suspend fun effects(): List<Effect> =
         json.decodeFromString(http.call(HttpMethod.Get, "${standinUrl()}/effects").body)
 
+    /** Returns how many calls endpoints have begun to work on. */
+    suspend fun begunCalls(): Int = http.call(HttpMethod.Get, "${standinUrl()}/effects/calls").body.toInt()
+
     /** Passes when the sidecar of [endpoint] reports work to entry 0. */
     suspend fun shouldBeRunning(endpoint: String) {
         val loads = status(entry = 0).endpoints.filter { it.endpoint.value == endpoint }.mapNotNull { it.load }
