Tell all entries when one leaves or starts anew

Each other entry found out by itself that a coordinator was back, up to 8 s after it had failed. Calls of two coordinators wait for each other at an endpoint, find its memory full, and find inputs gone that were given up 100 ms after the sending.

Change: an entry's row in the store says when it leaves and which run it is; leaving entries rank last, and what was seen of an earlier run is forgotten. Inputs are given up early only where the last call did not wait, and not by an entry that leaves. The log line of a call says how many pieces found inputs gone or no room.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/CoordinatorRanking.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/CoordinatorRanking.kt
@@ -14,12 +14,16 @@
  *
  * @property peers where other entries reach it
  * @property processorShare cores that it has
+ * @property run number of the run of its process, drawn at random
+ * @property isLeaving whether the process is about to end
  */
 data class EntryRecord(
     val id: DaemonId,
     val dataCentre: DataCentre,
     val peers: SocketAddress,
     val processorShare: Double,
+    val run: Long = 0,
+    val isLeaving: Boolean = false,
 )
 
 /**
@@ -30,11 +34,15 @@
  * telling each other; an entry that can not be reached is passed over, each entry by its own observation.
  */
 object CoordinatorRanking {
-    /** Returns [entries] in the order in which they should coordinate [pool]. Much weaker ones come last. */
+    /**
+     * Returns [entries] in the order in which they should coordinate [pool]. Much weaker ones come last, and after them
+     * those that leave.
+     */
     fun order(pool: PoolName, entries: Collection<EntryRecord>): List<EntryRecord> {
         val strongest = entries.maxOfOrNull { it.processorShare } ?: return emptyList()
         return entries.sortedWith(
-            compareByDescending<EntryRecord> { it.processorShare >= strongest * STRONG_PART }
+            compareBy<EntryRecord> { it.isLeaving }
+                .thenByDescending { it.processorShare >= strongest * STRONG_PART }
                 .thenByDescending { rendezvousWeight(pool.value, it.id.value) },
         )
     }
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/InputRelease.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/InputRelease.kt
@@ -1,5 +1,6 @@
 package org.bilberryhead.core.serving
 
+import org.bilberryhead.core.common.EndpointId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -10,19 +11,28 @@
  *
  * Load that this answers: bursts on a pool whose memory is full of results that the next stage has fetched already. An
  * endpoint fetches the inputs of a call when it begins to work on it, so that they need not be held until it answers.
+ * That is soon only where no other coordinator has calls, as while one takes over from another.
  */
 class InputRelease {
+    private val aloneUntil = mutableMapOf<EndpointId, Instant>()
     private var pausedUntil: Instant? = null
 
-    /** Returns the inputs of [call] that nobody reads after it; none while inputs were missed lately. */
-    fun lastRead(call: List<StagePiece>, now: Instant): Set<ResultHandle> {
-        if (pausedUntil?.let { now < it } == true) return emptySet()
+    /** Returns the inputs of [call] to [endpoint] that may be given up [FETCH_TIME] after it was sent. */
+    fun lastRead(call: List<StagePiece>, endpoint: EndpointId, now: Instant): Set<ResultHandle> {
+        val isPaused = pausedUntil?.let { now < it } ?: false
+        val isAlone = aloneUntil[endpoint]?.let { now < it } ?: false
+        if (isPaused || !isAlone) return emptySet()
         return call.groupBy { it.request to it.stage }
             .values
             .filter { pieces -> pieces.first().readers == pieces.size }
             .flatMapTo(mutableSetOf()) { it.first().inputs }
     }
 
+    /** A call to [endpoint] has ended; [waited] when it stood behind calls of others there, or may have. */
+    fun ended(endpoint: EndpointId, waited: Boolean, now: Instant) {
+        if (waited) aloneUntil.remove(endpoint) else aloneUntil[endpoint] = now + ALONE_TIME
+    }
+
     /** An endpoint did not find inputs that were given up: they are held until the end of calls for a while. */
     fun inputsMissed(now: Instant) {
         pausedUntil = now + PAUSE
@@ -32,5 +42,8 @@
         /** Time from the sending of a call until its endpoint, which works on nothing else, has fetched the inputs. */
         val FETCH_TIME: Duration = 100.milliseconds
         private val PAUSE = 5.seconds
+
+        /** How long an endpoint counts as used by nobody else after a call that did not wait there. */
+        private val ALONE_TIME = 2.seconds
     }
 }
--- a/core/src/test/kotlin/org/bilberryhead/core/serving/CoordinatorRankingTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/CoordinatorRankingTest.kt
@@ -44,6 +44,16 @@
             }
         }
 
+        describe("an entry that leaves") {
+            it("comes after all others, also the weak ones") {
+                val weak = entry(9, share = 0.2)
+                val pool = PoolName("p")
+                val first = CoordinatorRanking.order(pool, entries).first()
+                val leaving = first.copy(isLeaving = true)
+                CoordinatorRanking.order(pool, entries - first + leaving + weak).last() shouldBe leaving
+            }
+        }
+
         describe("a peer that can not be reached") {
             val start = Instant.fromEpochSeconds(1_000)
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -60,8 +60,9 @@
     private val decisions = DecisionLog(settings.decisionLinesPerSecond, thread::now)
     private val connector = Connector(thread, WireHeaders.REQUEST_ID)
     private val exchange = SingleExchange(thread, connector)
-    private val ownRow = EntryRow(settings.dataCentre, settings.peers, settings.processorShare)
+    private val ownRow = EntryRow(settings.dataCentre, settings.peers, settings.processorShare, random.nextLong())
     private val roster = EntryRoster(ownRow.toRecord(settings.id))
+    private val registration = EntryRegistration(settings.id, settings.store, thread, exchange, decisions)
     private val peers = Peers(settings.id, roster::records) { PeerClient(it, thread, decisions, connector) }
     private val directory = EndpointDirectory()
     private val endpoints = Endpoints(thread, connector, directory, ::poolOf) { roster.count }
@@ -97,6 +98,7 @@
         override val thread: EventThread get() = this@ForwardingDaemon.thread
         override val exchange: SingleExchange get() = this@ForwardingDaemon.exchange
         override val decisions: DecisionLog get() = this@ForwardingDaemon.decisions
+        override val isDraining: Boolean get() = drainingSince != null
 
         override fun release(handles: List<ResultHandle>, done: (ResultHandle) -> Unit) =
             releaser.release(handles, done)
@@ -145,7 +147,7 @@
         endpointWatch.start()
         watch(WireTables.ENTRIES, WatchTimings(wait = 25.seconds, pause = Duration.ZERO), roster).start()
         PeerCatchUp(thread, exchange, knowledge, decisions, ::peerAddresses).start()
-        EntryRegistration(settings.id, ownRow, settings.store, thread, exchange, decisions).start()
+        registration.write(ownRow)
         thread.every(TICK) { endpointListener.tick() }
         thread.every(FADE_INTERVAL) { endpoints.fade() }
     }
@@ -169,6 +171,7 @@
         val now = thread.now()
         drainingSince = now
         admission.endsAt = now + settings.drainLimit - DRAIN_RESERVE
+        registration.write(ownRow.copy(isLeaving = true))
         log.atInfo {
             message = "draining"
             payload = mapOf("requests" to admission.runningCount)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerClient.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerClient.kt
@@ -55,6 +55,9 @@
     /** Where the peer is reached. */
     val address: SocketAddress get() = record.peers
 
+    /** The run of the peer's process. */
+    val run: Long get() = record.run
+
     /** Passes the peer over for a while: it said that it leaves. */
     fun passOver() = reachability.failed(thread.now())
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/Peers.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/Peers.kt
@@ -27,7 +27,8 @@
 
     private fun client(record: EntryRecord): PeerClient? = when {
         record.id == own -> null
-        else -> clients[record.id]?.takeIf { it.address == record.peers }
+        // What was seen of an earlier run says nothing of this one.
+        else -> clients[record.id]?.takeIf { it.address == record.peers && it.run == record.run }
             ?: newClient(record).also { clients[record.id] = it }
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
@@ -19,6 +19,7 @@
 import org.bilberryhead.forwarding.http.ExchangeEnd
 import org.bilberryhead.forwarding.http.OutboundRequest
 import org.bilberryhead.forwarding.http.SingleExchange
+import org.bilberryhead.platform.wire.HeaderValues
 import org.bilberryhead.platform.wire.StageCodec
 import org.bilberryhead.platform.wire.StageCodec.PieceResult
 import org.bilberryhead.platform.wire.WireHeaders
@@ -53,6 +54,9 @@
     /** Gives up results of any pools, by way of the coordinators that had them made. */
     fun giveUp(handles: List<ResultHandle>)
 
+    /** Whether this entry is about to end. */
+    val isDraining: Boolean
+
     /** Endpoints of [pool] that may get new work. */
     fun usable(pool: PoolName): List<EndpointEntry>
 }
@@ -163,13 +167,15 @@
         chooser.begin(endpoint.id)
         room.reserve(endpoint.id, pieces.sumOf { it.resultBytes })
         val usual = chooser.usualTime(pieces.size)
-        val limit = chooser.expectedTime(endpoint.id, pieces.size) * LIMIT_FACTOR + LIMIT_SLACK
-        val inputs = CallInputs(inputRelease.lastRead(pieces, now), context.thread, context::giveUp)
+        val expected = chooser.expectedTime(endpoint.id, pieces.size)
+        val limit = expected * LIMIT_FACTOR + LIMIT_SLACK
+        val inputs = CallInputs(lastRead(pieces, endpoint, now), context.thread, context::giveUp)
         context.exchange.run(endpoint.address, request(endpoint, pieces, now), limit, inputs::sent) { end ->
             inputs.ended()
             val ended = context.thread.now()
             val results = resultsOf(end, pieces.size)
             chooser.end(endpoint.id, failed = results == null, slowness = (ended - now) / usual, ended)
+            inputRelease.ended(endpoint.id, waited = hasWaited(end, ended - now, expected), ended)
             settleRoom(endpoint, pieces, results.orEmpty(), ended)
             log(endpoint, pieces, end, results, ended - now)
             deliver(pieces, results, end, inputs)
@@ -177,6 +183,16 @@
         }
     }
 
+    /** A coordinator that leaves shares the endpoints with the next one. */
+    private fun lastRead(pieces: List<StagePiece>, endpoint: EndpointEntry, now: Instant) =
+        if (context.isDraining) emptySet() else inputRelease.lastRead(pieces, endpoint.id, now)
+
+    private fun hasWaited(end: ExchangeEnd, elapsed: Duration, expected: Duration): Boolean {
+        val answer = (end as? ExchangeEnd.Answered)?.answer ?: return true
+        val othersWait = HeaderValues.load(answer.head.headers[WireHeaders.LOAD])?.let { it.waiting > 0 } ?: false
+        return othersWait || elapsed > expected + WAIT_SLACK
+    }
+
     private fun settleRoom(
         endpoint: EndpointEntry,
         pieces: List<StagePiece>,
@@ -250,6 +266,8 @@
             "requests" to pieces.mapTo(mutableSetOf()) { it.request.value }.joinToString(","),
             "pieces" to pieces.size,
             "made" to (results?.count { it is PieceResult.Made } ?: 0),
+            "inputs_gone" to (results?.count { it is PieceResult.InputsGone } ?: 0),
+            "no_room" to (results?.count { it is PieceResult.NoRoom } ?: 0),
             "failure" to if (results == null) end.toReason() else null,
             "left_waiting" to queue.size,
             "elapsed_ms" to elapsed.inWholeMilliseconds,
@@ -266,6 +284,7 @@
         const val OK = 200
         const val LIMIT_FACTOR = 4
         val LIMIT_SLACK = 500.milliseconds
+        val WAIT_SLACK = 100.milliseconds
         val GATHER_TIME = 4.milliseconds
         val PREFERENCE_CHECK = 20.milliseconds
         val HOPELESS_CHECK = 100.milliseconds
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EntryRegistration.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EntryRegistration.kt
@@ -15,30 +15,35 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Writes this entry's row into the store, until the store has it. Writing it twice does no harm. */
+/** Writes this entry's newest row into the store, until the store has it. Writing it twice does no harm. */
 internal class EntryRegistration(
     private val own: DaemonId,
-    private val row: EntryRow,
     private val store: SocketAddress,
     private val thread: EventThread,
     private val exchange: SingleExchange,
     private val decisions: DecisionLog,
 ) {
+    private var newest: EntryRow? = null
     private var backoff = FIRST_BACKOFF
 
-    /** Begins to write the row. */
-    fun start() = exchange.run(store, request(), ANSWER_LIMIT) { end ->
-        val status = (end as? ExchangeEnd.Answered)?.answer?.head?.status
-        decisions.write("entry registered") { mapOf("entry" to own, "status" to status, "again" to (status != OK)) }
-        if (status != OK) again()
+    /** Begins to write [row]. */
+    fun write(row: EntryRow) {
+        newest = row
+        exchange.run(store, request(row), ANSWER_LIMIT) { end ->
+            val status = (end as? ExchangeEnd.Answered)?.answer?.head?.status
+            decisions.write("entry registered") {
+                mapOf("entry" to own, "leaving" to row.isLeaving, "status" to status, "again" to (status != OK))
+            }
+            if (status != OK) again(row)
+        }
     }
 
-    private fun again() {
-        thread.after(backoff) { start() }
+    private fun again(row: EntryRow) {
+        thread.after(backoff) { if (row == newest) write(row) }
         backoff = (backoff * 2).coerceAtMost(LONGEST_BACKOFF)
     }
 
-    private fun request(): OutboundRequest {
+    private fun request(row: EntryRow): OutboundRequest {
         val headers = DefaultHttpHeaders().add("Host", store.toString()).add("Content-Type", "application/json")
         val body = StoreCodec.encodePut(WireTables.ENTRIES, own.value, row.encode())
         return OutboundRequest(HttpMethod.POST, WirePaths.ROWS_TRANSACTION, headers, body.encodeToByteArray())
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EntryRoster.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EntryRoster.kt
@@ -16,10 +16,12 @@
     val dataCentre: DataCentre,
     @Serializable(with = SocketAddressTextSerializer::class) val peers: SocketAddress,
     val processorShare: Double,
+    val run: Long = 0,
+    val isLeaving: Boolean = false,
 ) {
     fun encode(): String = Json.encodeToString(serializer(), this)
 
-    fun toRecord(id: DaemonId) = EntryRecord(id, dataCentre, peers, processorShare)
+    fun toRecord(id: DaemonId) = EntryRecord(id, dataCentre, peers, processorShare, run, isLeaving)
 
     companion object {
         /** Returns the row in [text], or null when it is none. */
