Count a retry at every pool whose pieces are made again

Cause, found by reading: a piece that finds its inputs gone, and a stream that goes on at another engine, have the pieces of earlier stages made again, which are repeats at the pools of those stages. Only the last pool's budget was asked.

Change: PreparationPlan says which stages are made again; Preparation takes a retry at each of their pools, once for the pieces of one call, and gives the request up when one is missing.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/PreparationPlan.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/PreparationPlan.kt
@@ -50,17 +50,18 @@
         freed += inputsOf(id.stage)
     }
 
-    /** Results that [id] was to be made from are gone: the stages before it are made again. */
-    fun inputsGone(id: PieceId) {
+    /** Results that [id] was to be made from are gone: the stages before it are made again, which are returned. */
+    fun inputsGone(id: PieceId): Set<Int> {
         asked -= id
-        stages[id.stage].after.forEach(::forget)
+        return stages[id.stage].after.flatMapTo(mutableSetOf(), ::forget)
     }
 
-    /** All results are gone, or were freed: everything is made again. */
-    fun restart() {
+    /** All results are gone, or were freed: everything is made again. Returns the stages that have pieces. */
+    fun restart(): Set<Int> {
         results.forEach { (id, handle) -> forgotten += StageResult(id.stage, handle) }
         results.clear()
         asked.clear()
+        return stages.indices.filterTo(mutableSetOf()) { idsOf(it).isNotEmpty() }
     }
 
     /** The results that the request is given: those of the stages that no other stage follows, in order. */
@@ -85,12 +86,12 @@
     /** Results that are made again, of which some may still be held. */
     private fun takeForgotten(): List<StageResult> = forgotten.toList().also { forgotten.clear() }
 
-    private fun forget(stage: Int) {
+    private fun forget(stage: Int): Set<Int> {
         idsOf(stage).forEach { id ->
             results.remove(id)?.let { forgotten += StageResult(stage, it) }
             asked -= id
         }
-        stages[stage].after.forEach(::forget)
+        return stages[stage].after.flatMapTo(mutableSetOf(stage), ::forget)
     }
 
     private fun readersOf(stage: Int): Int {
--- a/core/src/test/kotlin/org/bilberryhead/core/serving/PreparationPlanTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/PreparationPlanTest.kt
@@ -53,7 +53,16 @@
                 plan.makeReady()
                 plan.makeReady()
                 plan.takeReady()
-                plan.inputsGone(PieceId(2, 0))
+                plan.inputsGone(PieceId(2, 0)) shouldBe setOf(0, 1)
+                plan.takeReady().map { it.id } shouldContainExactly listOf(PieceId(0, 0))
+            }
+        }
+
+        describe("a plan that begins again") {
+            it("makes every stage again that has pieces") {
+                val plan = PreparationPlan(listOf(stage(), stage()), pieces = listOf(1, 0))
+                plan.makeReady()
+                plan.restart() shouldBe setOf(0)
                 plan.takeReady().map { it.id } shouldContainExactly listOf(PieceId(0, 0))
             }
         }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/Preparation.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/Preparation.kt
@@ -56,7 +56,7 @@
     private val plan = PreparationPlan(order.stages, order.pieceCounts)
     private val tries = mutableMapOf<PieceId, Int>()
     private val usableUntil = mutableMapOf<ResultHandle, Instant>()
-    private var grantedAt: Instant? = null
+    private val grantedAt = mutableMapOf<PoolName, Instant>()
     private var isOver = false
 
     /** Asks for what can be made now. */
@@ -74,8 +74,7 @@
     /** Makes everything again, after results were lost. */
     fun restart() {
         isOver = false
-        plan.restart()
-        advance()
+        if (poolsOf(plan.restart()).all(::mayRetry)) advance() else fail("no retry is left to make its stages again")
     }
 
     /** Ends the preparation and gives up its results. */
@@ -139,10 +138,8 @@
         if (isOver) return
         when (end) {
             is PieceEnd.Hopeless -> fail("its turn at a stage would come too late", end.backlog)
-            is PieceEnd.CallFailed -> {
-                if (end.inputsReleased) plan.inputsGone(id)
-                retry(id, pool, end.reason)
-            }
+            is PieceEnd.CallFailed ->
+                if (end.inputsReleased) remake(id, pool, end.reason) else retry(id, pool, end.reason)
 
             is PieceEnd.Answered -> {
                 if (end.inputsReleased) plan.inputsReleased(id)
@@ -161,20 +158,22 @@
             }
 
             PieceResult.Late -> fail("its deadline passed at a stage")
-            PieceResult.InputsGone -> {
-                plan.inputsGone(id)
-                retry(id, pool, "results of an earlier stage are gone")
-            }
-
+            PieceResult.InputsGone -> remake(id, pool, "results of an earlier stage are gone")
             PieceResult.NoRoom -> retry(id, pool, "an endpoint has no room for results")
             PieceResult.Failed -> retry(id, pool, "an endpoint failed to make a piece")
         }
     }
 
-    private fun retry(id: PieceId, pool: PoolName, reason: String) {
+    /** Makes a piece again, and before it the results that it reads: a retry at each of their pools. */
+    private fun remake(id: PieceId, pool: PoolName, reason: String) =
+        retry(id, poolsOf(plan.inputsGone(id)) + pool, reason)
+
+    private fun retry(id: PieceId, pool: PoolName, reason: String) = retry(id, setOf(pool), reason)
+
+    private fun retry(id: PieceId, pools: Set<PoolName>, reason: String) {
         val count = (tries[id] ?: 0) + 1
         tries[id] = count
-        if (count > MAXIMUM_RETRIES || !mayRetry(pool)) return fail(reason)
+        if (count > MAXIMUM_RETRIES || !pools.all(::mayRetry)) return fail(reason)
         plan.failed(id)
         thread.after(RETRY_DELAY) { advance() }
     }
@@ -182,13 +181,15 @@
     /** Pieces of one request that failed in the same call are one retry. */
     private fun mayRetry(pool: PoolName): Boolean {
         val now = thread.now()
-        val granted = grantedAt
+        val granted = grantedAt[pool]
         if (granted != null && now - granted < SAME_CALL) return true
         if (!budget.tryRetry(pool, now)) return false
-        grantedAt = now
+        grantedAt[pool] = now
         return true
     }
 
+    private fun poolsOf(stages: Set<Int>): Set<PoolName> = stages.mapTo(mutableSetOf()) { order.stages[it].pool }
+
     private fun fail(reason: String, retryAfter: Duration = RETRY_DELAY) {
         if (isOver) return
         end()
