Forget endpoints that InputRelease does not need any more

The time for which an endpoint counts as used by nobody else was kept for every endpoint that ever answered. The limit for small results is null where there is none, in place of a large number.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/InputRelease.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/InputRelease.kt
@@ -30,6 +30,7 @@
 
     /** A call to [endpoint] has ended; [waited] when it stood behind calls of others there, or may have. */
     fun ended(endpoint: EndpointId, waited: Boolean, now: Instant) {
+        aloneUntil.values.removeAll { it <= now }
         if (waited) aloneUntil.remove(endpoint) else aloneUntil[endpoint] = now + ALONE_TIME
     }
 
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/PieceQueue.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/PieceQueue.kt
@@ -113,19 +113,19 @@
      * @param most most pieces in the call
      * @param roomBytes room for their results
      * @param at where the endpoint is
-     * @param smallBytes most bytes of the results of one request; larger requests are passed over
+     * @param smallBytes most bytes of the results of one request, beyond which it is passed over; null without a limit
      */
     fun takeBatch(
         now: Instant,
         most: Int,
         roomBytes: Long,
         at: DataCentre,
-        smallBytes: Long = Long.MAX_VALUE,
+        smallBytes: Long? = null,
     ): List<StagePiece> {
         val eligible = waiting
             .filter { it.piece.prefers(at) || now - it.since >= PREFERENCE_WAIT }
             .map { it.piece }
-            .filter { smallBytes == Long.MAX_VALUE || bytesOf(it) <= smallBytes }
+            .filter { smallBytes == null || bytesOf(it) <= smallBytes }
             .sortedWith(compareBy({ rank(it, now, at) }, { it.request.value }))
         val batch = wholeRequests(eligible, most, roomBytes).ifEmpty { partOfFirst(eligible, most, roomBytes) }.toSet()
         waiting.removeAll { it.piece in batch }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageRunner.kt
@@ -139,7 +139,7 @@
     /** While the first request waits for room, requests that need next to none of it go before it. */
     private fun takeBatch(endpoint: EndpointEntry, hasRoomForFirst: Boolean, now: Instant): List<StagePiece> {
         val free = room.free(endpoint.id, now)
-        val smallBytes = if (hasRoomForFirst) Long.MAX_VALUE else minOf(free, (shape.roomBytes * SMALL_PART).toLong())
+        val smallBytes = if (hasRoomForFirst) null else minOf(free, (shape.roomBytes * SMALL_PART).toLong())
         return queue.takeBatch(now, steadyBatch(), free, endpoint.dataCentre, smallBytes)
     }
 
