--- a/entry/src/test/kotlin/org/bilberryhead/entry/EntryTlsTest.kt
+++ b/entry/src/test/kotlin/org/bilberryhead/entry/EntryTlsTest.kt
@@ -48,7 +48,6 @@
         val first = TestAuthority("first")
         val second = TestAuthority("second")
 
-
         fun settings() = EntrySettings(
             id = DaemonId("entry-0"),
             dataCentre = DataCentre("nashua"),
