Open a sidecar's gate before it listens

The sidecar listened first and had its gate opened by the control thread afterwards; an entry that connected in between took it for one that leaves and gave it no work while the connection lasted.

Change: start() waits until the gate is open, then listens. The new test failed before ("leaving" right after the start) and passes now.

--- a/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarDaemon.kt
+++ b/sidecar/src/main/kotlin/org/bilberryhead/sidecar/SidecarDaemon.kt
@@ -1,6 +1,7 @@
 package org.bilberryhead.sidecar
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
@@ -87,14 +88,24 @@
     /** Begins to serve. */
     suspend fun start() {
         showGauges()
+        openGate()
         server.start()
-        handle(GateEvent.Ready)
         isServing = true
         scope.launch { tickLoop() }
         orders.start()
         log.info { "sidecar: serving endpoint ${settings.endpoint} on ${server.listening} as run $incarnation" }
     }
 
+    /** An entry that is welcomed before this is done would take the sidecar for one that leaves. */
+    private suspend fun openGate() {
+        val opened = CompletableDeferred<Unit>()
+        control.post {
+            step(GateEvent.Ready)
+            opened.complete(Unit)
+        }
+        opened.await()
+    }
+
     /** Takes no new work, waits until accepted work has ended and its answers are sent, and stops. */
     suspend fun drain() {
         log.info { "sidecar: leaving with ${status.load.running} running and ${status.load.queued} queued" }
--- a/sidecar/src/test/kotlin/org/bilberryhead/sidecar/SidecarDaemonTest.kt
+++ b/sidecar/src/test/kotlin/org/bilberryhead/sidecar/SidecarDaemonTest.kt
@@ -171,6 +171,15 @@
             }
         }
 
+        describe("a sidecar that has started") {
+            it("takes work from the first connection on") {
+                repeat(20) {
+                    val started = newDaemon(inboxCapacity = 256).also { it.start() }
+                    started.whyNotReady() shouldBe null
+                }
+            }
+        }
+
         describe("a sidecar without room for new work") {
             it("refuses it as not run, and still takes questions and its own leaving") {
                 val attempt = AttemptId("entry.1:0:0")
