Take requests on their way for served when shares are reckoned

The shares compared arrivals with answers, so that in the first windows the requests still on their way looked like a lack of capacity.

Change: an entry counts what was refused or failed as well. While that is next to nothing, and no more than half a window's demand is on its way, everybody counts as served; otherwise shares are reckoned as before.

--- a/core/src/main/kotlin/org/bilberryhead/core/admission/AdmissionControl.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/admission/AdmissionControl.kt
@@ -33,6 +33,9 @@
     /** Counts a request on [route] that was answered. */
     abstract fun recordAnswered(route: Route, now: Instant)
 
+    /** Counts a request on [route] that was refused, here or later, or ended without an answer. */
+    abstract fun recordUnanswered(route: Route, now: Instant)
+
     /** Lets every request in. */
     data object Open : AdmissionControl() {
         override fun check(
@@ -44,6 +47,8 @@
         ): Admission = Admission.Admitted
 
         override fun recordAnswered(route: Route, now: Instant) = Unit
+
+        override fun recordUnanswered(route: Route, now: Instant) = Unit
     }
 
     /**
@@ -77,12 +82,16 @@
 
         override fun recordAnswered(route: Route, now: Instant) = sharesOf(route).recordServed(now)
 
+        override fun recordUnanswered(route: Route, now: Instant) = sharesOf(route).recordUnserved(now)
+
         private fun limitFor(demandRatio: Double): Double {
             val overShare = (demandRatio - 1).coerceIn(0.0, 1.0)
             return refuseAt + (refuseOverShareAt - refuseAt) * overShare
         }
 
-        private fun sharesOf(route: Route) = sharesByKind.computeIfAbsent(route.kind) { FairShares() }
+        private fun sharesOf(route: Route) = sharesByKind.computeIfAbsent(route.kind) {
+            FairShares(isUnservedCounted = true)
+        }
 
         private fun predict(route: Route, tables: Tables, now: Instant): Duration =
             route.stages.fold(Duration.ZERO) { sum, stage ->
--- a/core/src/main/kotlin/org/bilberryhead/core/admission/FairShares.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/admission/FairShares.kt
@@ -17,8 +17,10 @@
  * Safe for use by several threads; updates take no locks.
  *
  * @param window length of one window
+ * @param isUnservedCounted whether each unit that is not served is counted as well; what is neither served nor unserved
+ *   is then known to be on its way and is no sign that there is too much demand
  */
-class FairShares(private val window: Duration = 2.seconds) {
+class FairShares(private val window: Duration = 2.seconds, private val isUnservedCounted: Boolean = false) {
     private val state = AtomicReference(Windows(Instant.DISTANT_PAST, Counts(), Counts(), Double.MAX_VALUE))
 
     /** Counts one unit of demand of [account]. */
@@ -29,6 +31,11 @@
         current(now).newest.served.incrementAndGet()
     }
 
+    /** Counts one unit that was not served and will not be, of any account. */
+    fun recordUnserved(now: Instant) {
+        current(now).newest.unserved.incrementAndGet()
+    }
+
     /** Whether [account] clearly asks for more than its share. */
     fun isOverShare(account: ClientAccount, now: Instant): Boolean = demandRatio(account, now) > TOLERANCE
 
@@ -54,8 +61,9 @@
     }
 
     /** What was counted in one window. */
-    private class Counts {
+    private inner class Counts {
         val served = AtomicLong()
+        val unserved = AtomicLong()
         private val cells = AtomicLongArray(ROWS * COLUMNS)
 
         fun add(account: ClientAccount) {
@@ -75,30 +83,39 @@
         fun levelWith(before: Counts): Double {
             val demands = (0 until COLUMNS).map { cells.get(it) + before.cells.get(it) }.filter { it > 0 }.sorted()
             val windows = if (before.isEmpty()) 1 else 2
+            if (isUnservedCounted && isAlmostServed(demands, before, windows)) return highest(demands) / windows
             return level(demands, (served.get() + before.served.get()).toDouble()) / windows
         }
 
+        private fun isAlmostServed(demands: List<Long>, before: Counts, windows: Int): Boolean {
+            val demand = demands.sum()
+            val onTheWay = demand - served.get() - before.served.get()
+            val isKept = unserved.get() + before.unserved.get() <= demand * (1 - FULLY_SERVED)
+            return isKept && onTheWay <= demand * ON_THE_WAY / windows
+        }
+
         private fun isEmpty() = (0 until COLUMNS).all { cells.get(it) == 0L }
 
         private fun level(demands: List<Long>, servedInTotal: Double): Double {
-            if (demands.isEmpty()) return Double.MAX_VALUE
             var left = servedInTotal
-            if (left >= demands.sum() * FULLY_SERVED) return demands.last().toDouble()
+            if (left >= demands.sum() * FULLY_SERVED) return highest(demands)
             demands.forEachIndexed { index, demand ->
                 val equalPart = left / (demands.size - index)
                 if (demand > equalPart) return equalPart
                 left -= demand
             }
-            return demands.last().toDouble()
+            return highest(demands)
         }
 
+        private fun highest(demands: List<Long>): Double = demands.lastOrNull()?.toDouble() ?: Double.MAX_VALUE
+
         private fun cell(account: ClientAccount, row: Int): Int {
             val mixed = account.value.hashCode() * MULTIPLIERS[row]
             return row * COLUMNS + (mixed ushr HASH_SHIFT)
         }
     }
 
-    private class Windows(val startedAt: Instant, val newest: Counts, val older: Counts, val level: Double)
+    private inner class Windows(val startedAt: Instant, val newest: Counts, val older: Counts, val level: Double)
 
     private companion object {
         const val ROWS = 2
@@ -115,5 +132,8 @@
 
         /** Share of the demand from which all of it counts as served. */
         const val FULLY_SERVED = 0.98
+
+        /** Share of the demand of one window that may be on its way; with more, a queue is building up. */
+        const val ON_THE_WAY = 0.5
     }
 }
--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/RequestExecution.kt
@@ -375,6 +375,7 @@
     private fun end(reason: FailureReason, retryAfter: Duration?, now: Instant) {
         val outcome = attempts.outcome(reason, retryAfter)
         openAttempts().forEach { step(it.location.attempt, AttemptEvent.ABANDON, now) }
+        if (request.ticket == null) admission.recordUnanswered(route, now)
         complete(outcome)
     }
 
