Read the settings again on SIGHUP

Cause: an entry only logged that a reload was asked for, so that a changed settings file waited for the next start, and a fault in it showed only then.

Change: the file is read and checked again. Seeds, limits of retries and the rate of log lines are in force at once; the line says whether other changes wait for a start. A file with faults changes nothing and is logged with all of them. RetryLimits holds the three limits that belong together.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/SharedRetryBudget.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/SharedRetryBudget.kt
@@ -6,20 +6,21 @@
 import kotlin.time.Instant
 
 /**
- * This entry's share of the retries that all entries together may send to a pool.
+ * How many retries all entries together may send to a pool.
  *
- * Over any [window] the entries may send [ratio] times the requests for a pool and [slack] further ones. An entry
- * counts its own requests and takes its part of the slack, so that the sum stays within the bound whatever the others
- * do.
+ * @property ratio retries over the requests for the pool, in any [window]
+ * @property slack further retries in any [window]
+ */
+data class RetryLimits(val ratio: Double, val slack: Double, val window: Duration = 10.seconds)
+
+/**
+ * This entry's share of the retries that all entries together may send to a pool. An entry counts its own requests and
+ * takes its part of the slack, so that the sum stays within the [limits] whatever the others do.
  *
+ * @property limits may change at any time; what was counted before goes on to count
  * @param entries how many entries share the slack, an upper bound
  */
-class SharedRetryBudget(
-    private val ratio: Double,
-    private val slack: Double,
-    private val window: Duration = 10.seconds,
-    private val entries: () -> Int,
-) {
+class SharedRetryBudget(var limits: RetryLimits, private val entries: () -> Int) {
     private val requests = mutableMapOf<PoolName, ArrayDeque<Instant>>()
     private val retries = mutableMapOf<PoolName, ArrayDeque<Instant>>()
 
@@ -37,7 +38,8 @@
     }
 
     private fun limit(pool: PoolName, now: Instant): Double =
-        ratio * SAFE_PART * recent(requests, pool, now).size + slack * SAFE_PART / entries().coerceAtLeast(1)
+        limits.ratio * SAFE_PART * recent(requests, pool, now).size +
+            limits.slack * SAFE_PART / entries().coerceAtLeast(1)
 
     private fun recent(
         counted: MutableMap<PoolName, ArrayDeque<Instant>>,
@@ -45,7 +47,7 @@
         now: Instant,
     ): ArrayDeque<Instant> {
         val times = counted.getOrPut(pool) { ArrayDeque() }
-        while (times.isNotEmpty() && times.first() + window <= now) times.removeFirst()
+        while (times.isNotEmpty() && times.first() + limits.window <= now) times.removeFirst()
         return times
     }
 
--- a/core/src/test/kotlin/org/bilberryhead/core/serving/SharedRetryBudgetTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/SharedRetryBudgetTest.kt
@@ -16,7 +16,7 @@
 
         describe("one entry among five") {
             it("has its part of the slack and a share of its requests, in any window") {
-                val budget = SharedRetryBudget(ratio = 0.2, slack = 50.0) { 5 }
+                val budget = SharedRetryBudget(RetryLimits(ratio = 0.2, slack = 50.0)) { 5 }
                 repeat(100) { budget.countRequest(pool, start) }
                 List(100) { budget.tryRetry(pool, start + 1.seconds) }.count { it } shouldBe 27
                 budget.tryRetry(pool, start + 9.seconds) shouldBe false
@@ -24,7 +24,7 @@
             }
 
             it("does not lend from one pool to another") {
-                val budget = SharedRetryBudget(ratio = 0.2, slack = 0.0) { 5 }
+                val budget = SharedRetryBudget(RetryLimits(ratio = 0.2, slack = 0.0)) { 5 }
                 repeat(100) { budget.countRequest(pool, start) }
                 budget.tryRetry(PoolName("other"), start) shouldBe false
             }
@@ -33,7 +33,7 @@
         describe("all entries together") {
             it("stay within the bound in every window when each wants a retry for every request") {
                 val random = Random(7)
-                val entries = List(5) { SharedRetryBudget(ratio = 0.2, slack = 58.0) { 5 } }
+                val entries = List(5) { SharedRetryBudget(RetryLimits(ratio = 0.2, slack = 58.0)) { 5 } }
                 val requests = mutableListOf<Instant>()
                 val retries = mutableListOf<Instant>()
                 for (step in 0 until 6_000) {
--- a/daemon/src/main/kotlin/org/bilberryhead/daemon/DaemonCommand.kt
+++ b/daemon/src/main/kotlin/org/bilberryhead/daemon/DaemonCommand.kt
@@ -6,6 +6,7 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.path
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.KSerializer
@@ -24,7 +25,7 @@
     private val checkOnly by option("--check-settings", help = "Check the settings and stop.").flag()
 
     override fun run() {
-        val settings = SettingsReader.read(settingsFile, serializer).getOrElse { exitOn(it) }
+        val settings = readSettings().getOrElse { exitOn(it) }
         val fileErrors = checkFiles(settings)
         if (fileErrors.isNotEmpty()) exitOn(fileErrors)
         if (checkOnly) {
@@ -35,6 +36,9 @@
         serveOrExit(settings)
     }
 
+    /** Reads the settings file as it is now; returns every fault that was found. */
+    protected fun readSettings(): Result<T, List<SettingsError>> = SettingsReader.read(settingsFile, serializer)
+
     private fun exitOn(errors: List<SettingsError>): Nothing {
         errors.forEach { echo("settings: $it", err = true) }
         throw ProgramResult(EXIT_BAD_SETTINGS)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/DecisionLog.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/DecisionLog.kt
@@ -7,8 +7,10 @@
 /**
  * Writes structured lines about decisions, at most [linesPerSecond] of each kind a second; what was left out is counted
  * on the next line of its kind.
+ *
+ * @property linesPerSecond may change at any time
  */
-internal class DecisionLog(private val linesPerSecond: Int, private val now: () -> Instant) {
+internal class DecisionLog(var linesPerSecond: Int, private val now: () -> Instant) {
     private val logger = KotlinLogging.logger("decisions")
     private val kinds = mutableMapOf<String, Window>()
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -1,5 +1,8 @@
 package org.bilberryhead.forwarding
 
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.handler.codec.http.FullHttpRequest
 import org.bilberryhead.core.common.PoolName
@@ -11,6 +14,7 @@
 import org.bilberryhead.core.serving.ResultHandle
 import org.bilberryhead.core.serving.ServingPool
 import org.bilberryhead.core.serving.SharedRetryBudget
+import org.bilberryhead.daemon.SettingsError
 import org.bilberryhead.forwarding.caller.CallerServer
 import org.bilberryhead.forwarding.caller.CallerServerState
 import org.bilberryhead.forwarding.endpoint.Endpoints
@@ -52,7 +56,7 @@
 
 /** An entry on the users' platform. Everything in it belongs to [thread]. */
 internal class ForwardingDaemon(
-    private val settings: ForwardingSettings,
+    private var settings: ForwardingSettings,
     private val thread: EventThread,
     private val metrics: ForwardingMetrics,
     private val random: Random,
@@ -73,9 +77,7 @@
     private val state = ServingState(
         thread = thread,
         endpoints = endpoints,
-        budget = SharedRetryBudget(settings.retryRatio, settings.retrySlack, settings.retryWindow) {
-            roster.count
-        },
+        budget = SharedRetryBudget(settings.retryLimits) { roster.count },
         placement = EnginePlacement(settings.dataCentre),
         stage = ::stage,
         waitingRoom = waitingRoom,
@@ -197,10 +199,30 @@
         thread.after(DRAIN_CHECK) { awaitDrained(since, ended) }
     }
 
-    /** Notes that the settings may have changed; addresses stay as they are until the next start. */
-    fun reload() = log.atInfo {
-        message = "reload asked for"
-        payload = mapOf("configuration" to state.matcher?.configuration?.version)
+    /** Takes settings that were [read] again; what can not change while the entry runs waits for the next start. */
+    fun reload(read: Result<ForwardingSettings, List<SettingsError>>) = thread.loop.execute {
+        read.onSuccess(::takeSettings).onFailure { errors ->
+            log.atWarn {
+                message = "reload refused, the settings stay as they are"
+                payload = mapOf("faults" to errors.joinToString("; "))
+            }
+        }
+    }
+
+    private fun takeSettings(changed: ForwardingSettings) {
+        settings = settings.taking(changed)
+        decisions.linesPerSecond = settings.decisionLinesPerSecond
+        state.budget.limits = settings.retryLimits
+        log.atInfo {
+            message = "reloaded"
+            payload = mapOf(
+                "retry_ratio" to settings.retryRatio,
+                "retry_slack" to settings.retrySlack,
+                "seeds" to settings.seeds.size,
+                "waits_for_start" to (settings != changed),
+                "configuration" to state.matcher?.configuration?.version,
+            )
+        }
     }
 
     private fun poolOf(pool: PoolName): ServingPool? = state.matcher?.configuration?.pools?.get(pool)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingSettings.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingSettings.kt
@@ -6,6 +6,7 @@
 import org.bilberryhead.core.common.DurationTextSerializer
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.core.common.SocketAddressTextSerializer
+import org.bilberryhead.core.serving.RetryLimits
 import org.bilberryhead.daemon.CheckedSettings
 import org.bilberryhead.daemon.SettingsError
 import kotlin.time.Duration
@@ -46,6 +47,18 @@
     @Serializable(with = DurationTextSerializer::class) val retryWindow: Duration = 10.seconds,
     val decisionLinesPerSecond: Int = 100,
 ) : CheckedSettings {
+    /** Limits of the retries that this entry may send. */
+    val retryLimits: RetryLimits get() = RetryLimits(retryRatio, retrySlack, retryWindow)
+
+    /** Returns these settings with what of [changed] an entry takes while it runs: seeds, retry limits, log lines. */
+    fun taking(changed: ForwardingSettings): ForwardingSettings = copy(
+        seeds = changed.seeds,
+        retryRatio = changed.retryRatio,
+        retrySlack = changed.retrySlack,
+        retryWindow = changed.retryWindow,
+        decisionLinesPerSecond = changed.decisionLinesPerSecond,
+    )
+
     override fun check(): List<SettingsError> = buildList {
         if (processorShare <= 0) add(SettingsError("processorShare", "$processorShare is not positive"))
         if (!drainLimit.isPositive()) add(SettingsError("drainLimit", "$drainLimit is not positive"))
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/Main.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/Main.kt
@@ -23,7 +23,7 @@
         val signal = TerminationSignal(settings.drainLimit)
         val daemon = ForwardingDaemon(settings, newEventThread(), ForwardingMetrics(newMeterRegistry()), Random.Default)
         daemon.start()
-        Signal.handle(Signal("HUP")) { daemon.reload() }
+        Signal.handle(Signal("HUP")) { daemon.reload(readSettings()) }
         signal.await()
         val drained = CompletableDeferred<Unit>()
         daemon.drain { drained.complete(Unit) }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -1,5 +1,6 @@
 package org.bilberryhead.forwarding
 
+import com.github.michaelbull.result.Result
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
@@ -12,6 +13,7 @@
 import org.bilberryhead.core.testing.http.readMessage
 import org.bilberryhead.core.testing.http.writeText
 import org.bilberryhead.daemon.MonotonicClock
+import org.bilberryhead.daemon.SettingsError
 import org.bilberryhead.daemon.newMeterRegistry
 import org.bilberryhead.forwarding.http.SmallAnswer
 import org.bilberryhead.forwarding.http.SmallServer
@@ -75,6 +77,9 @@
         " 200 " in it.getInputStream().readMessage()?.head.orEmpty()
     }
 
+    /** Hands [read] to the entry as what its settings file holds now. */
+    fun reload(read: Result<ForwardingSettings, List<SettingsError>>) = daemon.reload(read)
+
     /** Asks the entry to end; returns what happens when it has. */
     fun drain(): CountDownLatch = CountDownLatch(1).also { ended -> daemon.drain { ended.countDown() } }
 
--- /dev/null
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ReloadTest.kt
@@ -0,0 +1,57 @@
+package org.bilberryhead.forwarding
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.daemon.SettingsError
+import java.util.concurrent.atomic.AtomicInteger
+
+class ReloadTest :
+    DescribeSpec({
+        /** Runs [use] with an entry whose two endpoints fail each odd request that they get. */
+        fun withFailingEndpoints(use: (LoopbackDeployment) -> Unit) {
+            val count = AtomicInteger()
+            val endpoints = List(2) {
+                ScriptedEndpoint {
+                    if (count.getAndIncrement() % 2 == 0) answer(status = "500 Oops") else answer(body = "found")
+                }
+            }
+            try {
+                LoopbackDeployment(LoopbackDeployment.CONFIGURATION, mapOf("p" to endpoints)).use(use)
+            } finally {
+                endpoints.forEach { it.close() }
+            }
+        }
+
+        fun LoopbackDeployment.lookUp(id: String) = get("/lookup/a", id).shouldNotBeNull().head
+
+        describe("an entry whose settings are read again") {
+            it("keeps to the new limits of retries") {
+                withFailingEndpoints { entry ->
+                    entry.lookUp("before") shouldContain " 200 "
+                    entry.reload(Ok(entry.settings.copy(retryRatio = 0.0, retrySlack = 0.0)))
+                    entry.lookUp("after") shouldContain " 500 "
+                }
+            }
+
+            it("goes on with the settings that it had when the new ones have faults") {
+                withFailingEndpoints { entry ->
+                    entry.reload(Err(listOf(SettingsError("retryRatio", "-1 is negative"))))
+                    entry.lookUp("after") shouldContain " 200 "
+                }
+            }
+
+            it("keeps its addresses and its place until the next start") {
+                withFailingEndpoints { entry ->
+                    val moved = entry.settings.copy(dataCentre = DataCentre("y"), callers = entry.settings.peers)
+                    entry.settings.taking(moved) shouldBe entry.settings
+                    entry.reload(Ok(moved))
+                    entry.lookUp("after") shouldContain " 200 "
+                }
+            }
+        }
+    })
