Give an endpoint that was slow once work again

The idle one's service time was forgotten down to the pool's, never below it, so that it got no order for 13 s, until a queue formed at the other. Ruled out: attempts that are never counted as ended (each end of an attempt is recorded, by reading).

Change: once forgotten, such an endpoint is taken to need 0.8 of the pool's service time. Endpoints four times slower or more are left as they were.

The new case of PolicySelectorTest fails before.

--- a/core-testing/src/test/kotlin/org/bilberryhead/core/routing/PolicySelectorTest.kt
+++ b/core-testing/src/test/kotlin/org/bilberryhead/core/routing/PolicySelectorTest.kt
@@ -42,6 +42,23 @@
         }
 
         describe("choice by predicted completion") {
+            it("tries an endpoint again whose only calls were slow, though the others have no queue") {
+                val selector = selector()
+                val slow = pool.endpoints.first().id
+                pool.endpoints.indices.forEach { selector.report(it, LoadReport(0, 0, 4, if (it == 0) 70.0 else 35.0)) }
+                val chosen = List(600) { step ->
+                    val endpoint = selector.chosen()
+                    // The others get faster as they warm up, and so does the pool as a whole, a little later.
+                    val millis = 35.0 - step * 0.01
+                    selector.recordDispatch(endpoint, clock.now())
+                    clock.advance(100.milliseconds)
+                    selector.recordEnd(endpoint, AttemptResult.ANSWERED, millis.milliseconds, clock.now())
+                    if (endpoint != slow) selector.recordLoad(endpoint, LoadReport(0, 0, 4, millis), clock.now())
+                    endpoint
+                }
+                chosen.contains(slow) shouldBe true
+            }
+
             it("prefers the endpoint that works fastest") {
                 val selector = selector()
                 listOf(800.0, 400.0, 200.0, 800.0).forEachIndexed { index, millis ->
--- a/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointState.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointState.kt
@@ -102,7 +102,8 @@
         val idleMillis = max(0L, nowMillis - progressAt)
         if (isWorking) return max(reported, idleMillis.toDouble())
         val weight = exp(-idleMillis / max(FORGET_MILLIS, reported * FORGET_SERVICE_TIMES))
-        return weight * reported + (1 - weight) * min(reported, usual)
+        val forgotten = if (reported < usual * MUCH_SLOWER) usual * RETRIED_PART else usual
+        return weight * reported + (1 - weight) * min(reported, forgotten)
     }
 
     /** Returns how long an attempt that is sent now would wait for the endpoint, in milliseconds. */
@@ -189,6 +190,15 @@
         /** Shortest time constant with which an idle endpoint's service time is forgotten, in milliseconds. */
         const val FORGET_MILLIS = 10_000.0
 
+        /**
+         * Part of the pool's service time that an idle endpoint is taken to need once its own is forgotten. Less than
+         * 1, because it would otherwise get no work as long as the busy ones have no queue.
+         */
+        const val RETRIED_PART = 0.8
+
+        /** From this part of the pool's service time on an endpoint is tried again only when the others have queues. */
+        const val MUCH_SLOWER = 4
+
         /** The time constant in service times, so that trying a slow endpoint again costs a small part of its time. */
         const val FORGET_SERVICE_TIMES = 10
 
