Read nothing any more once an entry has ended

Change: with the decision to end the entry closes its listening socket and all idle connections and reads nothing from the others; answers under way can still be written.

The new case of ForwardingTest fails before: the order was sent to an endpoint after the end.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -187,6 +187,8 @@
         if (elapsed >= settings.drainLimit - DRAIN_RESERVE || (isIdle && elapsed >= BALANCER_NOTICES)) {
             val left = admission.runningCount
             admission.endAll()
+            // The process takes a while to end; a request that is read meanwhile would be lost.
+            callers.stop()
             log.atInfo {
                 message = "stopped"
                 payload = mapOf("requests_left" to left, "after_ms" to elapsed.inWholeMilliseconds)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -198,6 +198,11 @@
         if (current == null && head == null && headStartedAt == null) channel.close()
     }
 
+    /** Reads nothing any more; answers that are under way can still be written. */
+    fun stopReading() {
+        channel.config().isAutoRead = false
+    }
+
     private inner class Answer(private val request: CallerRequest) : CallerAnswer {
         var gone: CallerGone? = null
         private var closes = !request.keepsConnection
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerServer.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerServer.kt
@@ -21,13 +21,14 @@
     private val handler: RequestHandler,
 ) {
     private val connections = mutableSetOf<CallerConnection>()
+    private var listener: Channel? = null
 
     /** Whether a request is being served on any connection. */
     val isBusy: Boolean get() = connections.any { it.isBusy }
 
     /** Listens on [address]. Throws `IOException` when it can not. */
     fun listen(address: SocketAddress) {
-        ServerBootstrap()
+        listener = ServerBootstrap()
             .group(thread.loop)
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -40,6 +41,7 @@
             )
             .bind(InetSocketAddress(address.host, address.port))
             .sync()
+            .channel()
         thread.every(CHECK_INTERVAL) {
             val now = thread.now()
             connections.toList().forEach { it.checkTime(now) }
@@ -49,6 +51,13 @@
     /** Closes the connections on which nothing is being read or served. */
     fun closeIdle() = connections.toList().forEach { it.closeIfIdle() }
 
+    /** Takes nothing any more: neither connections nor, on those that are open, requests. */
+    fun stop() {
+        listener?.close()
+        connections.forEach { it.stopReading() }
+        closeIdle()
+    }
+
     private fun prepare(channel: Channel) {
         val connection = CallerConnection(state, handler)
         connections += connection
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ForwardingTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ForwardingTest.kt
@@ -1,5 +1,6 @@
 package org.bilberryhead.forwarding
 
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
@@ -10,6 +11,7 @@
 import org.bilberryhead.core.testing.http.RawMessage
 import org.bilberryhead.core.testing.http.readMessage
 import org.bilberryhead.core.testing.http.writeText
+import java.net.ConnectException
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -275,6 +277,14 @@
                 }
             }
 
+            it("takes no connection and no request any more once it has ended") {
+                deploy({ answer() }) { entry, endpoints ->
+                    entry.drain().await(10, TimeUnit.SECONDS) shouldBe true
+                    shouldThrow<ConnectException> { entry.get("/order/a") }
+                    arrivals(endpoints).shouldBeEmpty()
+                }
+            }
+
             it("gives back what still waits for its stages, and tells the truth about what was sent") {
                 val hold: ScriptedEndpoint.Visit.() -> Unit = { awaitEnd() }
                 ScriptedEndpoint(hold).use { stage ->
