Let orders probe an ejected endpoint, and end tests that hang

Cause: in a pool that gets only work that cannot be repeated, nothing ever probed an ejected endpoint, so one that returned to its pool after refusals stayed without work until its sidecar restarted (PlatformFaultTest, first known red). Found by reading: mayProbe was false for every such stage. The other four known reds shared the system of that test. The fake sidecar of SidecarDirectoryTest wrote a HashMap from several connections, and the query waited without a timeout. Before: the two new cases of PolicySelectorTest fail with no probe in 100 choices. Conclusion: the cause by reading is mended; runs have to confirm it.

--- a/core-testing/src/test/kotlin/org/bilberryhead/core/routing/PolicySelectorTest.kt
+++ b/core-testing/src/test/kotlin/org/bilberryhead/core/routing/PolicySelectorTest.kt
@@ -33,7 +33,16 @@
             remaining: Duration = 4.seconds,
             excludedEndpoints: Set<EndpointId> = emptySet(),
             prefixHash: Int = 0,
-        ) = SelectionRequest(RequestId("r"), pool, remaining, Objective.ATTAINMENT, excludedEndpoints, prefixHash)
+            mayRepeat: Boolean = true,
+        ) = SelectionRequest(
+            RequestId("r"),
+            pool,
+            remaining,
+            Objective.ATTAINMENT,
+            excludedEndpoints,
+            prefixHash,
+            mayRepeat,
+        )
 
         fun PolicySelector.chosen(request: SelectionRequest = request()) =
             choose(request, clock.now()).shouldBeInstanceOf<Selection.Chosen>().candidate.endpoint
@@ -94,6 +103,31 @@
                 List(100) { selector.chosen() }.count { it == failing } shouldBeLessThan 1
             }
 
+            for ((result, longest) in mapOf(AttemptResult.REFUSED to 5.seconds, AttemptResult.FAILED to 40.seconds)) {
+                it("probes an endpoint with work that cannot be repeated, $longest after it was $result") {
+                    val selector = selector()
+                    val ejected = pool.endpoints[0].id
+                    repeat(4) { selector.report(it, LoadReport(0, 0, 4, 100.0)) }
+                    repeat(3) { selector.recordEnd(ejected, result, 1.milliseconds, clock.now()) }
+                    val order = request(mayRepeat = false)
+                    List(100) { selector.chosen(order) }.count { it == ejected } shouldBe 0
+                    clock.advance(longest)
+                    List(100) { selector.chosen(order) }.count { it == ejected } shouldBe 1
+                    selector.recordEnd(ejected, AttemptResult.ANSWERED, 100.milliseconds, clock.now())
+                    (1..3).forEach { selector.report(it, LoadReport(40, 4, 4, 100.0)) }
+                    selector.chosen(order) shouldBe ejected
+                }
+            }
+
+            it("does not probe an endpoint that has failed with work that cannot be repeated soon afterwards") {
+                val selector = selector()
+                val ejected = pool.endpoints[0].id
+                repeat(4) { selector.report(it, LoadReport(0, 0, 4, 100.0)) }
+                repeat(3) { selector.recordEnd(ejected, AttemptResult.FAILED, 1.milliseconds, clock.now()) }
+                clock.advance(10.seconds)
+                List(100) { selector.chosen(request(mayRepeat = false)) }.count { it == ejected } shouldBe 0
+            }
+
             it("does not retry work on a failing endpoint when all others refused it") {
                 val selector = selector()
                 val failing = pool.endpoints[0].id
--- /dev/null
+++ b/core-testing/src/test/kotlin/org/bilberryhead/core/testing/HangReporterTest.kt
@@ -0,0 +1,20 @@
+package org.bilberryhead.core.testing
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.DescribeSpec
+import java.util.concurrent.CountDownLatch
+import kotlin.time.Duration.Companion.milliseconds
+
+class HangReporterTest :
+    DescribeSpec({
+        describe("a test that blocks its thread") {
+            it("is interrupted after the limit") {
+                shouldThrow<InterruptedException> {
+                    HangReporter(50.milliseconds).intercept(testCase) {
+                        CountDownLatch(1).await()
+                        error("the test was not interrupted")
+                    }
+                }
+            }
+        }
+    })
--- a/core/src/main/kotlin/org/bilberryhead/core/pipeline/TargetChooser.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/pipeline/TargetChooser.kt
@@ -69,7 +69,7 @@
         remaining = stageTimeout(stageIndex, now),
         objective = route.objective,
         excludedEndpoints = attempts.endpointsTried(stageIndex),
-        mayProbe = route.stages[stageIndex].idempotent,
+        mayRepeat = route.stages[stageIndex].idempotent,
         mayRefuse = stageIndex == 0,
     )
 }
--- a/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointSelector.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointSelector.kt
@@ -24,7 +24,7 @@
  * @property excludedEndpoints endpoints that must not be chosen, because the stage was already attempted on them
  * @property remaining time until the deadline of the stage
  * @property prefixHash groups requests that share a prompt prefix; 0 when unknown
- * @property mayProbe whether the work may probe an ejected endpoint
+ * @property mayRepeat whether the work can be repeated; work that cannot hardly ever probes an ejected endpoint
  * @property mayRefuse whether the selection may fail when no endpoint is predicted to respond in time
  */
 data class SelectionRequest(
@@ -34,7 +34,7 @@
     val objective: Objective,
     val excludedEndpoints: Set<EndpointId> = emptySet(),
     val prefixHash: Int = 0,
-    val mayProbe: Boolean = true,
+    val mayRepeat: Boolean = true,
     val mayRefuse: Boolean = true,
 )
 
--- a/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointState.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/EndpointState.kt
@@ -37,6 +37,10 @@
     @Volatile
     private var probeDelayMillis = 0L
 
+    /** Whether every failure since the last answer was a refusal, after which the work has not run. */
+    @Volatile
+    private var hasOnlyRefused = false
+
     @Volatile
     private var progressAt = nowMillis
 
@@ -61,8 +65,9 @@
         attemptsInFlight.updateAndGet { max(0, it - 1) }
         when (result) {
             AttemptResult.ANSWERED -> recordAnswer(nowMillis)
-            AttemptResult.FAILED -> recordFailure(limits, nowMillis)
-            AttemptResult.REFUSED -> if (isIdle()) recordFailure(limits, nowMillis) else isProbeInFlight.set(false)
+            AttemptResult.FAILED -> recordFailure(isRefusal = false, limits, nowMillis)
+            AttemptResult.REFUSED ->
+                if (isIdle()) recordFailure(isRefusal = true, limits, nowMillis) else isProbeInFlight.set(false)
             AttemptResult.ABANDONED -> isProbeInFlight.set(false)
         }
     }
@@ -89,9 +94,19 @@
         reportedAt = nowMillis
     }
 
-    /** Claims the probe of an ejected endpoint if it is due and none is in flight. If true, the caller must send it. */
-    fun tryProbe(nowMillis: Long): Boolean =
-        nowMillis >= ejectedUntil.get() + probeDelayMillis && isProbeInFlight.compareAndSet(false, true)
+    /**
+     * Claims the probe of an ejected endpoint if it is due and none is in flight. If true, the caller must send it.
+     *
+     * @param mayRepeat whether the work can be repeated. Work that cannot might be lost. It probes an endpoint that has
+     *   only refused, as other work does, but one that has failed only after [EjectionLimits.maximumEjectionTime]
+     *   more. Without that, a pool that gets no other work would never use the endpoint again.
+     */
+    fun tryProbe(mayRepeat: Boolean, limits: EjectionLimits, nowMillis: Long): Boolean {
+        val isSafe = mayRepeat || hasOnlyRefused
+        val extraMillis = if (isSafe) 0 else limits.maximumEjectionTime.inWholeMilliseconds
+        return nowMillis >= ejectedUntil.get() + probeDelayMillis + extraMillis &&
+            isProbeInFlight.compareAndSet(false, true)
+    }
 
     /** Returns the expected service time in milliseconds. */
     fun serviceMillis(nowMillis: Long): Double {
@@ -130,6 +145,7 @@
      */
     private fun recordReportedFailures(reported: Int, previous: Int, limits: EjectionLimits, nowMillis: Long) {
         if (reported >= limits.consecutiveFailures && reported > previous) {
+            hasOnlyRefused = false
             eject(limits, nowMillis)
         } else if (reported == 0 && previous >= limits.consecutiveFailures) {
             failures.set(0)
@@ -152,7 +168,8 @@
         ejections.set(0)
     }
 
-    private fun recordFailure(limits: EjectionLimits, nowMillis: Long) {
+    private fun recordFailure(isRefusal: Boolean, limits: EjectionLimits, nowMillis: Long) {
+        hasOnlyRefused = isRefusal && (hasOnlyRefused || failures.get() == 0)
         progressAt = nowMillis
         isProbeInFlight.set(false)
         if (failures.incrementAndGet() >= limits.consecutiveFailures) eject(limits, nowMillis)
--- a/core/src/main/kotlin/org/bilberryhead/core/routing/PolicySelector.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/routing/PolicySelector.kt
@@ -123,7 +123,7 @@
         view: PoolView,
     ): Selection {
         if (view.candidates.isEmpty()) return noneAvailable(view)
-        if (selection.mayProbe) probe(selection, view)?.let { return it }
+        probe(selection, view)?.let { return it }
         val sampled = sample(policy, view, selection.excludedEndpoints)
         val remainingMillis = selection.remaining.toDouble(DurationUnit.MILLISECONDS)
         val fastest = sampled.minByOrNull { it.completionMillis } ?: return chooseOutsideSample(selection, view)
@@ -210,7 +210,7 @@
         val candidate = view.candidates[random.nextInt(view.candidates.size)]
         val state = stateOf(view, candidate)
         val isProbe =
-            state.isEjected && candidate.endpoint !in selection.excludedEndpoints && state.tryProbe(view.nowMillis)
+            state.isEjected && candidate.endpoint !in selection.excludedEndpoints && tryProbe(state, selection, view)
         return if (isProbe) Selection.Chosen(candidate, view.candidates.size, "probe after failures") else null
     }
 
@@ -230,11 +230,14 @@
     }
 
     private fun probeUntried(selection: SelectionRequest, view: PoolView, untried: List<Candidate>): Selection {
-        if (!selection.mayProbe) return noneAvailable(view)
-        val chosen = untried.firstOrNull { stateOf(view, it).tryProbe(view.nowMillis) } ?: return noneAvailable(view)
+        val chosen =
+            untried.firstOrNull { tryProbe(stateOf(view, it), selection, view) } ?: return noneAvailable(view)
         return Selection.Chosen(chosen, view.candidates.size, "probe, as no other endpoint is left")
     }
 
+    private fun tryProbe(state: EndpointState, selection: SelectionRequest, view: PoolView): Boolean =
+        state.tryProbe(selection.mayRepeat, ejectionLimits, view.nowMillis)
+
     private fun noneAvailable(view: PoolView) =
         Selection.NoneAvailable(view.candidates.size, "no endpoint is left to try", NONE_AVAILABLE_RETRY_DELAY)
 
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EventSplitter.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EventSplitter.kt
@@ -16,7 +16,10 @@
     private var lineLength = 0
 
     /** Whether bytes of an incomplete event are buffered. */
-    val hasPartialEvent: Boolean get() = pending.size() > 0
+    val hasPartialEvent: Boolean get() = partialEventBytes > 0
+
+    /** Number of buffered bytes of an incomplete event. */
+    val partialEventBytes: Int get() = pending.size()
 
     /** Adds the next [bytes] of the stream and returns the events that they complete. */
     fun add(bytes: ByteArray): List<StreamEvent> {
--- a/core/src/test/kotlin/org/bilberryhead/core/routing/EndpointStateTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/routing/EndpointStateTest.kt
@@ -83,9 +83,9 @@
             it("allows one probe when the ejection time is over, and is reinstated when the probe succeeds") {
                 val state = EndpointState(PoolState(0).apply { size = 4 }, 0)
                 repeat(3) { state.recordEnd(AttemptResult.FAILED, limits, nowMillis = 0) }
-                state.tryProbe(nowMillis = 1_999) shouldBe false
-                state.tryProbe(nowMillis = 2_000) shouldBe true
-                state.tryProbe(nowMillis = 2_000) shouldBe false
+                state.tryProbe(mayRepeat = true, limits, nowMillis = 1_999) shouldBe false
+                state.tryProbe(mayRepeat = true, limits, nowMillis = 2_000) shouldBe true
+                state.tryProbe(mayRepeat = true, limits, nowMillis = 2_000) shouldBe false
                 state.recordEnd(AttemptResult.ANSWERED, limits, nowMillis = 2_100)
                 state.isEjected shouldBe false
             }
@@ -95,7 +95,7 @@
                 state.recordLoad(load(failures = 3), limits, nowMillis = 0)
                 state.isEjected shouldBe true
                 state.recordLoad(load(failures = 4), limits, nowMillis = 2_000)
-                state.tryProbe(nowMillis = 5_999) shouldBe false
+                state.tryProbe(mayRepeat = true, limits, nowMillis = 5_999) shouldBe false
                 state.recordLoad(load(failures = 0), limits, nowMillis = 5_999)
                 state.isEjected shouldBe false
             }
@@ -104,7 +104,7 @@
                 val state = EndpointState(PoolState(0).apply { size = 4 }, 0)
                 state.recordLoad(load(failures = 3), limits, nowMillis = 0)
                 state.recordLoad(load(failures = 9), limits, nowMillis = 500)
-                state.tryProbe(nowMillis = 2_000) shouldBe true
+                state.tryProbe(mayRepeat = true, limits, nowMillis = 2_000) shouldBe true
             }
 
             it("is reset when its sidecar restarts") {
--- a/entry/src/main/kotlin/org/bilberryhead/entry/OutcomeLookup.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/OutcomeLookup.kt
@@ -76,7 +76,7 @@
         val link = links.link(location.endpoint) ?: return null
         return withTimeoutOrNull(timeout) {
             link.awaitFirstConnection(timeout)
-            link.queryOutcome(location)
+            link.queryOutcome(location, timeout)
         }
     }
 
--- a/entry/src/main/kotlin/org/bilberryhead/entry/SidecarLink.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/SidecarLink.kt
@@ -83,8 +83,8 @@
     /** Waits until the link has been connected once, for at most [timeout]. */
     suspend fun awaitFirstConnection(timeout: Duration)
 
-    /** Queries the sidecar for the outcome of the attempt at [location]; waits for the response without a timeout. */
-    suspend fun queryOutcome(location: AttemptLocation): OutcomeReport
+    /** Queries the sidecar for the outcome of the attempt at [location]; null when it does not respond in [timeout]. */
+    suspend fun queryOutcome(location: AttemptLocation, timeout: Duration): OutcomeReport?
 }
 
 /** Finds the link to the sidecar of an endpoint. */
@@ -181,7 +181,7 @@
         withTimeoutOrNull(timeout) { firstConnection.await() }
     }
 
-    override suspend fun queryOutcome(location: AttemptLocation): OutcomeReport {
+    override suspend fun queryOutcome(location: AttemptLocation, timeout: Duration): OutcomeReport? {
         val current = connectedIncarnation
         if (current != null && current != location.incarnation) {
             return OutcomeReport(location.attempt, AttemptOutcome.FORGOTTEN)
@@ -189,7 +189,7 @@
         val response = pendingQueries.computeIfAbsent(location) { CompletableDeferred() }
         client.trySend(QueryOutcome(location.attempt, location.incarnation))
         try {
-            return response.await()
+            return withTimeoutOrNull(timeout) { response.await() }
         } finally {
             pendingQueries.remove(location, response)
         }
--- a/entry/src/main/kotlin/org/bilberryhead/entry/WarmUp.kt
+++ b/entry/src/main/kotlin/org/bilberryhead/entry/WarmUp.kt
@@ -159,7 +159,7 @@
 
         override suspend fun awaitFirstConnection(timeout: Duration) = Unit
 
-        override suspend fun queryOutcome(location: AttemptLocation) =
+        override suspend fun queryOutcome(location: AttemptLocation, timeout: Duration) =
             OutcomeReport(location.attempt, AttemptOutcome.NEVER_SEEN)
 
         private fun encodeAndDecode(message: Message): Message =
--- a/entry/src/test/kotlin/org/bilberryhead/entry/FakeLinks.kt
+++ b/entry/src/test/kotlin/org/bilberryhead/entry/FakeLinks.kt
@@ -45,7 +45,7 @@
 
         override suspend fun awaitFirstConnection(timeout: Duration) = Unit
 
-        override suspend fun queryOutcome(location: AttemptLocation): OutcomeReport =
+        override suspend fun queryOutcome(location: AttemptLocation, timeout: Duration): OutcomeReport =
             outcomes[location] ?: OutcomeReport(location.attempt, AttemptOutcome.NEVER_SEEN)
     }
 
--- a/entry/src/test/kotlin/org/bilberryhead/entry/SidecarDirectoryTest.kt
+++ b/entry/src/test/kotlin/org/bilberryhead/entry/SidecarDirectoryTest.kt
@@ -39,14 +39,19 @@
 import org.bilberryhead.protocol.MessageCodec
 import org.bilberryhead.protocol.MessageServer
 import org.bilberryhead.protocol.MessageServerHandler
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
 private val incarnation = Incarnation("run-1")
 
-/** A fake sidecar that reports the outcome `ANSWERED` for every attempt. */
+/** An attempt whose outcome the fake sidecar never reports. */
+private val SILENT = AttemptId("silent")
+
+/** A fake sidecar that reports the outcome `ANSWERED` for every attempt but [SILENT]. */
 private class RespondingSidecar : MessageServerHandler {
-    private val senders = HashMap<Long, (Message) -> Boolean>()
+    private val senders = ConcurrentHashMap<Long, (Message) -> Boolean>()
 
     override fun welcome(hello: Hello) = Welcome(DaemonId("sidecar"), incarnation, TableVersion.NONE)
 
@@ -57,7 +62,7 @@
     }
 
     override suspend fun onMessage(connection: Long, message: Message) {
-        if (message !is QueryOutcome) return
+        if (message !is QueryOutcome || message.attempt == SILENT) return
         senders.getValue(connection)(OutcomeReport(message.attempt, AttemptOutcome.ANSWERED))
     }
 
@@ -117,12 +122,22 @@
                 val link = directory.link(foreign).shouldNotBeNull()
 
                 link.awaitFirstConnection(30.seconds)
-                val report = link.queryOutcome(AttemptLocation(foreign, incarnation, AttemptId("a")))
+                val report = link.queryOutcome(AttemptLocation(foreign, incarnation, AttemptId("a")), 30.seconds)
 
-                report.outcome shouldBe AttemptOutcome.ANSWERED
+                report.shouldNotBeNull().outcome shouldBe AttemptOutcome.ANSWERED
                 directory.link(foreign) shouldBe link
             }
 
+            it("gives no outcome when its sidecar does not respond in time") {
+                val directory = directory()
+                val foreign = foreignEndpoint(directory)
+                val link = directory.link(foreign).shouldNotBeNull()
+
+                link.awaitFirstConnection(30.seconds)
+
+                link.queryOutcome(AttemptLocation(foreign, incarnation, SILENT), 100.milliseconds).shouldBeNull()
+            }
+
             it("is never chosen for new work") {
                 val directory = directory()
                 val foreign = foreignEndpoint(directory)
--- a/system-tests/src/test/kotlin/org/bilberryhead/system/PlatformFaultTest.kt
+++ b/system-tests/src/test/kotlin/org/bilberryhead/system/PlatformFaultTest.kt
@@ -31,15 +31,15 @@
 
 class PlatformFaultTest :
     DescribeSpec({
-        val system = TestSystem(ordersPlan(orders = 2))
+        lateinit var system: TestSystem
         val http = HttpCalls()
-        beforeSpec { system.start() }
-        beforeTest { system.clearEffects() }
-        afterTest { system.setFault("platform", """{"service":"VMS","kind":"NONE"}""") }
-        afterSpec {
-            system.close()
-            http.close()
+        // Each test starts its own system, because a fault may leave endpoints ejected.
+        beforeEach {
+            system = TestSystem(ordersPlan(orders = 2))
+            system.start()
         }
+        afterEach { system.close() }
+        afterSpec { http.close() }
 
         suspend fun listVms(state: String, lagMillis: Int = 0) {
             val list = """[{"vm":"vm-$LEAVING","state":"$state"},{"vm":"vm-$REMAINING","state":"LIVE"}]"""
@@ -68,7 +68,7 @@
         }
 
         describe("a system whose VM list reports a leaving VM as live") {
-            beforeTest { listVms("LIVE") }
+            beforeEach { listVms("LIVE") }
 
             it("sends no new work to an endpoint whose sidecar is leaving, and interrupts no order") {
                 OrderStream(system).measureTimeUntilNoWork(LEAVING, "sidecar leaves, stale VM list") {
