Bound what an endpoint may send, and stop listening before a drain ends

Cause: operators of similar systems reported late copies, streams cut or never ended, lost responses and bytes without end. Change: bytes that begin no response and bodies are limited; leftover bytes end the reuse of a connection; reading from an endpoint pauses while its caller is behind; a silent stream moves only to an endpoint that is free; a response of the store that is older than the call is refused; unexpected exceptions are logged, counted (bilberry.failures.unexpected) and end one request; a drain ends once the port is closed and every response has been sent.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/EventThread.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/EventThread.kt
@@ -17,13 +17,17 @@
 
 /** The single thread that serves the connections and owns all mutable state, with its clock. */
 internal class EventThread(val loop: EventLoop, private val clock: Clock) {
+    /** Number of unexpected exceptions so far. */
+    var failureCount = 0L
+        private set
+
     /** Returns the current time, which never goes back. */
     fun now(): Instant = clock.now()
 
     /** Runs [action] after [delay]. */
     fun after(delay: Duration, action: () -> Unit): Timer {
         val task = loop.schedule(
-            { runLoggingFailures(action) },
+            { runGuarded("scheduled action", action) },
             delay.inWholeMicroseconds.coerceAtLeast(0),
             TimeUnit.MICROSECONDS,
         )
@@ -33,15 +37,29 @@
     /** Runs [action] repeatedly, each time [interval] after the previous run has ended. */
     fun every(interval: Duration, action: () -> Unit) {
         after(interval) {
-            runLoggingFailures(action)
+            runGuarded("repeated action", action)
             every(interval, action)
         }
     }
 
-    private fun runLoggingFailures(action: () -> Unit) = try {
-        action()
+    /**
+     * Runs [block] as part of [action] and returns whether it ended without an exception. An exception is recorded and
+     * goes no further, so that a failure for one request cannot stop what serves all requests.
+     */
+    fun runGuarded(action: String, block: () -> Unit): Boolean = try {
+        block()
+        true
     } catch (@Suppress("TooGenericExceptionCaught") failure: RuntimeException) {
-        // A failure for one request must not stop a repeating action that serves all requests.
-        log.error(failure) { "a scheduled action failed" }
+        recordFailure(failure, action)
+        false
+    } catch (failure: StackOverflowError) {
+        recordFailure(failure, action)
+        false
+    }
+
+    /** Logs and counts an exception that was not expected during [action]. */
+    fun recordFailure(failure: Throwable, action: String) {
+        failureCount++
+        log.error(failure) { "unexpected failure: $action" }
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -145,6 +145,9 @@
         metrics.gauge("bilberry.pieces.waiting", "Pieces that wait for a call of this coordinator") {
             stageSchedulers.values.sumOf { it.waitingCount }
         }
+        metrics.gauge("bilberry.failures.unexpected", "Exceptions that no part of the program expected") {
+            thread.failureCount
+        }
         thread.loop.execute(::watchStore)
         log.atInfo {
             message = "started"
@@ -203,12 +206,13 @@
             val unfinished = admission.runningCount
             admission.terminateAll()
             // A request that is read between now and the end of the process would get no response.
-            callers.stop()
-            log.atInfo {
-                message = "stopped"
-                payload = mapOf("requests_left" to unfinished, "after_ms" to elapsed.inWholeMilliseconds)
+            callers.stop {
+                log.atInfo {
+                    message = "stopped"
+                    payload = mapOf("requests_left" to unfinished, "after_ms" to elapsed.inWholeMilliseconds)
+                }
+                ended()
             }
-            ended()
             return
         }
         if (elapsed >= BALANCER_REMOVAL_TIME) callers.closeIdle()
@@ -270,6 +274,8 @@
 
         override val isDraining: Boolean get() = drainingSince != null
 
+        override fun recordFailure(failure: Throwable) = thread.recordFailure(failure, "serving a caller")
+
         override fun rejected(status: Int, reason: String) {
             metrics.rejectedUnread(status)
             decisions.write("request rejected unread") { mapOf("status" to status, "reason" to reason) }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -28,6 +28,7 @@
 import org.bilberryhead.forwarding.http.HopByHopHeaders
 import org.bilberryhead.forwarding.http.ResponseHead
 import java.io.ByteArrayOutputStream
+import java.io.IOException
 import kotlin.time.Instant
 
 /** Process state that caller connections depend on. */
@@ -41,6 +42,9 @@
     /** Whether the process is draining; each response then closes its connection. */
     val isDraining: Boolean
 
+    /** Records an exception that was not expected. */
+    fun recordFailure(failure: Throwable)
+
     /** Counts a request that was rejected before it was read completely. */
     fun rejected(status: Int, reason: String)
 }
@@ -65,8 +69,10 @@
         headStartedAt = now
     }
 
-    /** Whether a request is being served. */
-    val isBusy: Boolean get() = current != null
+    /** Whether a request is being served, or part of a response has not been sent yet. */
+    val isBusy: Boolean get() = current != null || hasUnsentBytes
+
+    private val hasUnsentBytes: Boolean get() = (channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0) > 0
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
@@ -133,7 +139,7 @@
     private fun serve(request: CallerRequest) {
         val response = ActiveResponse(request)
         current = response
-        response.disconnectListener = handler.serve(request, response)
+        response.listener = handler.serve(request, response)
     }
 
     private fun reject(status: Int, reason: String) {
@@ -169,15 +175,20 @@
         waitingRequests.clear()
         current?.let {
             current = null
-            it.disconnectListener?.callerDisconnected()
+            it.listener?.callerDisconnected()
         }
     }
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        // Usually a reset by the caller; channelInactive() then notifies the handler.
+        // Mostly a reset by the caller; channelInactive() then notifies the handler.
+        if (cause !is IOException) state.recordFailure(cause)
         context.close()
     }
 
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        if (context.channel().isWritable) current?.listener?.callerCaughtUp()
+    }
+
     /** Rejects a request that arrives too slowly, and closes a connection that was idle for too long. */
     fun checkTimeouts(now: Instant) {
         val limits = state.limits
@@ -194,9 +205,9 @@
         }
     }
 
-    /** Closes the connection unless a request is being read or served on it. */
+    /** Closes the connection unless a request is being read or served on it or a response is still being sent. */
     fun closeIfIdle() {
-        if (current == null && requestHead == null && headStartedAt == null) channel.close()
+        if (!isBusy && requestHead == null && headStartedAt == null) channel.close()
     }
 
     /** Stops reading; responses in progress can still be written. */
@@ -205,11 +216,13 @@
     }
 
     private inner class ActiveResponse(private val request: CallerRequest) : ResponseWriter {
-        var disconnectListener: CallerDisconnectListener? = null
+        var listener: CallerListener? = null
         private var closes = !request.keepsConnection
 
         override val isOpen: Boolean get() = current === this
 
+        override val isCongested: Boolean get() = isOpen && !channel.isWritable
+
         override fun send(response: FullResponse) {
             if (!isOpen) return
             val closing = closes || state.isDraining
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerRequest.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerRequest.kt
@@ -33,6 +33,9 @@
     /** Starts a response whose body is sent in parts. */
     fun start(head: ResponseHead)
 
+    /** Whether so much of the response waits to be sent that the next part should wait for [CallerListener]. */
+    val isCongested: Boolean
+
     /** Sends the next part of the body. */
     fun write(bytes: ByteArray)
 
@@ -45,12 +48,15 @@
 
 /** Serves requests that were read completely. */
 internal fun interface RequestHandler {
-    /** Serves [request]; returns the listener to call if the caller disconnects before the response is complete. */
-    fun serve(request: CallerRequest, response: ResponseWriter): CallerDisconnectListener
+    /** Serves [request]; returns the listener for what the caller does before the response is complete. */
+    fun serve(request: CallerRequest, response: ResponseWriter): CallerListener
 }
 
-/** Receives the notice that a caller has disconnected. */
-internal fun interface CallerDisconnectListener {
-    /** Handles the end of the caller's connection before the response was complete. */
+/** Receives what the caller does before the response is complete. */
+internal fun interface CallerListener {
+    /** Handles the end of the caller's connection. */
     fun callerDisconnected()
+
+    /** The response is no longer congested: the caller has received most of what was written. */
+    fun callerCaughtUp() = Unit
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerServer.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerServer.kt
@@ -51,11 +51,16 @@
     /** Closes the connections on which no request is being read or served. */
     fun closeIdle() = connections.toList().forEach { it.closeIfIdle() }
 
-    /** Accepts no further connections, and no further requests on open ones. */
-    fun stop() {
+    /**
+     * Accepts no further connections, and no further requests on open ones. Calls [stopped] once the operating system
+     * has closed the port.
+     */
+    fun stop(stopped: () -> Unit) {
         listener?.close()
         connections.forEach { it.stopReading() }
         closeIdle()
+        // A selector closes the socket of a cancelled key only in its next selection.
+        thread.after(SELECTION_DELAY, stopped)
     }
 
     private fun initialize(channel: Channel) {
@@ -80,5 +85,6 @@
     private companion object {
         const val BACKLOG = 1_024
         val CHECK_INTERVAL = 250.milliseconds
+        val SELECTION_DELAY = 10.milliseconds
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/Connector.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/Connector.kt
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
 import jdk.net.ExtendedSocketOptions
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.forwarding.EventThread
@@ -23,7 +22,9 @@
         opened: (OutboundConnection) -> Unit,
         failed: (String) -> Unit,
     ) {
-        val connection = OutboundConnection(requestIdHeader, thread::now)
+        val connection = OutboundConnection(requestIdHeader, thread::now) {
+            thread.recordFailure(it, "reading from $address")
+        }
         val connectFuture = bootstrap(timeout, connection).connect(InetSocketAddress(address.host, address.port))
         connectFuture.addListener {
             if (it.isSuccess) opened(connection) else failed(it.cause()?.message ?: "can not connect")
@@ -42,7 +43,7 @@
         .handler(
             object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
-                    channel.pipeline().addLast(HttpClientCodec()).addLast(connection)
+                    connection.addTo(channel.pipeline())
                 }
             },
         )
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
@@ -6,16 +6,23 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelPipeline
+import io.netty.handler.codec.DecoderException
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -23,14 +30,22 @@
 /**
  * A connection to another process that carries one exchange at a time.
  *
- * A response with the id of another request is skipped, and the connection is not reused afterwards. A response that
- * arrives while no request is pending closes the connection.
+ * A response with the id of another request is skipped, and the connection is not reused afterwards. Bytes that arrive
+ * while no request is pending close the connection, as do bytes that go on without becoming part of the response.
+ *
+ * @param onUnexpectedFailure receives an exception that is neither an I/O error nor an invalid response
  */
-internal class OutboundConnection(private val requestIdHeader: String, private val now: () -> Instant) :
-    ChannelInboundHandlerAdapter() {
+internal class OutboundConnection(
+    private val requestIdHeader: String,
+    private val now: () -> Instant,
+    private val onUnexpectedFailure: (Throwable) -> Unit,
+) : ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
+    private val decoder = ResponseDecoder()
     private var listener: ResponseListener? = null
     private var expectedId: String? = null
+    private var remainingBodyBytes = 0L
+    private var bytesWithoutProgress = 0
     private var isSkippingResponse = false
     private var bodyEndsAtClose = false
     private var failureReason: String? = null
@@ -53,6 +68,11 @@
     /** Whether an exchange may start at [at], well before the other side's idle timeout closes the connection. */
     fun isUsable(at: Instant): Boolean = isOpen && isReusable && at - idleSince < idleTimeout
 
+    /** Adds this connection and its codec to [pipeline]. */
+    fun addTo(pipeline: ChannelPipeline) {
+        pipeline.addLast(UnexpectedBytesCheck()).addLast(decoder).addLast(HttpRequestEncoder()).addLast(this)
+    }
+
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
     }
@@ -61,14 +81,23 @@
      * Sends [request]; [listener] receives the response.
      *
      * @param requestId the id that the response must have, or null when responses have none
+     * @param maximumBodyBytes the exchange fails when the body of the response is longer
      */
-    fun send(request: OutboundRequest, requestId: String?, listener: ResponseListener) {
+    fun send(
+        request: OutboundRequest,
+        requestId: String?,
+        listener: ResponseListener,
+        maximumBodyBytes: Long = MAXIMUM_BODY_BYTES,
+    ) {
         if (!channel.isActive || !isReusable) {
             listener.exchangeFailed(ExchangeFailure.NotSent("the connection was closed"))
             return
         }
         this.listener = listener
         expectedId = requestId
+        remainingBodyBytes = maximumBodyBytes
+        bytesWithoutProgress = 0
+        decoder.expectsNoBody = request.method == HttpMethod.HEAD
         if (request.method == HttpMethod.HEAD) isReusable = false
         val message = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -84,6 +113,16 @@
         channel.writeAndFlush(message)
     }
 
+    /** Reads no more of the response until [resumeReading] is called, so that the other process has to wait. */
+    fun pauseReading() {
+        channel.config().isAutoRead = false
+    }
+
+    /** Reads on after [pauseReading]. */
+    fun resumeReading() {
+        channel.config().isAutoRead = true
+    }
+
     /** Notifies the owner that the connection is available again although it carried no exchange. */
     fun release() = onStateChange()
 
@@ -114,22 +153,40 @@
             close()
             return
         }
-        if (response.status().code() in INFORMATIONAL_STATUSES) {
-            isSkippingResponse = true
-            return
-        }
-        val id = response.headers()[requestIdHeader]
-        if (expectedId != null && id != expectedId) {
-            // Without an id it may be a late response to an earlier request.
-            if (id == null) return fail("an answer without a request id")
-            isSkippingResponse = true
-            isReusable = false
-            return
+        val problem = problemOf(response)
+        when {
+            problem != null -> fail(problem)
+            response.status().code() in INFORMATIONAL_STATUSES -> isSkippingResponse = true
+            isToOtherRequest(response) -> {
+                isSkippingResponse = true
+                isReusable = false
+            }
+
+            else -> {
+                readConnectionHeaders(response)
+                bytesWithoutProgress = 0
+                activeListener.headReceived(ResponseHead(response.status().code(), response.headers()))
+            }
         }
-        readConnectionHeaders(response)
-        activeListener.headReceived(ResponseHead(response.status().code(), response.headers()))
     }
 
+    private fun problemOf(response: HttpResponse): String? = when {
+        response.status() == HttpResponseStatus.SWITCHING_PROTOCOLS -> "the protocol was switched"
+        response.status().code() in INFORMATIONAL_STATUSES -> null
+        // Without an id it may be a late response to an earlier request.
+        expectedId != null && requestIdHeader !in response.headers() -> "an answer without a request id"
+        !hasKnownTransferEncoding(response) -> "the transfer encoding is unknown"
+        else -> null
+    }
+
+    private fun isToOtherRequest(response: HttpResponse): Boolean =
+        expectedId != null && response.headers()[requestIdHeader] != expectedId
+
+    private fun hasKnownTransferEncoding(response: HttpResponse): Boolean =
+        response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).all {
+            it.trim().equals(HttpHeaderValues.CHUNKED.toString(), ignoreCase = true)
+        }
+
     private fun readConnectionHeaders(response: HttpResponse) {
         bodyEndsAtClose = !HttpUtil.isContentLengthSet(response) &&
             !HttpUtil.isTransferEncodingChunked(response) &&
@@ -145,7 +202,13 @@
             return
         }
         val activeListener = listener ?: return
-        if (content.content().isReadable) activeListener.bodyPartReceived(bytesOf(content.content()))
+        val length = content.content().readableBytes()
+        remainingBodyBytes -= length
+        if (remainingBodyBytes < 0) return fail("the body of the answer is too long")
+        if (length > 0) {
+            bytesWithoutProgress = 0
+            activeListener.bodyPartReceived(bytesOf(content.content()))
+        }
         // The listener may have closed the connection while it handled the body.
         if (content is LastHttpContent && listener === activeListener) complete(activeListener)
     }
@@ -153,6 +216,9 @@
     private fun complete(activeListener: ResponseListener) {
         val reason = failureReason
         if (bodyEndsAtClose && reason != null) return fail(reason)
+        // Bytes after the response would be read as the beginning of the next one.
+        if (decoder.hasUnreadBytes) isReusable = false
+        resumeReading()
         listener = null
         idleSince = now()
         if (!isReusable) channel.close()
@@ -164,6 +230,7 @@
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         failureReason = cause.message ?: cause.javaClass.simpleName
+        if (cause !is IOException && cause !is DecoderException) onUnexpectedFailure(cause)
         context.close()
     }
 
@@ -181,9 +248,27 @@
         onStateChange()
     }
 
+    /** Limits the bytes that the other process sends without completing a head or sending a part of the body. */
+    private inner class UnexpectedBytesCheck : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            val length = (message as? ByteBuf)?.readableBytes() ?: 0
+            bytesWithoutProgress += length
+            if (listener != null && bytesWithoutProgress <= MAXIMUM_BYTES_WITHOUT_PROGRESS) {
+                super.channelRead(context, message)
+                return
+            }
+            ReferenceCountUtil.release(message)
+            if (listener == null) close() else fail("the answer does not begin")
+        }
+    }
+
     private companion object {
         val INFORMATIONAL_STATUSES = 100..199
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
+        const val MAXIMUM_BODY_BYTES = 4L * 1024 * 1024
+
+        /** Leaves room for interim responses and for a late response to an earlier request, which is skipped. */
+        const val MAXIMUM_BYTES_WITHOUT_PROGRESS = 1024 * 1024
         const val KEEP_ALIVE_HEADER = "Keep-Alive"
         val TIMEOUT_PARAMETER = Regex("""timeout=(\d+)""")
         val DEFAULT_IDLE_TIMEOUT = 4.seconds
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/ResponseDecoder.kt
@@ -0,0 +1,20 @@
+package org.bilberryhead.forwarding.http
+
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpStatusClass
+
+/** Decodes the responses of one connection. */
+internal class ResponseDecoder : HttpResponseDecoder() {
+    /** Whether the next response is one to a HEAD request, which has no body whatever its headers say. */
+    var expectsNoBody = false
+
+    /** Whether bytes were received that belong to no decoded message yet. */
+    val hasUnreadBytes: Boolean get() = actualReadableBytes() > 0
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean {
+        val isFinal = (message as? HttpResponse)?.status()?.codeClass() != HttpStatusClass.INFORMATIONAL
+        return (expectsNoBody && isFinal) || super.isContentAlwaysEmpty(message)
+    }
+}
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/SimpleHttpServer.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/SimpleHttpServer.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.DecoderException
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpObjectAggregator
@@ -18,6 +19,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.forwarding.EventThread
+import java.io.IOException
 import java.net.InetSocketAddress
 
 /** A response of a [SimpleHttpServer]. */
@@ -70,6 +72,7 @@
         }
 
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            if (cause !is IOException && cause !is DecoderException) thread.recordFailure(cause, "a small request")
             context.close()
         }
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerHandler.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerHandler.kt
@@ -6,7 +6,7 @@
 import org.bilberryhead.core.serving.ResultHandle
 import org.bilberryhead.core.serving.StagePiece
 import org.bilberryhead.forwarding.EventThread
-import org.bilberryhead.forwarding.caller.CallerDisconnectListener
+import org.bilberryhead.forwarding.caller.CallerListener
 import org.bilberryhead.forwarding.caller.CallerRequest
 import org.bilberryhead.forwarding.caller.RequestHandler
 import org.bilberryhead.forwarding.caller.ResponseWriter
@@ -22,7 +22,7 @@
     private val snapshot: () -> SnapshotMessage,
     private val isDraining: () -> Boolean,
 ) : RequestHandler {
-    override fun serve(request: CallerRequest, response: ResponseWriter): CallerDisconnectListener {
+    override fun serve(request: CallerRequest, response: ResponseWriter): CallerListener {
         when (request.path) {
             PeerPaths.ALIVE -> response.send(empty(OK))
             PeerPaths.SNAPSHOT -> response.send(cbor(PeerCodec.encode(SnapshotMessage.serializer(), snapshot())))
@@ -31,7 +31,7 @@
             PeerPaths.PIECES -> if (isDraining()) response.send(empty(DRAINING)) else return produce(request, response)
             else -> response.send(empty(NOT_FOUND))
         }
-        return CallerDisconnectListener { }
+        return CallerListener { }
     }
 
     private fun release(request: CallerRequest, response: ResponseWriter) {
@@ -40,12 +40,12 @@
         response.send(empty(if (message == null) BAD_REQUEST else OK))
     }
 
-    private fun produce(request: CallerRequest, response: ResponseWriter): CallerDisconnectListener {
+    private fun produce(request: CallerRequest, response: ResponseWriter): CallerListener {
         val message = PeerCodec.decode(PiecesMessage.serializer(), request.body)
         val stageScheduler = message?.let { schedulerOf(it.pool) }
         if (message == null || stageScheduler == null || message.pieces.isEmpty()) {
             response.send(empty(if (message == null) BAD_REQUEST else NOT_FOUND))
-            return CallerDisconnectListener { }
+            return CallerListener { }
         }
         response.start(ResponseHead(OK, cborHeaders()))
         // Flushes the response head, which informs the sender that the pieces are accepted.
@@ -53,7 +53,7 @@
         val pieces = message.pieces.map { it.toPiece(thread.now()) }
         val outcomes = mutableListOf<PieceOutcomeMessage>()
         stageScheduler.submit(pieces) { piece, outcome -> collect(piece, outcome, outcomes, pieces.size, response) }
-        return CallerDisconnectListener { stageScheduler.cancel(pieces.first().request) }
+        return CallerListener { stageScheduler.cancel(pieces.first().request) }
     }
 
     private fun collect(
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
@@ -63,10 +63,17 @@
     var hasReceivedEvent = false
         private set
 
-    /** When the last event arrived; the start of the attempt before the first event. */
+    /**
+     * When the last event arrived, or when reading went on after a pause; the start of the attempt before the first
+     * event.
+     */
     var lastEventAt: Instant = startedAt
         private set
 
+    /** Whether reading is paused because the caller reads more slowly than the endpoint sends. */
+    var isPaused = false
+        private set
+
     /** Expected time from the start of the attempt to its first event; null when the endpoint is not an engine. */
     val expectedTimeToFirstEvent: Duration? get() = engineRequest?.expectedTimeToFirstEvent
 
@@ -82,11 +89,14 @@
 
     override fun bodyPartReceived(bytes: ByteArray) {
         if (isFinished) return
-        if (!isStreaming) {
-            body.write(bytes)
-            return
-        }
+        if (!isStreaming) return bufferBody(bytes)
         eventSplitter.add(bytes).forEach(::handleEvent)
+        if (eventSplitter.partialEventBytes > MAXIMUM_EVENT_BYTES) failAsBroken("an event is too long")
+    }
+
+    private fun bufferBody(bytes: ByteArray) {
+        if (body.size() + bytes.size > MAXIMUM_BODY_BYTES) return failAsBroken("the body of the answer is too long")
+        body.write(bytes)
     }
 
     private fun handleEvent(event: StreamEvent) {
@@ -134,6 +144,20 @@
         is ExchangeFailure.Broken -> fail(ExchangeResult.FAILED, AttemptOutcome.Broken, failure.reason, response = null)
     }
 
+    /** Stops reading from the endpoint until [resume] is called. */
+    fun pause() {
+        isPaused = true
+        connection?.pauseReading()
+    }
+
+    /** Reads on after [pause]. */
+    fun resume() {
+        if (!isPaused) return
+        isPaused = false
+        lastEventAt = thread.now()
+        connection?.resumeReading()
+    }
+
     /** Ends the attempt because no connection to the endpoint could be opened. */
     fun connectFailed(reason: String) = fail(ExchangeResult.FAILED, AttemptOutcome.NotSent, reason, response = null)
 
@@ -174,6 +198,10 @@
 
     private companion object {
         const val OK = 200
+
+        /** Every response that is not a stream is held in memory until it is complete. */
+        const val MAXIMUM_BODY_BYTES = 1024 * 1024
+        const val MAXIMUM_EVENT_BYTES = 1024 * 1024
         const val MISDIRECTED = 421
         val SUCCESSFUL = 200..299
         val SERVER_FAILURES = 500..599
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptEndpointSelector.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptEndpointSelector.kt
@@ -37,6 +37,10 @@
         }
     }
 
+    /** Returns whether an endpoint of the pool that is not in [tried] can take the request now. */
+    fun hasUntried(request: AdmittedRequest, tried: Set<Endpoint>): Boolean =
+        context.endpoints.usable(request.pool).any { it !in tried && it.connections.canAcquire() }
+
     private fun selectBest(request: AdmittedRequest, inputs: List<ResultHandle>, free: List<Endpoint>): Endpoint {
         val now = context.thread.now()
         val prompt = request.prompt
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -9,7 +9,7 @@
 import org.bilberryhead.core.serving.ResultHandle
 import org.bilberryhead.core.serving.StreamEvent
 import org.bilberryhead.forwarding.Timer
-import org.bilberryhead.forwarding.caller.CallerDisconnectListener
+import org.bilberryhead.forwarding.caller.CallerListener
 import org.bilberryhead.forwarding.caller.ResponseWriter
 import org.bilberryhead.forwarding.endpoint.Endpoint
 import org.bilberryhead.forwarding.http.FullResponse
@@ -33,7 +33,7 @@
     private val onFinished: (ForwardedRequestExecution) -> Unit,
 ) : AttemptListener,
     PreparationListener,
-    CallerDisconnectListener {
+    CallerListener {
     private val route = request.route
     private val eventOrder = EventOrder(request.lastEventId)
     private val decisionLog = RequestDecisionLog(request, context)
@@ -47,7 +47,7 @@
     private var isFinished = false
     private var waiter: ConnectionWaitQueue.Waiter? = null
     private var deadlineTimer: Timer? = null
-    private var timeoutCheckTimer: Timer? = null
+    private val silenceCheck = SilenceCheck(request, context)
     private val failedEndpoints = mutableSetOf<Endpoint>()
 
     /** Starts to serve the request. */
@@ -110,21 +110,10 @@
         newAttempt.connection = connection
         val outbound =
             OutboundRequests.create(request, endpoint.entry.id, inputs, eventOrder.lastDelivered, context.thread.now())
-        connection.send(outbound, request.id.value, newAttempt)
-        scheduleTimeoutCheck(newAttempt)
-    }
-
-    /** Checks periodically whether the attempt has exceeded its receive timeout and may be retried elsewhere. */
-    private fun scheduleTimeoutCheck(checkedAttempt: Attempt) {
-        if (!route.repeatRule.mayRepeat) return
-        timeoutCheckTimer = context.thread.after(TIMEOUT_CHECK_INTERVAL) {
-            if (attempt === checkedAttempt && !isFinished) {
-                if (ReceiveTimeout.isExceeded(route, checkedAttempt, context.thread.now()) && takeRetry()) {
-                    timeOutAndRetry(checkedAttempt)
-                } else {
-                    scheduleTimeoutCheck(checkedAttempt)
-                }
-            }
+        connection.send(outbound, request.id.value, newAttempt, maximumBodyBytes = Long.MAX_VALUE)
+        // The attempt may have failed already.
+        if (route.repeatRule.mayRepeat && attempt === newAttempt) {
+            silenceCheck.start(newAttempt, failedEndpoints) { if (takeRetry()) timeOutAndRetry(newAttempt) }
         }
     }
 
@@ -133,6 +122,7 @@
 
     private fun timeOutAndRetry(expiredAttempt: Attempt) {
         decisionLog.attemptFailed(expiredAttempt.endpoint, "silent for too long", "try elsewhere")
+        silenceCheck.stop()
         expiredAttempt.timeOut()
         mayHaveRun = true
         failedEndpoints += expiredAttempt.endpoint
@@ -160,6 +150,11 @@
             decisionLog.firstEventForwarded()
         }
         responseWriter.write(event.bytes)
+        if (responseWriter.isCongested) attempt?.pause()
+    }
+
+    override fun callerCaughtUp() {
+        attempt?.resume()
     }
 
     override fun streamCompleted(head: ResponseHead) {
@@ -171,6 +166,7 @@
 
     override fun attemptFailed(outcome: AttemptOutcome, reason: String, response: FullResponse?) {
         if (isFinished) return
+        silenceCheck.stop()
         val endpoint = attempt?.endpoint
         if (outcome == AttemptOutcome.NotSent && attempt?.connection != null) attemptCount--
         attempt = null
@@ -270,7 +266,7 @@
         isFinished = true
         waiter?.let(context.connectionWaitQueue::remove)
         deadlineTimer?.cancel()
-        timeoutCheckTimer?.cancel()
+        silenceCheck.stop()
         attempt?.cancel()
         preparation?.end()
         decisionLog.requestEnded(status, reason, endpoint)
@@ -280,7 +276,6 @@
     private companion object {
         const val INPUTS_GONE = 409
         const val MAXIMUM_UNREACHABLE_ATTEMPTS = 4
-        val TIMEOUT_CHECK_INTERVAL = 50.milliseconds
         val RETRY_DELAY = 100.milliseconds
         val LONG_RETRY_DELAY = 500.milliseconds
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/LocalResponses.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/LocalResponses.kt
@@ -3,10 +3,10 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import org.bilberryhead.forwarding.http.FullResponse
 import org.bilberryhead.forwarding.http.ResponseHead
+import org.bilberryhead.platform.wire.HeaderValues
 import org.bilberryhead.platform.wire.WireHeaders
 import java.util.Locale
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
 /** Error responses that this entry sends itself. None of them carries the signature of an endpoint. */
@@ -28,7 +28,7 @@
 
     /** Returns the time after which the endpoint that sent [response] accepts a retry; null when it states none. */
     fun retryAfter(response: FullResponse?): Duration? =
-        response?.head?.headers?.get(WireHeaders.RETRY_AFTER)?.toDoubleOrNull()?.seconds
+        HeaderValues.retryAfter(response?.head?.headers?.get(WireHeaders.RETRY_AFTER))
 
     private fun response(
         status: Int,
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ReceiveTimeout.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ReceiveTimeout.kt
@@ -13,6 +13,7 @@
      * first event, but at least the route's objective. For endpoints without an engine it is the objective.
      */
     fun isExceeded(route: ServingRoute, attempt: Attempt, now: Instant): Boolean {
+        if (attempt.isPaused) return false
         val expected = attempt.expectedTimeToFirstEvent
         val timeout = when {
             attempt.hasReceivedEvent ->
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
@@ -6,7 +6,7 @@
 import org.bilberryhead.core.serving.CallerIdentity
 import org.bilberryhead.core.serving.RouteMatcher
 import org.bilberryhead.core.serving.ServingRoute
-import org.bilberryhead.forwarding.caller.CallerDisconnectListener
+import org.bilberryhead.forwarding.caller.CallerListener
 import org.bilberryhead.forwarding.caller.CallerRequest
 import org.bilberryhead.forwarding.caller.RequestHandler
 import org.bilberryhead.forwarding.caller.ResponseWriter
@@ -33,7 +33,7 @@
     /** Ends every request immediately; the responses report whether the requests may have run. */
     fun terminateAll() = executions.toList().forEach { it.terminate() }
 
-    override fun serve(request: CallerRequest, response: ResponseWriter): CallerDisconnectListener {
+    override fun serve(request: CallerRequest, response: ResponseWriter): CallerListener {
         val matcher = context.matcher
             ?: return refuse(request, response, "no configuration is known yet", STARTUP_RETRY_AFTER)
         val id = request.headers[WireHeaders.REQUEST_ID]
@@ -42,8 +42,13 @@
             ?: return reject(request, response, NOT_FOUND, "no route", matcher)
         val identity = matcher.identity(route, request.headers[WireHeaders.API_KEY]?.let { ApiKey(it.trim()) })
         if (identity is CallerIdentity.Unknown) return reject(request, response, UNAUTHORISED, "unknown key", matcher)
-        if (!canFinishBeforeDrain(route)) return refuse(request, response, "the process ends soon", DRAIN_RETRY_AFTER)
-        return start(admit(RequestId(id), request, route, identity, matcher), response)
+        return when {
+            route.stages.isNotEmpty() && hasInvalidPieceCounts(request) ->
+                reject(request, response, BAD_REQUEST, "the numbers of pieces are not valid", matcher)
+
+            !canFinishBeforeDrain(route) -> refuse(request, response, "the process ends soon", DRAIN_RETRY_AFTER)
+            else -> start(admit(RequestId(id), request, route, identity, matcher), response)
+        }
     }
 
     /** Returns whether a request of [route] will probably finish before the drain deadline; true when not draining. */
@@ -53,14 +58,17 @@
         return remaining > minOf(expected, route.timeout)
     }
 
-    private fun start(request: AdmittedRequest, response: ResponseWriter): CallerDisconnectListener {
+    private fun hasInvalidPieceCounts(request: CallerRequest): Boolean =
+        request.headers[WireHeaders.PIECE_COUNTS]?.let { HeaderValues.pieceCounts(it) == null } ?: false
+
+    private fun start(request: AdmittedRequest, response: ResponseWriter): CallerListener {
         val now = context.thread.now()
         context.retryBudget.countRequest(request.pool, now)
         request.route.stages.mapTo(mutableSetOf<PoolName>()) { it.pool }
             .forEach { context.retryBudget.countRequest(it, now) }
         val execution = ForwardedRequestExecution(request, response, context) { executions -= it }
         executions += execution
-        execution.start()
+        if (!context.thread.runGuarded("start of request ${request.id}") { execution.start() }) execution.terminate()
         return execution
     }
 
@@ -92,7 +100,7 @@
         response: ResponseWriter,
         reason: String,
         retryAfter: Duration,
-    ): CallerDisconnectListener {
+    ): CallerListener {
         val id = request.headers[WireHeaders.REQUEST_ID]
         context.decisions.write("request refused") { mapOf("request" to id, "reason" to reason) }
         response.send(LocalResponses.notRun(id, reason, retryAfter))
@@ -105,7 +113,7 @@
         status: Int,
         reason: String,
         matcher: RouteMatcher? = null,
-    ): CallerDisconnectListener {
+    ): CallerListener {
         val id = request.headers[WireHeaders.REQUEST_ID]
         context.decisions.write("request rejected") {
             mapOf(
@@ -133,6 +141,6 @@
         val EXPECTED_STREAM_DURATION = 5.seconds
         val DRAIN_RETRY_AFTER = 50.milliseconds
         val STARTUP_RETRY_AFTER = 500.milliseconds
-        val IGNORE_DISCONNECT = CallerDisconnectListener { }
+        val IGNORE_DISCONNECT = CallerListener { }
     }
 }
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/SilenceCheck.kt
@@ -0,0 +1,36 @@
+package org.bilberryhead.forwarding.request
+
+import org.bilberryhead.forwarding.Timer
+import org.bilberryhead.forwarding.endpoint.Endpoint
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Checks at intervals whether an attempt of [request] is silent for so long that another endpoint takes over. */
+internal class SilenceCheck(private val request: AdmittedRequest, private val context: ServingContext) {
+    private var timer: Timer? = null
+
+    /**
+     * Checks [attempt] until [stop] is called. Calls [tooSilent] while the attempt has exceeded its receive timeout and
+     * an endpoint that is not in [tried] is free; while there is none, a slow endpoint is better than none.
+     */
+    fun start(attempt: Attempt, tried: Set<Endpoint>, tooSilent: () -> Unit) {
+        timer?.cancel()
+        timer = context.thread.after(CHECK_INTERVAL) {
+            start(attempt, tried, tooSilent)
+            if (isTooSilent(attempt, tried)) tooSilent()
+        }
+    }
+
+    /** Ends the checks. */
+    fun stop() {
+        timer?.cancel()
+        timer = null
+    }
+
+    private fun isTooSilent(attempt: Attempt, tried: Set<Endpoint>): Boolean =
+        ReceiveTimeout.isExceeded(request.route, attempt, context.thread.now()) &&
+            AttemptEndpointSelector(context).hasUntried(request, tried + attempt.endpoint)
+
+    private companion object {
+        val CHECK_INTERVAL = 50.milliseconds
+    }
+}
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreTableWatch.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreTableWatch.kt
@@ -92,6 +92,11 @@
         WirePaths.feed(table, sinceVersion, timings.longPollTimeout.inWholeMilliseconds),
         timings.longPollTimeout + RESPONSE_TIMEOUT,
     ) { rows ->
+        if (rows.version < sinceVersion || rows.rows.any { it.version in 1..sinceVersion }) {
+            // The response to this call is still to come; it must not be read as the response to the next one.
+            connection?.close()
+            return@call callFailed("an answer to an earlier call")
+        }
         callSucceeded()
         version = rows.version
         if (rows.rows.isNotEmpty()) listener.onRowsChanged(rows.rows)
@@ -129,7 +134,8 @@
             if (!isDone) {
                 isDone = true
                 timer.cancel()
-                handleOutcome(outcome, handleRows)
+                val isHandled = thread.runGuarded("rows of table $table") { handleOutcome(outcome, handleRows) }
+                if (!isHandled) callFailed("the rows can not be applied")
             }
         }
         open.send(OutboundRequest(HttpMethod.GET, path, headers, NO_BODY), requestId = null, collector)
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -22,7 +22,7 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
-import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Duration.Companion.milliseconds
 
 private const val HOST = "127.0.0.1"
 
@@ -37,12 +37,14 @@
  * @param pools the endpoints of each pool by the name of the pool
  * @param seeds addresses of other entries from which the entry reads the configuration and the endpoints
  * @param isStoreReachable whether the store listens
+ * @param drainLimit longest time of a drain, in milliseconds
  */
 internal class LoopbackDeployment(
     private val configuration: String?,
     private val pools: Map<String, List<ScriptedEndpoint>>,
     private val seeds: List<SocketAddress> = emptyList(),
     private val isStoreReachable: Boolean = true,
+    drainLimit: Long = 8_000,
 ) : AutoCloseable {
     private val storeThread = newEventThread()
     private val entryThread = newEventThread()
@@ -57,7 +59,7 @@
         metrics = freeAddress(),
         seeds = seeds,
         store = store,
-        drainLimit = 8.seconds,
+        drainLimit = drainLimit.milliseconds,
         retrySlack = 50.0,
     )
     private val daemon = ForwardingDaemon(settings, entryThread, ForwardingMetrics(newMeterRegistry()), Random(1))
@@ -147,9 +149,10 @@
              {"name":"resume","host":"h","prefix":"/resume/","route_type":"streaming","resumable":true,
               "timeout_ms":5000,"service":"p","max_attempts":2},
              {"name":"long","host":"h","prefix":"/long/","route_type":"non_idempotent","timeout_ms":30000,"service":"p"},
+             {"name":"narrow","host":"h","prefix":"/narrow/","route_type":"non_idempotent","timeout_ms":30000,"service":"n"},
              {"name":"staged","host":"h","prefix":"/staged/","route_type":"streaming","timeout_ms":30000,"service":"p",
               "stages":[{"service":"s","after":[],"bytes":10},{"service":"s","after":[0],"bytes":10}]}],
-             "services":[{"name":"p","max_conns":40},{"name":"s","max_conns":40,"pieces":{"slots":1,"queue":2,
+             "services":[{"name":"p","max_conns":40},{"name":"n","max_conns":1},{"name":"s","max_conns":40,"pieces":{"slots":1,"queue":2,
               "batch":4,"call_ms":1000,"item_ms":1,"headroom_mb":10,"handle_s":4}}],
              "limits":{"max_header_bytes":2000,"max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
              "tenants":[{"name":"office","api_keys":["k"]}]}
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ScriptedEndpoint.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ScriptedEndpoint.kt
@@ -13,8 +13,8 @@
 
 /** A fake endpoint that passes each request to [handler] and records it. */
 internal class ScriptedEndpoint(private val handler: Exchange.() -> Unit) : AutoCloseable {
-    /** One request and its connection, on which the handler responds. */
-    class Exchange(val request: RawMessage, private val socket: Socket) {
+    /** One request and its connection, on which the handler responds; [previousId] is that of the request before it. */
+    class Exchange(val request: RawMessage, private val socket: Socket, val previousId: String? = null) {
         val id: String = request.header("X-Request-Id").orEmpty()
 
         fun write(text: String) = socket.getOutputStream().writeText(text)
@@ -34,8 +34,20 @@
 
         fun endStream() = write("0\r\n\r\n")
 
+        /** Sends one byte of an event after a short pause. */
+        fun drip() {
+            TimeUnit.MILLISECONDS.sleep(50)
+            sendChunk("a")
+        }
+
         fun closeConnection() = socket.close()
 
+        /** Closes the connection with a reset instead of an orderly end. */
+        fun resetConnection() {
+            socket.setSoLinger(true, 0)
+            socket.close()
+        }
+
         /** Waits until the entry closes the connection or sends more data; returns whether it closed it. */
         fun awaitClose(): Boolean = runCatching { socket.getInputStream().read() }.getOrDefault(-1) < 0
     }
@@ -53,11 +65,14 @@
 
     private fun serve(socket: Socket) {
         socket.use {
+            var previousId: String? = null
             while (true) {
                 val request = runCatching { it.getInputStream().readMessage() }.getOrNull() ?: return
                 requests += request
                 pendingRequests += request
-                runCatching { Exchange(request, it).handler() }.onFailure { return }
+                val exchange = Exchange(request, it, previousId)
+                previousId = exchange.id
+                runCatching { exchange.handler() }.onFailure { return }
                 if (it.isClosed) return
             }
         }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/StoreTableWatchTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/StoreTableWatchTest.kt
@@ -24,6 +24,9 @@
 
 private const val EMPTY = """{"rows":[],"ver":5}"""
 private const val ONE_ROW = """{"rows":[{"key":"a","value":"aGk=","ver":5}],"ver":5,"truncated":false}"""
+private const val UNUSABLE_KEY = "unusable"
+private const val UNUSABLE = """{"rows":[{"key":"$UNUSABLE_KEY","value":"aGk=","ver":6}],"ver":6}"""
+private const val NO_CHANGE = """{"rows":[],"ver":6}"""
 private const val REMOVAL = """{"rows":[{"key":"a","removed":true,"ver":6}],"ver":6}"""
 
 /** A store that returns [responses] in turn and then repeats the last one, with a watch on one of its tables. */
@@ -48,6 +51,7 @@
             }
 
             override fun onRowsChanged(rows: List<StoreRow>) {
+                check(rows.none { it.key == UNUSABLE_KEY }) { "a row that nobody expected" }
                 notifications += "changed ${rows.map { it.key to it.value }}"
             }
         }
@@ -81,7 +85,7 @@
 
         describe("a table of the store") {
             it("is read completely first, then polled for changes since the version that was read") {
-                ScriptedStore(listOf(ok(ONE_ROW), ok(REMOVAL), ok(EMPTY))).use { store ->
+                ScriptedStore(listOf(ok(ONE_ROW), ok(REMOVAL), ok(NO_CHANGE))).use { store ->
                     store.nextNotification() shouldBe "all [a]"
                     store.nextNotification() shouldBe "changed [(a, null)]"
                     listOf(store.nextUri(), store.nextUri(), store.nextUri()) shouldContainExactly listOf(
@@ -115,6 +119,21 @@
                 }
             }
 
+            it("is read completely again after a second copy of an earlier response") {
+                ScriptedStore(listOf(ok(EMPTY), ok(ONE_ROW), ok(ONE_ROW), ok(NO_CHANGE))).use { store ->
+                    store.nextNotification() shouldBe "all []"
+                    store.nextNotification() shouldBe "all [a] after an outage"
+                }
+            }
+
+            it("is read completely again after rows that the listener cannot apply") {
+                ScriptedStore(listOf(ok(EMPTY), ok(UNUSABLE), ok(EMPTY), ok(REMOVAL), ok(NO_CHANGE))).use { store ->
+                    store.nextNotification() shouldBe "all []"
+                    store.nextNotification() shouldBe "all [] after an outage"
+                    store.nextNotification() shouldBe "changed [(a, null)]"
+                }
+            }
+
             it("is read in several calls when a response is truncated") {
                 val first = """{"rows":[{"key":"a","value":"aGk=","ver":5}],"ver":5,"truncated":true}"""
                 val second = """{"rows":[{"key":"b","value":"aGk=","ver":5}],"ver":5,"truncated":false}"""
