--- a/daemon/src/main/kotlin/org/bilberryhead/daemon/SettingsReader.kt
+++ b/daemon/src/main/kotlin/org/bilberryhead/daemon/SettingsReader.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import it.krzeminski.snakeyaml.engine.kmp.exceptions.YamlEngineException
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -58,6 +59,13 @@
         if (schemaErrors.isEmpty()) decode(text, serializer) else Err(schemaErrors)
     } catch (failure: YamlException) {
         Err(listOf(SettingsError(failure.path.toHumanReadableString(), "line ${failure.line}: ${failure.message}")))
+    } catch (failure: SerializationException) {
+        Err(listOf(SettingsError("", failure.message.orEmpty())))
+    } catch (failure: YamlEngineException) {
+        // Text that is not even YAML, such as text with control characters.
+        Err(listOf(SettingsError("", failure.message.orEmpty())))
+    } catch (_: StackOverflowError) {
+        Err(listOf(SettingsError("", "nested too deeply")))
     }
 
     private fun <T : CheckedSettings> decode(text: String, serializer: KSerializer<T>): Result<T, List<SettingsError>> =
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerMessages.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerMessages.kt
@@ -3,11 +3,11 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.PoolName
 import org.bilberryhead.core.common.RequestId
+import org.bilberryhead.core.common.decodeOrNull
 import org.bilberryhead.core.serving.ResultHandle
 import org.bilberryhead.core.serving.StagePiece
 import org.bilberryhead.forwarding.stage.PieceCallOutcome
@@ -178,10 +178,6 @@
     fun <T> encode(serializer: KSerializer<T>, message: T): ByteArray = cbor.encodeToByteArray(serializer, message)
 
     /** Returns the message in [bytes], or null when they cannot be decoded. */
-    fun <T> decode(serializer: KSerializer<T>, bytes: ByteArray): T? = try {
-        cbor.decodeFromByteArray(serializer, bytes)
-    } catch (_: SerializationException) {
-        // The caller handles null as an invalid message.
-        null
-    }
+    fun <T : Any> decode(serializer: KSerializer<T>, bytes: ByteArray): T? =
+        decodeOrNull { cbor.decodeFromByteArray(serializer, bytes) }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EntryRoster.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EntryRoster.kt
@@ -1,12 +1,12 @@
 package org.bilberryhead.forwarding.store
 
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.bilberryhead.core.common.DaemonId
 import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.core.common.SocketAddressTextSerializer
+import org.bilberryhead.core.common.decodeOrNull
 import org.bilberryhead.core.serving.EntryRecord
 import org.bilberryhead.platform.wire.StoreRow
 
@@ -31,12 +31,7 @@
 
     companion object {
         /** Returns the row in [text], or null when it cannot be decoded. */
-        fun decode(text: String): EntryRow? = try {
-            Json.decodeFromString(serializer(), text)
-        } catch (_: SerializationException) {
-            // The row of another program or of an older version; it is ignored.
-            null
-        }
+        fun decode(text: String): EntryRow? = decodeOrNull { Json.decodeFromString(serializer(), text) }
     }
 }
 
