Count as members only entries that renew a lease

Cause: EntryRoster counted every row that was ever written, so that the shares of connections and of the retry slack shrank with every replaced VM, for ever; before the rows were read it assumed 12 entries, fewer than the 29 and 33 of the larger deployments, which together exceeded the limits. The wiring is out of ForwardingDaemon. Before: no test of the roster; by reading, 200 replaced VMs leave a share of 1/500 for 300 entries. Conclusion: the first item of what breaks with size is mended; entries still count themselves before the others do, and shares still exceed a limit that is smaller than their number.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/SharedRetryBudget.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/SharedRetryBudget.kt
@@ -18,9 +18,9 @@
  * and uses an equal share of the slack, so that the total stays within the [limits] without communication.
  *
  * @property limits may change at any time; requests and retries that were counted before keep counting
- * @param entries returns an upper bound of the number of entries that share the slack
+ * @param entries returns an upper bound of the number of entries that share the slack, or null for no share of it
  */
-class SharedRetryBudget(var limits: RetryLimits, private val entries: () -> Int) {
+class SharedRetryBudget(var limits: RetryLimits, private val entries: () -> Int?) {
     private val requests = mutableMapOf<PoolName, ArrayDeque<Instant>>()
     private val retries = mutableMapOf<PoolName, ArrayDeque<Instant>>()
 
@@ -38,8 +38,9 @@
     }
 
     private fun limit(pool: PoolName, now: Instant): Double =
-        limits.ratio * SAFETY_FACTOR * recent(requests, pool, now).size +
-            limits.slack * SAFETY_FACTOR / entries().coerceAtLeast(1)
+        limits.ratio * SAFETY_FACTOR * recent(requests, pool, now).size + slackShare()
+
+    private fun slackShare(): Double = entries()?.let { limits.slack * SAFETY_FACTOR / it.coerceAtLeast(1) } ?: 0.0
 
     private fun recent(
         timesByPool: MutableMap<PoolName, ArrayDeque<Instant>>,
--- a/core/src/test/kotlin/org/bilberryhead/core/serving/SharedRetryBudgetTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/SharedRetryBudgetTest.kt
@@ -23,6 +23,12 @@
                 budget.tryRetry(pool, start + 12.seconds) shouldBe true
             }
 
+            it("may retry only a share of its own requests while it has no part of the slack") {
+                val budget = SharedRetryBudget(RetryLimits(ratio = 0.2, slack = 50.0)) { null }
+                repeat(100) { budget.countRequest(pool, start) }
+                List(100) { budget.tryRetry(pool, start + 1.seconds) }.count { it } shouldBe 18
+            }
+
             it("does not use the budget of one pool for another") {
                 val budget = SharedRetryBudget(RetryLimits(ratio = 0.2, slack = 0.0)) { 5 }
                 repeat(100) { budget.countRequest(pool, start) }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -22,6 +22,7 @@
 import org.bilberryhead.forwarding.http.SimpleHttpResponse
 import org.bilberryhead.forwarding.http.SimpleHttpServer
 import org.bilberryhead.forwarding.http.SingleExchange
+import org.bilberryhead.forwarding.membership.MembershipService
 import org.bilberryhead.forwarding.peer.PeerCatchUp
 import org.bilberryhead.forwarding.peer.PeerClient
 import org.bilberryhead.forwarding.peer.PeerHandler
@@ -37,9 +38,6 @@
 import org.bilberryhead.forwarding.stage.StageScheduler
 import org.bilberryhead.forwarding.store.ConfigurationListener
 import org.bilberryhead.forwarding.store.EndpointListener
-import org.bilberryhead.forwarding.store.EntryRegistration
-import org.bilberryhead.forwarding.store.EntryRoster
-import org.bilberryhead.forwarding.store.EntryRow
 import org.bilberryhead.forwarding.store.StoreTableWatch
 import org.bilberryhead.forwarding.store.TableListener
 import org.bilberryhead.forwarding.store.WatchTimings
@@ -64,12 +62,10 @@
     private val decisions = DecisionLog(settings.decisionLinesPerSecond, thread::now)
     private val connector = Connector(thread, WireHeaders.REQUEST_ID)
     private val exchange = SingleExchange(thread, connector)
-    private val ownRow = EntryRow(settings.dataCentre, settings.peers, settings.processorShare, random.nextLong())
-    private val roster = EntryRoster(ownRow.toRecord(settings.id))
-    private val registration = EntryRegistration(settings.id, settings.store, thread, exchange, decisions)
-    private val peers = Peers(settings.id, roster::records) { PeerClient(it, thread, decisions, connector) }
+    private val membership = MembershipService(settings, thread, exchange, decisions, random)
+    private val peers = Peers(settings.id, membership::members) { PeerClient(it, thread, decisions, connector) }
     private val directory = EndpointDirectory()
-    private val endpoints = Endpoints(thread, connector, directory, ::poolOf) { roster.count }
+    private val endpoints = Endpoints(thread, connector, directory, ::poolOf, membership::shareCount)
     private val connectionWaitQueue = ConnectionWaitQueue()
     private val releaser = ResultReleaser(thread, endpoints::byAddress)
     private val stageSchedulers = mutableMapOf<PoolName, StageScheduler>()
@@ -77,7 +73,7 @@
     private val servingContext = ServingContext(
         thread = thread,
         endpoints = endpoints,
-        retryBudget = SharedRetryBudget(settings.retryLimits) { roster.count },
+        retryBudget = SharedRetryBudget(settings.retryLimits, membership::shareCount),
         placement = EnginePlacement(settings.dataCentre),
         stageClient = ::stageClient,
         connectionWaitQueue = connectionWaitQueue,
@@ -126,6 +122,7 @@
 
         override fun update(snapshot: SnapshotMessage, withEndpoints: Boolean) {
             snapshot.configuration?.let(configurationListener::activateIfNewer)
+            snapshot.members?.let(membership::recordPeerCount)
             if (withEndpoints) endpointListener.replaceFromPeer(snapshot.endpoints)
         }
     }
@@ -145,6 +142,9 @@
         metrics.gauge("bilberry.pieces.waiting", "Pieces that wait for a call of this coordinator") {
             stageSchedulers.values.sumOf { it.waitingCount }
         }
+        metrics.gauge("bilberry.members", "Entries that share the limits, as this entry knows them") {
+            membership.members.size
+        }
         metrics.gauge("bilberry.failures.unexpected", "Exceptions that no part of the program expected") {
             thread.failureCount
         }
@@ -161,10 +161,15 @@
         watch(
             WireTables.ENTRIES,
             WatchTimings(longPollTimeout = 25.seconds, delayBetweenCalls = Duration.ZERO),
-            roster,
+            membership.entries,
+        ).start()
+        watch(
+            WireTables.LEASES,
+            WatchTimings(longPollTimeout = null, delayBetweenCalls = 60.seconds),
+            membership.leases,
         ).start()
         PeerCatchUp(thread, exchange, replica, decisions, ::peerAddresses).start()
-        registration.write(ownRow)
+        membership.start { endpointWatch.lastResponseAt }
         thread.every(EXPIRY_CHECK_INTERVAL) { endpointListener.removeExpired() }
         thread.every(DECAY_INTERVAL) { endpoints.decaySlowdown() }
     }
@@ -173,12 +178,13 @@
         StoreTableWatch(table, settings.store, timings, thread, connector, decisions, metrics, random, listener)
 
     private fun peerAddresses() =
-        (settings.seeds + roster.records.map { it.peerAddress }).distinct().filter { it != settings.peers }
+        (settings.seeds + membership.members.map { it.peerAddress }).distinct().filter { it != settings.peers }
 
     private fun snapshot() = SnapshotMessage(
         configuration = configurationListener.newestText,
         endpoints = endpointListener.newestTexts,
         ageMs = endpointsAge()?.inWholeMilliseconds,
+        members = membership.shareCount,
     )
 
     private fun endpointsAge(): Duration? = endpointWatch.lastResponseAt?.let { thread.now() - it }
@@ -191,7 +197,7 @@
         val now = thread.now()
         drainingSince = now
         admission.drainDeadline = now + settings.drainLimit - DRAIN_RESERVE
-        registration.write(ownRow.copy(isLeaving = true))
+        membership.leave()
         log.atInfo {
             message = "draining"
             payload = mapOf("requests" to admission.runningCount)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/Endpoints.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/Endpoints.kt
@@ -18,14 +18,15 @@
  * The registry of the known endpoints, each with its load and connections.
  *
  * @param pools the configuration of a pool, or null for an unknown pool
- * @param entryCount number of entries that share the connections that an endpoint accepts
+ * @param entryCount number of entries that share the connections that an endpoint accepts; null when this entry may
+ *   open one only
  */
 internal class Endpoints(
     private val thread: EventThread,
     private val connector: Connector,
     private val directory: EndpointDirectory,
     private val pools: (PoolName) -> ServingPool?,
-    private val entryCount: () -> Int,
+    private val entryCount: () -> Int?,
 ) {
     private val endpointsById = mutableMapOf<EndpointId, Endpoint>()
 
@@ -80,8 +81,10 @@
         return Endpoint(entry, pools(entry.pool), connections)
     }
 
-    private fun connectionShare(pool: PoolName): Int =
-        max(1, (pools(pool)?.maximumConnections ?: DEFAULT_MAXIMUM_CONNECTIONS) / entryCount())
+    private fun connectionShare(pool: PoolName): Int {
+        val maximum = pools(pool)?.maximumConnections ?: DEFAULT_MAXIMUM_CONNECTIONS
+        return max(1, entryCount()?.let { maximum / it } ?: 1)
+    }
 
     private companion object {
         const val DEFAULT_MAXIMUM_CONNECTIONS = 32
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerMessages.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerMessages.kt
@@ -162,9 +162,15 @@
  * @property configuration the newest configuration as operators wrote it, or null when none was read yet
  * @property endpoints the texts that endpoints wrote about themselves, by endpoint id
  * @property ageMs time since the endpoints were last read from the store, or null when they never were
+ * @property members number of entries that share the limits, or null when the entry does not know it
  */
 @Serializable
-internal data class SnapshotMessage(val configuration: String?, val endpoints: Map<String, String>, val ageMs: Long?)
+internal data class SnapshotMessage(
+    val configuration: String?,
+    val endpoints: Map<String, String>,
+    val ageMs: Long?,
+    val members: Int? = null,
+)
 
 /** Results of a pool that are no longer needed. */
 @Serializable
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreTableWatch.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreTableWatch.kt
@@ -32,8 +32,11 @@
 
 /** Timings of the calls that watch a table. */
 internal class WatchTimings(
-    /** Longest time that the store delays its response while there are no changes (long polling). */
-    val longPollTimeout: Duration,
+    /**
+     * Longest time that the store delays its response while there are no changes (long polling); null to read all rows
+     * each time.
+     */
+    val longPollTimeout: Duration?,
     /** Time between the end of a call and the next one. */
     val delayBetweenCalls: Duration,
 )
@@ -70,7 +73,12 @@
 
     private fun callNext() {
         val sinceVersion = version
-        if (sinceVersion == null) readPage(from = null) else pollChanges(sinceVersion)
+        val longPollTimeout = timings.longPollTimeout
+        if (sinceVersion == null || longPollTimeout == null) {
+            readPage(from = null)
+        } else {
+            pollChanges(sinceVersion, longPollTimeout)
+        }
     }
 
     private fun readPage(from: String?): Unit = call(WirePaths.rows(table, from), RESPONSE_TIMEOUT) { rows ->
@@ -88,9 +96,9 @@
         }
     }
 
-    private fun pollChanges(sinceVersion: Long): Unit = call(
-        WirePaths.feed(table, sinceVersion, timings.longPollTimeout.inWholeMilliseconds),
-        timings.longPollTimeout + RESPONSE_TIMEOUT,
+    private fun pollChanges(sinceVersion: Long, longPollTimeout: Duration): Unit = call(
+        WirePaths.feed(table, sinceVersion, longPollTimeout.inWholeMilliseconds),
+        longPollTimeout + RESPONSE_TIMEOUT,
     ) { rows ->
         if (rows.version < sinceVersion || rows.rows.any { it.version in 1..sinceVersion }) {
             // The response to this call is still to come; it must not be read as the response to the next one.
