Let the report of a hanging test follow the timeout of that test

Cause: HangReporter interrupted a fuzzing run of 10 minutes after 295 s, as it knew only the default timeout. Change: it uses the timeout that the test sets. Before: the run of 10 minutes ended with InterruptedException.

--- a/core-testing/src/main/kotlin/io/kotest/provided/ProjectConfig.kt
+++ b/core-testing/src/main/kotlin/io/kotest/provided/ProjectConfig.kt
@@ -5,16 +5,14 @@
 import org.bilberryhead.core.testing.HangReporter
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
-import kotlin.time.Duration.Companion.seconds
 
 /** Kotest settings of every module that has this one on its test class path. Kotest finds the class by its name. */
 class ProjectConfig : AbstractProjectConfig() {
     override val timeout: Duration = TEST_TIMEOUT
 
-    override val extensions: List<Extension> = listOf(HangReporter(TEST_TIMEOUT - REPORT_BEFORE_TIMEOUT))
+    override val extensions: List<Extension> = listOf(HangReporter(TEST_TIMEOUT))
 
     private companion object {
         val TEST_TIMEOUT = 5.minutes
-        val REPORT_BEFORE_TIMEOUT = 5.seconds
     }
 }
--- a/core-testing/src/main/kotlin/org/bilberryhead/core/testing/HangReporter.kt
+++ b/core-testing/src/main/kotlin/org/bilberryhead/core/testing/HangReporter.kt
@@ -8,12 +8,17 @@
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
- * Prints the stacks of all threads when a test takes longer than [limit], and interrupts the test's thread, in case it
- * blocks where the timeout of the test framework cannot end it.
+ * Prints the stacks of all threads shortly before the timeout of a test, and interrupts the test's thread, in case it
+ * blocks where the test framework cannot end it.
+ *
+ * @param defaultTimeout timeout of a test that sets none itself
+ * @param margin time before the timeout at which the report is made
  */
-class HangReporter(private val limit: Duration) : TestCaseExtension {
+class HangReporter(private val defaultTimeout: Duration, private val margin: Duration = 5.seconds) :
+    TestCaseExtension {
     private val timer = Executors.newSingleThreadScheduledExecutor { action ->
         Thread(action, "hang-reporter").apply { isDaemon = true }
     }
@@ -21,6 +26,7 @@
     override suspend fun intercept(testCase: TestCase, execute: suspend (TestCase) -> TestResult): TestResult {
         if (testCase.type != TestType.Test) return execute(testCase)
         val testThread = Thread.currentThread()
+        val limit = (testCase.config?.timeout ?: defaultTimeout) - margin
         val report = timer.schedule(
             {
                 System.err.println("test takes longer than $limit: ${testCase.name.name}\n${threadDump()}")
--- a/core-testing/src/test/kotlin/org/bilberryhead/core/testing/HangReporterTest.kt
+++ b/core-testing/src/test/kotlin/org/bilberryhead/core/testing/HangReporterTest.kt
@@ -8,9 +8,9 @@
 class HangReporterTest :
     DescribeSpec({
         describe("a test that blocks its thread") {
-            it("is interrupted after the limit") {
+            it("is interrupted shortly before its timeout") {
                 shouldThrow<InterruptedException> {
-                    HangReporter(50.milliseconds).intercept(testCase) {
+                    HangReporter(defaultTimeout = 100.milliseconds, margin = 50.milliseconds).intercept(testCase) {
                         CountDownLatch(1).await()
                         error("the test was not interrupted")
                     }
