--- a/core-testing/src/main/kotlin/io/kotest/provided/ProjectConfig.kt
+++ b/core-testing/src/main/kotlin/io/kotest/provided/ProjectConfig.kt
@@ -8,11 +8,13 @@
 
 /** Kotest settings of every module that has this one on its test class path. Kotest finds the class by its name. */
 class ProjectConfig : AbstractProjectConfig() {
-    override val timeout: Duration = TEST_TIMEOUT
+    /** Applies to groups of tests too, which take as long as all of their tests. */
+    override val timeout: Duration = GROUP_TIMEOUT
 
     override val extensions: List<Extension> = listOf(HangReporter(TEST_TIMEOUT))
 
     private companion object {
+        val GROUP_TIMEOUT = 20.minutes
         val TEST_TIMEOUT = 5.minutes
     }
 }
