--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EndpointFaultTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EndpointFaultTest.kt
@@ -31,17 +31,6 @@
 
 class EndpointFaultTest :
     DescribeSpec({
-        fun <T> deploy(vararg handlers: Handler, use: (LoopbackDeployment, List<ScriptedEndpoint>) -> T): T {
-            val endpoints = handlers.map { ScriptedEndpoint(it) }
-            try {
-                return LoopbackDeployment(LoopbackDeployment.CONFIGURATION, mapOf("p" to endpoints)).use {
-                    use(it, endpoints)
-                }
-            } finally {
-                endpoints.forEach { it.close() }
-            }
-        }
-
         fun ScriptedEndpoint.Exchange.respondWithOwnId() = respond(body = "for $id")
 
         fun ScriptedEndpoint.Exchange.copyOf(id: String) =
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ForwardingTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ForwardingTest.kt
@@ -20,20 +20,6 @@
 
 class ForwardingTest :
     DescribeSpec({
-        fun <T> deploy(
-            vararg handlers: ScriptedEndpoint.Exchange.() -> Unit,
-            use: (LoopbackDeployment, List<ScriptedEndpoint>) -> T,
-        ): T {
-            val endpoints = handlers.map { ScriptedEndpoint(it) }
-            try {
-                return LoopbackDeployment(LoopbackDeployment.CONFIGURATION, mapOf("p" to endpoints)).use {
-                    use(it, endpoints)
-                }
-            } finally {
-                endpoints.forEach { it.close() }
-            }
-        }
-
         /** Handlers of two endpoints: [first] handles the first request at either of them, [then] all later ones. */
         fun firstThen(
             first: ScriptedEndpoint.Exchange.() -> Unit,
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -28,6 +28,19 @@
 
 private fun freeAddress() = SocketAddress(HOST, FreePorts.next())
 
+/** Starts an entry with one endpoint in pool `p` for each of [handlers], and closes them after [use]. */
+internal fun <T> deploy(
+    vararg handlers: ScriptedEndpoint.Exchange.() -> Unit,
+    use: (LoopbackDeployment, List<ScriptedEndpoint>) -> T,
+): T {
+    val endpoints = handlers.map { ScriptedEndpoint(it) }
+    try {
+        return LoopbackDeployment(LoopbackDeployment.CONFIGURATION, mapOf("p" to endpoints)).use { use(it, endpoints) }
+    } finally {
+        endpoints.forEach { it.close() }
+    }
+}
+
 internal fun newEventThread(): EventThread =
     EventThread(MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next() as EventLoop, MonotonicClock())
 
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/StoreTableWatchTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/StoreTableWatchTest.kt
@@ -3,12 +3,8 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
-import io.netty.channel.EventLoop
-import io.netty.channel.MultiThreadIoEventLoopGroup
-import io.netty.channel.nio.NioIoHandler
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.core.testing.FreePorts
-import org.bilberryhead.daemon.MonotonicClock
 import org.bilberryhead.daemon.newMeterRegistry
 import org.bilberryhead.forwarding.http.Connector
 import org.bilberryhead.forwarding.http.SimpleHttpResponse
@@ -31,10 +27,7 @@
 
 /** A store that returns [responses] in turn and then repeats the last one, with a watch on one of its tables. */
 private class ScriptedStore(private val responses: List<SimpleHttpResponse>) : AutoCloseable {
-    private val thread = EventThread(
-        MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next() as EventLoop,
-        MonotonicClock(),
-    )
+    private val thread = newEventThread()
     private val address = SocketAddress("127.0.0.1", FreePorts.next())
     val requestedUris = LinkedBlockingQueue<String>()
     val notifications = LinkedBlockingQueue<String>()
