--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/EventThread.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/EventThread.kt
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Clock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 private val log = KotlinLogging.logger {}
@@ -21,6 +22,9 @@
     var failureCount = 0L
         private set
 
+    private var logWindowStart = clock.now()
+    private var loggedInWindow = 0
+
     /** Returns the current time, which never goes back. */
     fun now(): Instant = clock.now()
 
@@ -57,9 +61,18 @@
         false
     }
 
-    /** Logs and counts an exception that was not expected during [action]. */
+    /** Counts an exception that was not expected during [action], and logs it unless many were logged this second. */
     fun recordFailure(failure: Throwable, action: String) {
         failureCount++
-        log.error(failure) { "unexpected failure: $action" }
+        val now = now()
+        if (now - logWindowStart >= 1.seconds) {
+            logWindowStart = now
+            loggedInWindow = 0
+        }
+        if (loggedInWindow++ < MAXIMUM_LOGGED_PER_SECOND) log.error(failure) { "unexpected failure: $action" }
+    }
+
+    private companion object {
+        const val MAXIMUM_LOGGED_PER_SECOND = 5
     }
 }
