Give each class of the membership its own file

Cause: MembershipListeners.kt held three classes. Change: RowVersions, EntryListener and LeaseListener. Measured: MembershipServiceTest passes. Conclusion: no change of behaviour.

--- /dev/null
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/membership/EntryListener.kt
@@ -0,0 +1,26 @@
+package org.bilberryhead.forwarding.membership
+
+import org.bilberryhead.core.common.DaemonId
+import org.bilberryhead.core.serving.EntryMembership
+import org.bilberryhead.forwarding.store.EntryRow
+import org.bilberryhead.forwarding.store.TableListener
+import org.bilberryhead.platform.wire.StoreRow
+
+/** Updates [membership] from the rows that entries write about themselves. */
+internal class EntryListener(private val membership: EntryMembership) : TableListener {
+    val versions = RowVersions()
+
+    override fun onTableRead(rows: List<StoreRow>, afterOutage: Boolean) {
+        versions.update(rows, areComplete = true)
+        membership.replaceEntries(rows.mapNotNull(::record))
+    }
+
+    override fun onRowsChanged(rows: List<StoreRow>) {
+        versions.update(rows, areComplete = false)
+        val newestRows = rows.associateBy { it.key }.values
+        val removed = newestRows.filter { it.value == null }.map { DaemonId(it.key) }
+        membership.updateEntries(newestRows.mapNotNull(::record), removed)
+    }
+
+    private fun record(row: StoreRow) = row.value?.let(EntryRow::decode)?.toRecord(DaemonId(row.key))
+}
