--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/fuzz/DecoderFuzzTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/fuzz/DecoderFuzzTest.kt
@@ -18,12 +18,14 @@
     DescribeSpec({
         val seed = System.getProperty("fuzz.seed")?.toLong() ?: 1
         val time = System.getProperty("fuzz.time")?.let(Duration::parse) ?: 1.seconds
+        val limit = time + 60.seconds
         val targets = WireTargets.all + HttpTargets.all
         val counts by lazy { targets.map { target -> onSmallStack { decodeMutations(target, seed, time) } } }
 
         describe("the decoder of") {
             targets.forEachIndexed { index, target ->
-                it("${target.name} lets no exception through, whatever it reads").config(timeout = time + 60.seconds) {
+                val name = "${target.name} lets no exception through, whatever it reads"
+                it(name).config(timeout = limit, invocationTimeout = limit) {
                     val count = counts[index].await()
                     println("fuzzed ${target.name}: $count inputs, seed $seed")
                     count shouldBeGreaterThan 0
