Show with a test that a silence of a second cuts a resumable stream

What callers saw: a request of a resumable route got part of its response, then its connection was closed. The test plays it on loopback: the endpoint sends an event, is silent for 1.3 s and goes on; the second endpoint is full and refuses.

--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EndpointFaultTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EndpointFaultTest.kt
@@ -289,6 +289,24 @@
                 }
             }
 
+            it("is not cut for a silence of a second when another endpoint could resume it but refuses") {
+                val count = AtomicInteger()
+                val handler: Handler = {
+                    if (count.getAndIncrement() == 0) {
+                        startStream()
+                        sendChunk("id: 0\ndata: a\n\n")
+                        TimeUnit.MILLISECONDS.sleep(1_300)
+                        sendChunk("id: 1\ndata: a\n\n")
+                        endStream()
+                    } else {
+                        respond("503 Service Unavailable", headers = "X-Not-Executed: 1\r\n")
+                    }
+                }
+                deploy(handler, handler) { entry, _ ->
+                    entry.get("/resume/a").shouldNotBeNull().body shouldBe "id: 0\ndata: a\n\nid: 1\ndata: a\n\n"
+                }
+            }
+
             it("is resumed elsewhere when it sends a byte now and then without completing an event") {
                 val count = AtomicInteger()
                 val handler: Handler = {
