Give a silent endpoint half of the caller's patience before its stream is moved

What callers saw: a stream of a resumable route that had begun was cut.

Cause: an endpoint that sent no event for three times the largest gap of its route (900 ms where the gap is 300 ms) was taken for failed. Its stream was cancelled, and when the second endpoint refused it or its preparation could not be run again, the caller's connection was closed in the middle of the response. A sound endpoint may pause for a second.

Change: the timeout between two events is half of the time that the caller waits for the next one, at least 2 s. The other half is left for another endpoint. Nothing changes before the first event.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/SilenceCheck.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/SilenceCheck.kt
@@ -1,7 +1,9 @@
 package org.bilberryhead.forwarding.request
 
+import org.bilberryhead.core.serving.ReceiveTimeout
 import org.bilberryhead.forwarding.Timer
 import org.bilberryhead.forwarding.endpoint.Endpoint
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Checks at intervals whether an attempt of [request] is silent for so long that another endpoint takes over. */
@@ -26,9 +28,15 @@
         timer = null
     }
 
-    private fun isTooSilent(attempt: Attempt, tried: Set<Endpoint>): Boolean =
-        ReceiveTimeout.isExceeded(request.route, attempt, context.thread.now()) &&
-            AttemptEndpointSelector(context).hasUntried(request, tried + attempt.endpoint)
+    private fun isTooSilent(attempt: Attempt, tried: Set<Endpoint>): Boolean = !attempt.isPaused &&
+        context.thread.now() - attempt.lastEventAt > timeoutOf(attempt) &&
+        AttemptEndpointSelector(context).hasUntried(request, tried + attempt.endpoint)
+
+    private fun timeoutOf(attempt: Attempt): Duration = if (attempt.hasReceivedEvent) {
+        ReceiveTimeout.betweenEvents(request.route, remaining = request.deadline - attempt.lastEventAt)
+    } else {
+        ReceiveTimeout.beforeFirstEvent(request.route, attempt.expectedTimeToFirstEvent)
+    }
 
     private companion object {
         val CHECK_INTERVAL = 50.milliseconds
