Refuse prompts with a part that crashes endpoints

Callers saw: one part of a prompt crashes each engine that begins to answer it.

Cause: an attempt that breaks is repeated elsewhere whatever broke it, and nothing is remembered of the prompt.

Evidence: CrashingPromptTest on the code before, 3 tests: "is refused after few crashes instead of crashing the next engine, and requests beside it are served" and "is refused by an entry that saw none of the crashes, and by one that restarts after all were down" fail with "expected:< 503 > but was:<HTTP/1.1 502 Bad Gateway"; the third, that answers which break off are no crashes, passes.

Change: when an attempt breaks before its answer has gone on for a second, the entry collects the failures of that run of the endpoint for 30 ms and opens a connection to it. If that is refused, it reports a crash with the shared parts of the prompts; a connection that opens is kept for use. An address that does not respond is no crash, since an entry whose network is cut would otherwise suspect every part that it sends. Each entry writes its reports and the successes that clear parts into one row of a new table, some writes apart, and watches the table by long polling. Requests with a quarantined part are refused with 503 and the remaining time at admission and again before they are sent; after an attempt that may have run, the answer stays "unknown".

Why it works: a part that crashes endpoints never succeeds, so parts that sound requests share are cleared, and the entries decide by the same reports. An entry that restarts reads its own row before it writes it again.

LeaseKeeper's call to the store moves to StoreWriter, which both use. The fake store of the tests learns to report changes of rows.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EntryMembership.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EntryMembership.kt
@@ -48,6 +48,9 @@
     var members: List<EntryRecord> = listOf(own)
         private set
 
+    /** Whether this entry is the only one of the members that removes rows. */
+    val isRemover: Boolean get() = members.minOf { it.id } == own.id
+
     /** Records that the store answered a call of this entry at [now]. */
     fun recordAnswer(now: Instant) {
         val elapsed = answeredAt?.let { now - it } ?: Duration.ZERO
@@ -102,7 +105,6 @@
      */
     fun expire(): List<DaemonId> {
         updateMembers()
-        val isRemover = members.minOf { it.id } == own.id
         return if (isRemover) leases.filterValues { isExpired(it) }.keys.toList() else emptyList()
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -29,6 +29,7 @@
 import org.bilberryhead.forwarding.peer.Peers
 import org.bilberryhead.forwarding.peer.SnapshotMessage
 import org.bilberryhead.forwarding.peer.StoreReplica
+import org.bilberryhead.forwarding.quarantine.QuarantineService
 import org.bilberryhead.forwarding.request.ConnectionWaitQueue
 import org.bilberryhead.forwarding.request.RequestAdmission
 import org.bilberryhead.forwarding.request.ServingContext
@@ -39,6 +40,7 @@
 import org.bilberryhead.forwarding.store.ConfigurationListener
 import org.bilberryhead.forwarding.store.EndpointListener
 import org.bilberryhead.forwarding.store.StoreTableWatch
+import org.bilberryhead.forwarding.store.StoreWriter
 import org.bilberryhead.forwarding.store.TableListener
 import org.bilberryhead.forwarding.store.WatchTimings
 import org.bilberryhead.platform.wire.WireHeaders
@@ -62,7 +64,9 @@
     private val decisions = DecisionLog(settings.decisionLinesPerSecond, thread::now)
     private val connector = Connector(thread, WireHeaders.REQUEST_ID)
     private val exchange = SingleExchange(thread, connector)
-    private val membership = MembershipService(settings, thread, exchange, decisions, random)
+    private val storeWriter = StoreWriter(settings.store, exchange)
+    private val membership = MembershipService(settings, thread, storeWriter, decisions, random)
+    private val quarantine = QuarantineService(settings.id, thread, storeWriter, decisions, metrics, random)
     private val peers = Peers(settings.id, membership::members) { PeerClient(it, thread, decisions, connector) }
     private val directory = EndpointDirectory()
     private val endpoints = Endpoints(thread, connector, directory, ::poolOf, membership::shareCount)
@@ -77,6 +81,7 @@
         placement = EnginePlacement(settings.dataCentre),
         stageClient = ::stageClient,
         connectionWaitQueue = connectionWaitQueue,
+        quarantine = quarantine,
         decisions = decisions,
         metrics = metrics,
         random = random,
@@ -145,6 +150,9 @@
         metrics.gauge("bilberry.members", "Entries that share the limits, as this entry knows them") {
             membership.members.size
         }
+        metrics.gauge("bilberry.quarantine.parts", "Parts of prompts that are refused because they crash endpoints") {
+            quarantine.quarantinedCount
+        }
         metrics.gauge("bilberry.failures.unexpected", "Exceptions that no part of the program expected") {
             thread.failureCount
         }
@@ -160,6 +168,8 @@
         endpointWatch.start()
         watch(WireTables.ENTRIES, WatchTimings.forEntries, membership.entries).start()
         watch(WireTables.LEASES, WatchTimings.forLeases(membership.renewalInterval), membership.leases).start()
+        watch(WireTables.CRASHES, WatchTimings.forCrashReports, quarantine.reports).start()
+        quarantine.start(membership::isRemover)
         PeerCatchUp(thread, exchange, replica, decisions, ::peerAddresses).start()
         membership.start { endpointWatch.lastResponseAt }
         thread.every(EXPIRY_CHECK_INTERVAL) { endpointListener.removeExpired() }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingMetrics.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingMetrics.kt
@@ -35,6 +35,18 @@
         .register(registry)
         .increment()
 
+    /** Counts a request that is refused because a part of its prompt crashes endpoints. */
+    fun refusedByQuarantine() = Counter.builder("bilberry.quarantine.refused")
+        .description("Requests that are refused because a part of their prompt crashes endpoints")
+        .register(registry)
+        .increment()
+
+    /** Counts a crash of an endpoint, or another report of this entry on the same crash. */
+    fun endpointCrashed() = Counter.builder("bilberry.endpoint.crashes")
+        .description("Reports of this entry on crashes of endpoints that were about to answer prompts")
+        .register(registry)
+        .increment()
+
     /** Counts a call to the store about [table] that ended with [result]. */
     fun storeCall(table: String, result: String) = Counter.builder("bilberry.store.calls")
         .description("Calls to the platform's store by table and result")
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/EndpointConnections.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/EndpointConnections.kt
@@ -2,6 +2,7 @@
 
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.forwarding.EventThread
+import org.bilberryhead.forwarding.http.ConnectFailure
 import org.bilberryhead.forwarding.http.Connector
 import org.bilberryhead.forwarding.http.OutboundConnection
 import kotlin.time.Duration
@@ -46,6 +47,26 @@
             opened(reusable)
             return
         }
+        open(opened) { failed(it.reason) }
+    }
+
+    /**
+     * Finds out whether the endpoint still listens by opening another connection, which is kept for later exchanges.
+     * Passes the result to [ended]: null when it listens, or why the connection could not be opened.
+     */
+    fun probe(ended: (ConnectFailure?) -> Unit) {
+        // Connections that outlive a failure on another one show it as well when no more may be opened.
+        if (open.isNotEmpty() && open.size + openingCount >= maximumConnections()) return ended(null)
+        open(
+            opened = {
+                it.release()
+                ended(null)
+            },
+            failed = ended,
+        )
+    }
+
+    private fun open(opened: (OutboundConnection) -> Unit, failed: (ConnectFailure) -> Unit) {
         openingCount++
         connector.open(
             address,
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/Connector.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/Connector.kt
@@ -4,15 +4,24 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import jdk.net.ExtendedSocketOptions
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.forwarding.EventThread
+import java.net.ConnectException
 import java.net.InetSocketAddress
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
+/**
+ * Why a connection could not be opened.
+ *
+ * @property isRefused whether the other VM answered that no process listens on the address
+ */
+internal class ConnectFailure(val reason: String, val isRefused: Boolean)
+
 /** Opens connections to other processes. */
 internal class Connector(private val thread: EventThread, private val requestIdHeader: String) {
     /** Opens a connection to [address]. Calls [opened] with it, or [failed] with the reason. */
@@ -20,17 +29,22 @@
         address: SocketAddress,
         timeout: Duration = CONNECT_TIMEOUT,
         opened: (OutboundConnection) -> Unit,
-        failed: (String) -> Unit,
+        failed: (ConnectFailure) -> Unit,
     ) {
         val connection = OutboundConnection(requestIdHeader, thread::now) {
             thread.recordFailure(it, "reading from $address")
         }
         val connectFuture = bootstrap(timeout, connection).connect(InetSocketAddress(address.host, address.port))
         connectFuture.addListener {
-            if (it.isSuccess) opened(connection) else failed(it.cause()?.message ?: "can not connect")
+            if (it.isSuccess) opened(connection) else failed(failureOf(it.cause()))
         }
     }
 
+    private fun failureOf(cause: Throwable?) = ConnectFailure(
+        reason = cause?.message ?: "can not connect",
+        isRefused = cause is ConnectException && cause !is ConnectTimeoutException,
+    )
+
     private fun bootstrap(timeout: Duration, connection: OutboundConnection): Bootstrap = Bootstrap()
         .group(thread.loop)
         .channel(NioSocketChannel::class.java)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/SingleExchange.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/SingleExchange.kt
@@ -60,7 +60,7 @@
                 exchange(connection, request, timeout, ended)
                 sent()
             },
-            failed = { ended(ExchangeOutcome.NotSent(it)) },
+            failed = { ended(ExchangeOutcome.NotSent(it.reason)) },
         )
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/membership/LeaseKeeper.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/membership/LeaseKeeper.kt
@@ -1,21 +1,13 @@
 package org.bilberryhead.forwarding.membership
 
-import io.netty.handler.codec.http.DefaultHttpHeaders
-import io.netty.handler.codec.http.HttpMethod
 import org.bilberryhead.core.common.DaemonId
-import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.forwarding.DecisionLog
 import org.bilberryhead.forwarding.EventThread
-import org.bilberryhead.forwarding.http.ExchangeOutcome
-import org.bilberryhead.forwarding.http.OutboundRequest
-import org.bilberryhead.forwarding.http.SingleExchange
 import org.bilberryhead.forwarding.store.EntryRow
+import org.bilberryhead.forwarding.store.StoreWriter
 import org.bilberryhead.platform.wire.RowKey
 import org.bilberryhead.platform.wire.RowTransaction
-import org.bilberryhead.platform.wire.StoreCodec
-import org.bilberryhead.platform.wire.WirePaths
 import org.bilberryhead.platform.wire.WireTables
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -27,9 +19,8 @@
  */
 internal class LeaseKeeper(
     private val ownId: DaemonId,
-    private val store: SocketAddress,
+    private val writer: StoreWriter,
     private val thread: EventThread,
-    private val exchange: SingleExchange,
     private val decisions: DecisionLog,
     private val onRenewed: (sentAt: Instant) -> Unit,
 ) {
@@ -47,9 +38,14 @@
         val puts = mapOf(entryKey to row.encode(), leaseKey to nextLease(row))
         send(RowTransaction(puts = puts)) { status, version ->
             decisions.write("entry registered") {
-                mapOf("entry" to ownId, "leaving" to row.isLeaving, "status" to status, "again" to (status != OK))
+                mapOf(
+                    "entry" to ownId,
+                    "leaving" to row.isLeaving,
+                    "status" to status,
+                    "again" to (status != StoreWriter.OK),
+                )
             }
-            if (status != OK) {
+            if (status != StoreWriter.OK) {
                 retry(row)
             } else if (row == newestRow) {
                 registeredVersion = version
@@ -66,7 +62,7 @@
             puts = mapOf(leaseKey to nextLease(row)),
         )
         send(transaction) { status, _ ->
-            if (status == CONFLICT && row == newestRow) {
+            if (status == StoreWriter.CONFLICT && row == newestRow) {
                 decisions.write("own row was replaced or removed") { mapOf("entry" to ownId, "version" to version) }
                 register(row)
             }
@@ -81,29 +77,19 @@
             expected = mapOf(row to rowVersion, lease to leaseVersion),
             removals = listOfNotNull(row, lease.takeIf { leaseVersion > 0 }),
         )
-        call(transaction) { status, _ ->
+        writer.write(transaction) { status, _ ->
             decisions.write("expired entry removed") { mapOf("entry" to id, "status" to status) }
         }
     }
 
     private fun send(transaction: RowTransaction, ended: (status: Int?, version: Long?) -> Unit) {
         val sentAt = thread.now()
-        call(transaction) { status, version ->
-            if (status == OK) onRenewed(sentAt)
+        writer.write(transaction) { status, version ->
+            if (status == StoreWriter.OK) onRenewed(sentAt)
             ended(status, version)
         }
     }
 
-    private fun call(transaction: RowTransaction, ended: (status: Int?, version: Long?) -> Unit) {
-        val headers = DefaultHttpHeaders().add("Host", store.toString()).add("Content-Type", "application/json")
-        val body = StoreCodec.encode(transaction).encodeToByteArray()
-        val request = OutboundRequest(HttpMethod.POST, WirePaths.ROWS_TRANSACTION, headers, body)
-        exchange.send(store, request, RESPONSE_TIMEOUT) { outcome ->
-            val response = (outcome as? ExchangeOutcome.Completed)?.response
-            ended(response?.head?.status, response?.let { StoreCodec.decodeVersion(it.text) })
-        }
-    }
-
     private fun retry(row: EntryRow) {
         thread.after(backoff) { if (row == newestRow) register(row) }
         backoff = (backoff * 2).coerceAtMost(MAXIMUM_BACKOFF)
@@ -113,9 +99,6 @@
     private fun nextLease(row: EntryRow): String = (row.run + renewalCount++).toString()
 
     private companion object {
-        const val OK = 200
-        const val CONFLICT = 412
-        val RESPONSE_TIMEOUT: Duration = 3.seconds
         val INITIAL_BACKOFF = 1.seconds
         val MAXIMUM_BACKOFF = 10.seconds
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/membership/MembershipService.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/membership/MembershipService.kt
@@ -7,8 +7,8 @@
 import org.bilberryhead.forwarding.DecisionLog
 import org.bilberryhead.forwarding.EventThread
 import org.bilberryhead.forwarding.ForwardingSettings
-import org.bilberryhead.forwarding.http.SingleExchange
 import org.bilberryhead.forwarding.store.EntryRow
+import org.bilberryhead.forwarding.store.StoreWriter
 import org.bilberryhead.forwarding.store.TableListener
 import kotlin.random.Random
 import kotlin.time.Clock
@@ -20,7 +20,7 @@
 internal class MembershipService(
     settings: ForwardingSettings,
     private val thread: EventThread,
-    exchange: SingleExchange,
+    writer: StoreWriter,
     private val decisions: DecisionLog,
     private val random: Random,
     private val wallClock: Clock = Clock.System,
@@ -30,7 +30,7 @@
     private val membership = EntryMembership(ownRow.toRecord(settings.id), timings)
     private val entryListener = EntryListener(membership)
     private val leaseListener = LeaseListener(membership)
-    private val keeper = LeaseKeeper(settings.id, settings.store, thread, exchange, decisions) { sentAt ->
+    private val keeper = LeaseKeeper(settings.id, writer, thread, decisions) { sentAt ->
         membership.recordOwnRenewal(sentAt, wallClock.now())
     }
     private var loggedIds = emptySet<DaemonId>()
@@ -48,6 +48,9 @@
     /** The members, including this entry. */
     val members: List<EntryRecord> get() = membership.members
 
+    /** Whether this entry is the one that removes rows of entries that are gone. */
+    val isRemover: Boolean get() = membership.isRemover
+
     /** Number of entries that share the limits; null when this entry has the smallest share. */
     val shareCount: Int? get() = membership.shareCount(thread.now(), wallClock.now())
 
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/CrashTableListener.kt
@@ -0,0 +1,63 @@
+package org.bilberryhead.forwarding.quarantine
+
+import org.bilberryhead.core.common.DaemonId
+import org.bilberryhead.core.quarantine.CrashReport
+import org.bilberryhead.forwarding.DecisionLog
+import org.bilberryhead.forwarding.EventThread
+import org.bilberryhead.forwarding.store.CrashRow
+import org.bilberryhead.forwarding.store.TableListener
+import org.bilberryhead.platform.wire.StoreRow
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/**
+ * Reads the crash reports of all entries.
+ *
+ * @param ownRowRead called once, with the reports that an earlier run of this entry left in the store
+ * @param reportsRead called with the reports of another entry
+ */
+internal class CrashTableListener(
+    private val ownId: DaemonId,
+    private val thread: EventThread,
+    private val decisions: DecisionLog,
+    private val ownRowRead: (List<CrashReport>) -> Unit,
+    private val reportsRead: (List<CrashReport>) -> Unit,
+) : TableListener {
+    /** A row of another writer, and since when it has been seen unchanged. */
+    class KnownRow(val key: String, val version: Long, val unchangedSince: Instant)
+
+    private val rows = mutableMapOf<String, KnownRow>()
+    private var isOwnRowRead = false
+
+    /** Returns the rows of other writers that have not changed for [time]. */
+    fun unchangedFor(time: Duration): List<KnownRow> = rows.values.filter { thread.now() - it.unchangedSince >= time }
+
+    override fun onTableRead(rows: List<StoreRow>, afterOutage: Boolean) {
+        this.rows.keys.retainAll(rows.mapTo(mutableSetOf()) { it.key })
+        if (!isOwnRowRead) {
+            isOwnRowRead = true
+            ownRowRead(rows.firstOrNull { it.key == ownId.value }?.let(::reportsOf).orEmpty())
+        }
+        onRowsChanged(rows)
+    }
+
+    override fun onRowsChanged(rows: List<StoreRow>) = rows.filter { it.key != ownId.value }.forEach(::read)
+
+    private fun read(row: StoreRow) {
+        if (rows[row.key]?.version == row.version) return
+        if (row.value == null) {
+            rows -= row.key
+        } else {
+            rows[row.key] = KnownRow(row.key, row.version, thread.now())
+            reportsRead(reportsOf(row))
+        }
+    }
+
+    private fun reportsOf(row: StoreRow): List<CrashReport> {
+        val decoded = row.value?.let(CrashRow::decode)
+        if (decoded == null && row.value != null) {
+            decisions.write("crash reports unreadable") { mapOf("row" to row.key) }
+        }
+        return decoded?.reports.orEmpty()
+    }
+}
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AdmittedRequest.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AdmittedRequest.kt
@@ -4,6 +4,7 @@
 import org.bilberryhead.core.common.PoolName
 import org.bilberryhead.core.common.RequestId
 import org.bilberryhead.core.serving.Prompt
+import org.bilberryhead.core.serving.PromptPartId
 import org.bilberryhead.core.serving.RepeatRule
 import org.bilberryhead.core.serving.ServingRoute
 import org.bilberryhead.forwarding.caller.CallerRequest
@@ -17,6 +18,7 @@
  * @property account the client account of the caller; null for a caller without one
  * @property priority a lower number is more urgent
  * @property prompt sizes and parts of the prompt; null when the request has none
+ * @property sharedParts ids of the parts of the prompt that other requests may share
  * @property callerDeadline the deadline that the caller sent, or null
  * @property configurationVersion version of the configuration by which the request was routed
  */
@@ -28,6 +30,7 @@
     val account: ClientAccount?,
     val priority: Int,
     val prompt: Prompt?,
+    val sharedParts: List<PromptPartId>,
     val callerDeadline: Instant?,
     val configurationVersion: Long,
 ) {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
@@ -5,8 +5,6 @@
 import org.bilberryhead.core.serving.EventOrder
 import org.bilberryhead.core.serving.EventSplitter
 import org.bilberryhead.core.serving.ExchangeResult
-import org.bilberryhead.core.serving.Prompt
-import org.bilberryhead.core.serving.RepeatRule
 import org.bilberryhead.core.serving.StreamEvent
 import org.bilberryhead.forwarding.EventThread
 import org.bilberryhead.forwarding.endpoint.Endpoint
@@ -19,6 +17,7 @@
 import org.bilberryhead.platform.wire.WireHeaders
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /**
@@ -42,14 +41,14 @@
 /** An attempt to run a request at an endpoint: validates the response and records the result in the endpoint's load. */
 internal class Attempt(
     val endpoint: Endpoint,
-    private val repeatRule: RepeatRule,
-    private val prompt: Prompt?,
+    private val request: AdmittedRequest,
     private val eventOrder: EventOrder,
-    private val thread: EventThread,
+    private val context: ServingContext,
     private val listener: AttemptListener,
 ) : ResponseListener {
+    private val thread: EventThread get() = context.thread
     private val startedAt: Instant = thread.now()
-    private val engineRequest: EngineRequest? = prompt?.let { endpoint.engine?.start(it, startedAt) }
+    private val engineRequest: EngineRequest? = request.prompt?.let { endpoint.engine?.start(it, startedAt) }
     private val eventSplitter = EventSplitter()
     private val body = ByteArrayOutputStream()
     private var head: ResponseHead? = null
@@ -59,9 +58,11 @@
     /** The connection on which the request was sent; null until then. */
     var connection: OutboundConnection? = null
 
+    private var firstEventAt: Instant? = null
+    private var isProvenSound = false
+
     /** Whether an event of the stream has arrived. */
-    var hasReceivedEvent = false
-        private set
+    val hasReceivedEvent: Boolean get() = firstEventAt != null
 
     /**
      * When the last event arrived, or when reading went on after a pause; the start of the attempt before the first
@@ -84,7 +85,7 @@
     override fun headReceived(head: ResponseHead) {
         this.head = head
         HeaderValues.loadReport(head.headers[WireHeaders.LOAD])?.let { endpoint.recordLoad(it, thread.now()) }
-        isStreaming = repeatRule.isStream && head.status == OK && isSigned(head)
+        isStreaming = request.route.repeatRule.isStream && head.status == OK && isSigned(head)
     }
 
     override fun bodyPartReceived(bytes: ByteArray) {
@@ -104,9 +105,10 @@
         if (!eventOrder.recordNext(event)) return failAsBroken("an event is missing or came twice")
         lastEventAt = thread.now()
         if (!hasReceivedEvent) {
-            hasReceivedEvent = true
+            firstEventAt = lastEventAt
             engineRequest?.let { endpoint.engine?.recordFirstEvent(it, lastEventAt) }
         }
+        if (!isBeginning()) recordSound()
         listener.eventReceived(checkNotNull(head), event)
     }
 
@@ -115,7 +117,10 @@
         when {
             isFinished -> Unit
             isStreaming && eventSplitter.hasPartialEvent -> failAsBroken("the stream ended within an event")
-            isStreaming -> if (finish(ExchangeResult.SUCCEEDED)) listener.streamCompleted(head)
+            isStreaming -> if (finish(ExchangeResult.SUCCEEDED)) {
+                if (hasReceivedEvent && hasExplicitEnd(head)) recordSound()
+                listener.streamCompleted(head)
+            }
             else -> classify(FullResponse(head, body.toByteArray()))
         }
     }
@@ -129,10 +134,26 @@
             status in SERVER_FAILURES ->
                 fail(ExchangeResult.FAILED, AttemptOutcome.EndpointFailure, "status $status", response)
 
-            else -> if (finish(ExchangeResult.SUCCEEDED)) listener.responseReceived(response)
+            else -> if (finish(ExchangeResult.SUCCEEDED)) {
+                if (status in SUCCESSFUL && hasExplicitEnd(response.head)) recordSound()
+                listener.responseReceived(response)
+            }
         }
     }
 
+    /** Whether the endpoint has not begun to answer, or only just. */
+    private fun isBeginning(): Boolean = firstEventAt?.let { thread.now() - it < BEGINNING } ?: true
+
+    /** Returns whether the end of the response can be told from a connection that breaks off. */
+    private fun hasExplicitEnd(head: ResponseHead): Boolean =
+        head.headers.contains("Content-Length") || head.headers.contains("Transfer-Encoding")
+
+    private fun recordSound() {
+        if (isProvenSound) return
+        isProvenSound = true
+        context.quarantine.succeeded(request.sharedParts)
+    }
+
     /** Returns whether the response carries a signature. A response with a Content-Encoding counts as unsigned. */
     private fun isSigned(head: ResponseHead): Boolean =
         head.headers.contains(WireHeaders.SIGNATURE) && !head.headers.contains("Content-Encoding")
@@ -178,7 +199,11 @@
     }
 
     private fun fail(result: ExchangeResult, outcome: AttemptOutcome, reason: String, response: FullResponse?) {
-        if (finish(result)) listener.attemptFailed(outcome, reason, response)
+        if (!finish(result)) return
+        if (outcome == AttemptOutcome.Broken && isBeginning()) {
+            context.quarantine.attemptBroken(endpoint, request.sharedParts)
+        }
+        listener.attemptFailed(outcome, reason, response)
     }
 
     /** Records [result] in the endpoint's load figures; returns false when the attempt had already ended. */
@@ -203,6 +228,9 @@
         const val MAXIMUM_BODY_BYTES = 1024 * 1024
         const val MAXIMUM_EVENT_BYTES = 1024 * 1024
         const val MISDIRECTED = 421
+
+        /** Time from the first event in which a crash of the endpoint may be due to the request. */
+        val BEGINNING = 1.seconds
         val SUCCESSFUL = 200..299
         val SERVER_FAILURES = 500..599
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -68,7 +68,7 @@
     override fun notPrepared(reason: String, retryAfter: Duration) = refuse(reason, maxOf(retryAfter, RETRY_DELAY))
 
     private fun dispatch() {
-        if (isFinished) return
+        if (isFinished || refuseIfQuarantined()) return
         when (val selection = AttemptEndpointSelector(context).select(request, inputs, failedEndpoints)) {
             AttemptEndpointSelector.Selection.NoneKnown ->
                 refuse("no endpoint of ${request.pool} is known", LONG_RETRY_DELAY)
@@ -78,6 +78,13 @@
         }
     }
 
+    /** Refuses the request when a part of its prompt crashes endpoints, and returns whether it did. */
+    private fun refuseIfQuarantined(): Boolean {
+        val refusal = context.quarantine.refusalOf(request.id.value, request.sharedParts) ?: return false
+        refuse(refusal.reason, refusal.retryAfter, spread = 0.0)
+        return true
+    }
+
     private fun waitForConnection() {
         val newWaiter = ConnectionWaitQueue.Waiter(request.pool, request.priority) {
             waiter = null
@@ -88,7 +95,7 @@
     }
 
     private fun connect(endpoint: Endpoint) {
-        val newAttempt = Attempt(endpoint, route.repeatRule, request.prompt, eventOrder, context.thread, this)
+        val newAttempt = Attempt(endpoint, request, eventOrder, context, this)
         attempt = newAttempt
         decisionLog.attemptStarted(endpoint, attemptCount + 1)
         endpoint.connections.acquire(
@@ -106,6 +113,7 @@
             connection.release()
             return newAttempt.connectFailed("the endpoint began to leave while the connection was opened")
         }
+        if (refuseIfQuarantined()) return connection.release()
         attemptCount++
         newAttempt.connection = connection
         val outbound =
@@ -113,14 +121,14 @@
         connection.send(outbound, request.id.value, newAttempt, maximumBodyBytes = Long.MAX_VALUE)
         // The attempt may have failed already.
         if (route.repeatRule.mayRepeat && attempt === newAttempt) {
-            silenceCheck.start(newAttempt, failedEndpoints) { if (takeRetry()) timeOutAndRetry(newAttempt) }
+            silenceCheck.start(newAttempt, failedEndpoints) { timeOutAndRetry(newAttempt) }
         }
     }
 
-    private fun takeRetry(): Boolean =
-        attemptCount < route.maximumAttempts && context.retryBudget.tryRetry(request.pool, context.thread.now())
-
+    /** Times out [expiredAttempt] and tries another endpoint, if the route and the retry budget allow that. */
     private fun timeOutAndRetry(expiredAttempt: Attempt) {
+        if (attemptCount >= route.maximumAttempts) return
+        if (!context.retryBudget.tryRetry(request.pool, context.thread.now())) return
         decisionLog.attemptFailed(expiredAttempt.endpoint, "silent for too long", "try elsewhere")
         silenceCheck.stop()
         expiredAttempt.timeOut()
@@ -200,13 +208,14 @@
         return unreachableCount <= MAXIMUM_UNREACHABLE_ATTEMPTS
     }
 
-    private fun refuse(reason: String, retryAfter: Duration) {
+    /** Refuses the request; [spread] makes callers that are refused together come back at different times. */
+    private fun refuse(reason: String, retryAfter: Duration, spread: Double = context.random.nextDouble()) {
         if (isFinished) return
         if (isStreaming) return abort(reason)
         val response = if (mayHaveRun) {
             LocalResponses.unknown(request.id.value, reason)
         } else {
-            LocalResponses.notRun(request.id.value, reason, retryAfter * (1 + context.random.nextDouble()))
+            LocalResponses.notRun(request.id.value, reason, retryAfter * (1 + spread))
         }
         respond(response, endpoint = null, reason)
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
@@ -47,7 +47,7 @@
                 reject(request, response, BAD_REQUEST, "the numbers of pieces are not valid", matcher)
 
             !canFinishBeforeDrain(route) -> refuse(request, response, "the process ends soon", DRAIN_RETRY_AFTER)
-            else -> start(admit(RequestId(id), request, route, identity, matcher), response)
+            else -> startUnlessQuarantined(admit(RequestId(id), request, route, identity, matcher), response)
         }
     }
 
@@ -61,6 +61,13 @@
     private fun hasInvalidPieceCounts(request: CallerRequest): Boolean =
         request.headers[WireHeaders.PIECE_COUNTS]?.let { HeaderValues.pieceCounts(it) == null } ?: false
 
+    private fun startUnlessQuarantined(request: AdmittedRequest, response: ResponseWriter): CallerListener {
+        val refusal = context.quarantine.refusalOf(request.id.value, request.sharedParts)
+            ?: return start(request, response)
+        response.send(LocalResponses.notRun(request.id.value, refusal.reason, refusal.retryAfter))
+        return IGNORE_DISCONNECT
+    }
+
     private fun start(request: AdmittedRequest, response: ResponseWriter): CallerListener {
         val now = context.thread.now()
         context.retryBudget.countRequest(request.pool, now)
@@ -89,6 +96,7 @@
             account = entry?.account,
             priority = entry?.priority ?: route.priority,
             prompt = HeaderValues.prompt(headers[WireHeaders.TOKEN_COUNTS], headers[WireHeaders.PROMPT_PARTS]),
+            sharedParts = HeaderValues.sharedPartIds(headers[WireHeaders.PROMPT_PARTS]),
             callerDeadline = headers[WireHeaders.DEADLINE_MS]?.trim()?.toLongOrNull()
                 ?.let { request.receivedAt + it.milliseconds },
             configurationVersion = matcher.configuration.version,
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ServingContext.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ServingContext.kt
@@ -8,6 +8,7 @@
 import org.bilberryhead.forwarding.EventThread
 import org.bilberryhead.forwarding.ForwardingMetrics
 import org.bilberryhead.forwarding.endpoint.Endpoints
+import org.bilberryhead.forwarding.quarantine.QuarantineService
 import org.bilberryhead.forwarding.stage.StageCoordinatorClient
 import kotlin.random.Random
 
@@ -23,6 +24,7 @@
     val placement: EnginePlacement,
     val stageClient: (PoolName) -> StageCoordinatorClient?,
     val connectionWaitQueue: ConnectionWaitQueue,
+    val quarantine: QuarantineService,
     val decisions: DecisionLog,
     val metrics: ForwardingMetrics,
     val random: Random,
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreTableWatch.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreTableWatch.kt
@@ -120,7 +120,7 @@
                 connection = it
                 exchange(it, path, timeout, handleRows)
             },
-            failed = { callFailed(it) },
+            failed = { callFailed(it.reason) },
         )
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/WatchTimings.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/WatchTimings.kt
@@ -45,6 +45,9 @@
         /** Rows of entries change when one starts or leaves. */
         val forEntries = WatchTimings(longPollTimeout = 25.seconds, delayBetweenCalls = Duration.ZERO)
 
+        /** Crash reports are rare, and must be known at once. */
+        val forCrashReports = forEntries
+
         /** Returns the timings for leases that are renewed every [renewalInterval]. */
         fun forLeases(renewalInterval: Duration) =
             WatchTimings(longPollTimeout = null, delayBetweenCalls = renewalInterval)
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -17,6 +17,8 @@
 import org.bilberryhead.daemon.newMeterRegistry
 import org.bilberryhead.forwarding.http.SimpleHttpResponse
 import org.bilberryhead.forwarding.http.SimpleHttpServer
+import org.bilberryhead.platform.wire.RowKey
+import org.bilberryhead.platform.wire.WireTables
 import java.net.Socket
 import java.util.Base64
 import java.util.concurrent.CountDownLatch
@@ -51,6 +53,8 @@
  * @param seeds addresses of other entries from which the entry reads the configuration and the endpoints
  * @param isStoreReachable whether the store listens
  * @param drainLimit longest time of a drain, in milliseconds
+ * @param id id of the entry
+ * @param sharedStore a store that several entries use, in place of one that only this entry uses
  */
 internal class LoopbackDeployment(
     private val configuration: String?,
@@ -58,13 +62,15 @@
     private val seeds: List<SocketAddress> = emptyList(),
     private val isStoreReachable: Boolean = true,
     drainLimit: Long = 8_000,
+    id: String = "entry",
+    sharedStore: FakeRowStore? = null,
 ) : AutoCloseable {
     private val storeThread = newEventThread()
     private val entryThread = newEventThread()
-    private val store = freeAddress()
+    private val store = sharedStore?.address ?: freeAddress()
     private val tablesRead = CountDownLatch(2)
     val settings = ForwardingSettings(
-        id = DaemonId("entry"),
+        id = DaemonId(id),
         dataCentre = DataCentre("x"),
         callers = freeAddress(),
         readiness = freeAddress(),
@@ -78,9 +84,11 @@
     private val daemon = ForwardingDaemon(settings, entryThread, ForwardingMetrics(newMeterRegistry()), Random(1))
 
     init {
-        if (isStoreReachable) SimpleHttpServer(storeThread, ::respond).listen(store)
+        val hasOwnStore = isStoreReachable && sharedStore == null
+        if (hasOwnStore) SimpleHttpServer(storeThread, ::respond).listen(store)
+        sharedStore?.let(::writeTables)
         daemon.start()
-        if (isStoreReachable) check(tablesRead.await(10, TimeUnit.SECONDS)) { "the entry did not read the store" }
+        if (hasOwnStore) check(tablesRead.await(10, TimeUnit.SECONDS)) { "the entry did not read the store" }
         // The entry applies the rows on its own thread, possibly after the latch has opened.
         awaitReady()
     }
@@ -104,6 +112,11 @@
     /** Starts to drain the entry; the returned latch opens when it has stopped. */
     fun drain(): CountDownLatch = CountDownLatch(1).also { ended -> daemon.drain { ended.countDown() } }
 
+    private fun writeTables(shared: FakeRowStore) {
+        configuration?.let { shared.put(RowKey(WireTables.OPERATOR, WireTables.CONFIGURATION_KEY), it) }
+        pools.flatMap(::entries).forEach { (key, value) -> shared.put(RowKey(WireTables.ENDPOINTS, key), value) }
+    }
+
     private fun respond(request: FullHttpRequest): SimpleHttpResponse {
         val uri = request.uri()
         return when {
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/MembershipServiceTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/MembershipServiceTest.kt
@@ -13,6 +13,7 @@
 import org.bilberryhead.forwarding.http.SingleExchange
 import org.bilberryhead.forwarding.membership.MembershipService
 import org.bilberryhead.forwarding.store.StoreTableWatch
+import org.bilberryhead.forwarding.store.StoreWriter
 import org.bilberryhead.forwarding.store.TableListener
 import org.bilberryhead.forwarding.store.WatchTimings
 import org.bilberryhead.platform.wire.RowKey
@@ -41,7 +42,7 @@
     private val service = MembershipService(
         settings,
         thread,
-        SingleExchange(thread, connector),
+        StoreWriter(store.address, SingleExchange(thread, connector)),
         decisions,
         Random(id.hashCode()),
         timings = LeaseTimings(renewalInterval = 200.milliseconds, expiry = 2.seconds, leavingExpiry = 1.seconds),
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ScriptedEndpoint.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ScriptedEndpoint.kt
@@ -14,7 +14,12 @@
 /** A fake endpoint that passes each request to [handler] and records it. */
 internal class ScriptedEndpoint(private val handler: Exchange.() -> Unit) : AutoCloseable {
     /** One request and its connection, on which the handler responds; [previousId] is that of the request before it. */
-    class Exchange(val request: RawMessage, private val socket: Socket, val previousId: String? = null) {
+    class Exchange(
+        val request: RawMessage,
+        private val socket: Socket,
+        private val endpoint: ScriptedEndpoint,
+        val previousId: String? = null,
+    ) {
         val id: String = request.header("X-Request-Id").orEmpty()
 
         fun write(text: String) = socket.getOutputStream().writeText(text)
@@ -42,6 +47,9 @@
 
         fun closeConnection() = socket.close()
 
+        /** Ends the endpoint as a crash does: it no longer listens, and all of its connections close. */
+        fun crashEndpoint() = endpoint.crash()
+
         /** Closes the connection with a reset instead of an orderly end. */
         fun resetConnection() {
             socket.setSoLinger(true, 0)
@@ -52,6 +60,7 @@
         fun awaitClose(): Boolean = runCatching { socket.getInputStream().read() }.getOrDefault(-1) < 0
     }
 
+    private val sockets = CopyOnWriteArrayList<Socket>()
     private val server = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
     private val pendingRequests = LinkedBlockingQueue<RawMessage>()
     val requests = CopyOnWriteArrayList<RawMessage>()
@@ -64,13 +73,14 @@
     }
 
     private fun serve(socket: Socket) {
+        sockets += socket
         socket.use {
             var previousId: String? = null
             while (true) {
                 val request = runCatching { it.getInputStream().readMessage() }.getOrNull() ?: return
                 requests += request
                 pendingRequests += request
-                val exchange = Exchange(request, it, previousId)
+                val exchange = Exchange(request, it, this, previousId)
                 previousId = exchange.id
                 runCatching { exchange.handler() }.onFailure { return }
                 if (it.isClosed) return
@@ -81,4 +91,9 @@
     fun awaitRequest(): RawMessage = checkNotNull(pendingRequests.poll(10, TimeUnit.SECONDS)) { "no request arrived" }
 
     override fun close() = server.close()
+
+    private fun crash() {
+        server.close()
+        sockets.forEach { it.close() }
+    }
 }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/fuzz/WireTargets.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/fuzz/WireTargets.kt
@@ -2,11 +2,16 @@
 
 import kotlinx.serialization.KSerializer
 import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.common.EndpointId
 import org.bilberryhead.core.common.PoolName
 import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.quarantine.CrashId
+import org.bilberryhead.core.quarantine.CrashReport
+import org.bilberryhead.core.quarantine.PartQuarantine
 import org.bilberryhead.core.serving.EngineCapacity
 import org.bilberryhead.core.serving.EngineLoad
 import org.bilberryhead.core.serving.PreparationPlan
+import org.bilberryhead.core.serving.PromptPartId
 import org.bilberryhead.core.serving.RouteMatcher
 import org.bilberryhead.daemon.SettingsReader
 import org.bilberryhead.forwarding.ForwardingSettings
@@ -19,6 +24,7 @@
 import org.bilberryhead.forwarding.peer.PiecesMessage
 import org.bilberryhead.forwarding.peer.ReleaseMessage
 import org.bilberryhead.forwarding.peer.SnapshotMessage
+import org.bilberryhead.forwarding.store.CrashRow
 import org.bilberryhead.forwarding.store.EntryRow
 import org.bilberryhead.platform.wire.ConfigurationDecoder
 import org.bilberryhead.platform.wire.EndpointEntryDecoder
@@ -68,6 +74,9 @@
         textTarget("configuration", LoopbackDeployment.CONFIGURATION) { useConfiguration(it) },
         textTarget("endpoint entries", ENDPOINT_ROW) { EndpointEntryDecoder.decode("e", it) },
         textTarget("entry rows", ownRow()) { EntryRow.decode(it) },
+        textTarget("crash reports", crashRow()) { text ->
+            CrashRow.decode(text)?.reports?.forEach { PartQuarantine().record(it, now) }
+        },
         textTarget("load reports", "3,0,8", "0,0,1") { HeaderValues.loadReport(it) },
         textTarget("prompts", "1460,80|5c1e07a2:800,91bd3f06:410", "10,10|a:5") { usePrompt(it) },
         textTarget("piece counts", "1,0,3", "2") { usePieceCounts(it) },
@@ -101,6 +110,11 @@
     private fun ownRow() =
         EntryRow(DataCentre("x"), SocketAddress("10.0.0.1", 3), processorShare = 0.5, run = 7).encode()
 
+    private fun crashRow(): String {
+        val parts = setOf(PromptPartId("5c1e07a2"), PromptPartId("91bd3f06"))
+        return CrashRow.encode(listOf(CrashReport(CrashId(EndpointId("e"), startedAt = 1), parts, parts)))
+    }
+
     private fun useConfiguration(text: String) {
         val configuration = ConfigurationDecoder.decode(text) ?: return
         val matcher = RouteMatcher(configuration)
@@ -113,6 +127,7 @@
     }
 
     private fun usePrompt(text: String) {
+        HeaderValues.sharedPartIds(text.substringAfter('|'))
         val prompt = HeaderValues.prompt(text.substringBefore('|'), text.substringAfter('|', "")) ?: return
         val load = EngineLoad(EngineCapacity(slots = 4, memoryTokens = 1_000))
         val request = load.start(prompt, now)
