--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -42,10 +42,10 @@
     private var isFinished = false
     private var waiter: ConnectionWaitQueue.Waiter? = null
     private var deadlineTimer: Timer? = null
-    private val silenceCheck = SilenceCheck(request, context)
 
     private val retries = RequestRetries(request, context)
     private val failedEndpoints = mutableSetOf<Endpoint>()
+    private val silenceCheck = SilenceCheck(request, context, failedEndpoints, ::retryElsewhere)
     private val replacement = StreamReplacement(request, context, failedEndpoints, ReplaceableResponse())
 
     /** Starts to serve the request. */
@@ -69,7 +69,7 @@
     }
 
     private fun dispatch() {
-        if (isFinished) return
+        if (isFinished || refuseIfQuarantined()) return
         when (val selection = AttemptEndpointSelector(context).select(request, inputs, failedEndpoints)) {
             AttemptEndpointSelector.Selection.NoneKnown ->
                 refuse("no endpoint of ${request.pool} is known", LONG_RETRY_DELAY)
@@ -79,6 +79,13 @@
         }
     }
 
+    /** Refuses the request when a part of its prompt crashes endpoints, and returns whether it did. */
+    private fun refuseIfQuarantined(): Boolean {
+        val refusal = context.quarantine.refusalOf(request.id.value, request.sharedParts) ?: return false
+        refuse(refusal.reason, refusal.retryAfter, spread = 0.0)
+        return true
+    }
+
     private fun waitForConnection() {
         val newWaiter = ConnectionWaitQueue.Waiter(request.pool, request.priority) {
             waiter = null
@@ -90,7 +97,7 @@
 
     private fun newAttempt(endpoint: Endpoint): Attempt {
         decisionLog.attemptStarted(endpoint, retries.attemptCount + 1)
-        return Attempt(endpoint, route.repeatRule, request.prompt, eventOrder, context.thread, this)
+        return Attempt(endpoint, request, eventOrder, context, this)
     }
 
     private fun connect(endpoint: Endpoint) {
@@ -111,19 +118,21 @@
             connection.release()
             return newAttempt.connectFailed("the endpoint began to leave while the connection was opened")
         }
+        if (refuseIfQuarantined()) {
+            newAttempt.cancel()
+            return connection.release()
+        }
         retries.recordSent()
         newAttempt.connection = connection
         val outbound =
             OutboundRequests.create(request, endpoint.entry.id, inputs, eventOrder.lastDelivered, context.thread.now())
         connection.send(outbound, request.id.value, newAttempt, maximumBodyBytes = Long.MAX_VALUE)
         // The attempt may have failed already.
-        if (route.repeatRule.mayRepeat && attempt === newAttempt) checkSilence(newAttempt)
+        if (route.repeatRule.mayRepeat && attempt === newAttempt) silenceCheck.start(newAttempt)
     }
 
-    private fun checkSilence(current: Attempt) =
-        silenceCheck.start(current, failedEndpoints) { if (retries.take()) timeOutAndRetry(current) }
-
-    private fun timeOutAndRetry(expiredAttempt: Attempt) {
+    private fun retryElsewhere(expiredAttempt: Attempt) {
+        if (!retries.take()) return
         decisionLog.attemptFailed(expiredAttempt.endpoint, "silent for too long", "try elsewhere")
         silenceCheck.stop()
         retries.recordMayHaveRun()
@@ -141,11 +150,7 @@
 
     override fun responseReceived(attempt: Attempt, response: FullResponse) {
         if (isFinished) return
-        if (isStreaming) {
-            val reason = "another endpoint did not resume the stream: status ${response.head.status}"
-            if (!replacement.takeBack(reason)) abort(reason)
-            return
-        }
+        if (isStreaming) return abort("another endpoint did not resume the stream: status ${response.head.status}")
         respond(response, attempt.endpoint)
     }
 
@@ -220,13 +225,14 @@
         }
     }
 
-    private fun refuse(reason: String, retryAfter: Duration) {
+    /** Refuses the request; [spread] makes callers that are refused together come back at different times. */
+    private fun refuse(reason: String, retryAfter: Duration, spread: Double = context.random.nextDouble()) {
         if (isFinished) return
         if (isStreaming) return abort(reason)
         val response = if (retries.mayHaveRun) {
             LocalResponses.unknown(request.id.value, reason)
         } else {
-            LocalResponses.notRun(request.id.value, reason, retryAfter * (1 + context.random.nextDouble()))
+            LocalResponses.notRun(request.id.value, reason, retryAfter * (1 + spread))
         }
         respond(response, endpoint = null, reason)
     }
@@ -235,6 +241,7 @@
         if (isFinished) return
         val wasSent = attempt?.connection != null || retries.mayHaveRun
         val endpoint = attempt?.endpoint
+        replacement.end()
         attempt?.timeOut()
         when {
             isStreaming -> abort("the time of the request is over")
@@ -260,6 +267,7 @@
         refuseIfUnsent()
         if (isFinished) return
         val reason = "the process ends"
+        replacement.end()
         if (isStreaming) {
             abort(reason)
         } else {
@@ -276,7 +284,9 @@
         complete(status = null, "the caller has left", attempt?.endpoint)
     }
 
+    /** Cuts the stream off for [reason], unless it can go on at the endpoint that was silent. */
     private fun abort(reason: String) {
+        if (replacement.takeBack(reason)) return
         responseWriter.abort()
         complete(status = null, reason, attempt?.endpoint)
     }
@@ -316,7 +326,7 @@
             decisionLog.attemptKept(attempt.endpoint, reason)
             preparation?.release()
             attempt.restartReceiveTimeout()
-            checkSilence(attempt)
+            silenceCheck.start(attempt)
         }
 
         override fun resumeAnywhere() = dispatch()
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/SilenceCheck.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/SilenceCheck.kt
@@ -6,19 +6,27 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Checks at intervals whether an attempt of [request] is silent for so long that another endpoint takes over. */
-internal class SilenceCheck(private val request: AdmittedRequest, private val context: ServingContext) {
+/**
+ * Checks at intervals whether an attempt of [request] is silent for so long that another endpoint takes over.
+ *
+ * @param tried endpoints that do not take over
+ * @param tooSilent called while the attempt has exceeded its receive timeout and an endpoint is free that was not
+ *   tried; while there is none, a slow endpoint is better than none
+ */
+internal class SilenceCheck(
+    private val request: AdmittedRequest,
+    private val context: ServingContext,
+    private val tried: Set<Endpoint>,
+    private val tooSilent: (Attempt) -> Unit,
+) {
     private var timer: Timer? = null
 
-    /**
-     * Checks [attempt] until [stop] is called. Calls [tooSilent] while the attempt has exceeded its receive timeout and
-     * an endpoint that is not in [tried] is free; while there is none, a slow endpoint is better than none.
-     */
-    fun start(attempt: Attempt, tried: Set<Endpoint>, tooSilent: () -> Unit) {
+    /** Checks [attempt] until [stop] is called. */
+    fun start(attempt: Attempt) {
         timer?.cancel()
         timer = context.thread.after(CHECK_INTERVAL) {
-            start(attempt, tried, tooSilent)
-            if (isTooSilent(attempt, tried)) tooSilent()
+            start(attempt)
+            if (isTooSilent(attempt)) tooSilent(attempt)
         }
     }
 
@@ -28,7 +36,7 @@
         timer = null
     }
 
-    private fun isTooSilent(attempt: Attempt, tried: Set<Endpoint>): Boolean = !attempt.isPaused &&
+    private fun isTooSilent(attempt: Attempt): Boolean = !attempt.isPaused &&
         context.thread.now() - attempt.lastEventAt > timeoutOf(attempt) &&
         AttemptEndpointSelector(context).hasUntried(request, tried + attempt.endpoint)
 
