Keep every silent attempt until another endpoint has taken the request over

What callers saw: a repeatable request whose endpoint was silent for longer than its objective, before any part of the response, got 502 when the second endpoint refused it, although the first one answered a moment later.

By reading: a read that has begun is not stopped by a pause, so that an event of a kept attempt could have been passed on; the replacement could have been the silent endpoint itself.

Change: AttemptReplacement replaces the attempts of all repeatable requests in the same way. What arrives on a paused attempt is held until it is read again.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
@@ -60,6 +60,10 @@
     private var isStreaming = false
     private var isFinished = false
 
+    /** What arrived although reading was paused; a read that had begun is not stopped. */
+    private val heldBytes = ByteArrayOutputStream()
+    private var hasExchangeEnded = false
+
     /** The connection on which the request was sent; null until then. */
     var connection: OutboundConnection? = null
 
@@ -96,6 +100,7 @@
     override fun bodyPartReceived(bytes: ByteArray) {
         if (isFinished) return
         if (!isStreaming) return bufferBody(bytes)
+        if (isPaused) return heldBytes.write(bytes)
         eventSplitter.add(bytes).forEach(::handleEvent)
         if (eventSplitter.partialEventBytes > MAXIMUM_EVENT_BYTES) failAsBroken("an event is too long")
     }
@@ -118,6 +123,11 @@
     }
 
     override fun responseCompleted() {
+        hasExchangeEnded = true
+        if (!isPaused) complete()
+    }
+
+    private fun complete() {
         val head = head ?: return failAsBroken("an answer without a head")
         when {
             isFinished -> Unit
@@ -181,7 +191,14 @@
         if (!isPaused) return
         isPaused = false
         restartReceiveTimeout()
-        connection?.resumeReading()
+        val held = heldBytes.toByteArray()
+        heldBytes.reset()
+        if (held.isNotEmpty()) bodyPartReceived(held)
+        when {
+            isPaused -> Unit
+            hasExchangeEnded -> complete()
+            else -> connection?.resumeReading()
+        }
     }
 
     /** Counts the time without an event from now on, because the endpoint may go on for longer. */
@@ -194,17 +211,22 @@
 
     /** Ends the attempt because the endpoint took too long, and counts it as a failure of the endpoint. */
     fun timeOut() {
-        if (finish(ExchangeResult.FAILED)) connection?.close()
+        if (finish(ExchangeResult.FAILED)) closeConnection()
     }
 
     /** Ends the attempt for a reason that the endpoint did not cause, and counts no failure. */
     fun cancel() {
-        if (finish(ExchangeResult.ABANDONED)) connection?.close()
+        if (finish(ExchangeResult.ABANDONED)) closeConnection()
+    }
+
+    /** Closes the connection unless the exchange has ended: it may carry another one by now. */
+    private fun closeConnection() {
+        if (!hasExchangeEnded) connection?.close()
     }
 
     private fun failAsBroken(reason: String) {
         if (isFinished) return
-        connection?.close()
+        closeConnection()
         fail(ExchangeResult.FAILED, AttemptOutcome.Broken, reason, response = null)
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/StreamReplacement.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptReplacement.kt
@@ -5,40 +5,43 @@
 import org.bilberryhead.forwarding.http.OutboundConnection
 import kotlin.time.Instant
 
-/** A stream whose endpoint can be replaced. */
-internal interface ReplaceableStream {
-    /** The attempt that the stream comes from; null after it has broken off. */
+/** A request that another endpoint can take over. */
+internal interface ReplaceableRequest {
+    /** The attempt that the response comes from; null after it has broken off. */
     val attempt: Attempt?
 
-    /** Results that an engine needs to resume the stream. */
+    /** Results that an engine needs to run the request. */
     val inputs: List<ResultHandle>
 
     /** Returns a new attempt at [endpoint], which has not been sent yet. */
     fun newAttempt(endpoint: Endpoint): Attempt
 
-    /** Sends [replacement] on [connection]; the stream comes from it now. */
+    /** Sends [replacement] on [connection]; the response comes from it now. */
     fun moveTo(replacement: Attempt, connection: OutboundConnection)
 
-    /** The stream goes on at [attempt] after all, for [reason]. */
+    /** The request goes on at [attempt] after all, for [reason]. */
     fun stayAt(attempt: Attempt, reason: String)
 
     /** No replacement was found, and the attempt has broken off meanwhile. */
-    fun resumeAnywhere()
+    fun dispatchAgain()
 }
 
 /**
- * Replaces the endpoint of a stream while it is silent. The silent attempt goes on until another endpoint has been sent
- * the request and has had time to refuse it, so that a failed replacement costs the caller nothing.
+ * Replaces the endpoint of a request while it is silent. The silent attempt goes on until another endpoint has been
+ * sent the request and has had time to refuse it, so that a failed replacement costs the caller nothing.
  *
- * @param tried endpoints that do not resume the stream
+ * @param tried endpoints that do not take over
  */
-internal class StreamReplacement(
+internal class AttemptReplacement(
     private val request: AdmittedRequest,
     private val context: ServingContext,
     private val tried: Set<Endpoint>,
-    private val stream: ReplaceableStream,
+    private val execution: ReplaceableRequest,
 ) {
-    private class Search(val silent: Attempt, val lastEventAt: Instant)
+    private class Search(val silent: Attempt, val lastEventAt: Instant) {
+        /** The attempt at the endpoint that is to take over; null until one is selected. */
+        var candidate: Attempt? = null
+    }
 
     private var search: Search? = null
     private val displaced = DisplacedAttempt(context.thread)
@@ -51,12 +54,15 @@
         search = Search(silent, silent.lastEventAt)
     }
 
-    /** Connects to another endpoint and moves the stream to it, unless the stream has gone on meanwhile. */
+    /** Connects to another endpoint and moves the request to it, unless the response has gone on meanwhile. */
     fun connect() {
         val current = search ?: return
-        val selection = AttemptEndpointSelector(context).select(request, stream.inputs, tried)
+        val selector = AttemptEndpointSelector(context)
+        if (!selector.hasUntried(request, tried)) return giveUp("no other endpoint is free")
+        val selection = selector.select(request, execution.inputs, tried)
         if (selection !is AttemptEndpointSelector.Selection.Selected) return giveUp("no other endpoint is free")
-        val replacement = stream.newAttempt(selection.endpoint)
+        val replacement = execution.newAttempt(selection.endpoint)
+        current.candidate = replacement
         selection.endpoint.connections.acquire(
             mayRepeat = true,
             opened = { connection ->
@@ -65,7 +71,7 @@
                 } else {
                     replacement.cancel()
                     connection.release()
-                    if (search === current) giveUp("the stream went on")
+                    if (search === current) giveUp("the response went on")
                 }
             },
             failed = { replacement.connectFailed(it) },
@@ -73,36 +79,38 @@
     }
 
     private fun isNeeded(search: Search): Boolean {
-        val attempt = stream.attempt ?: return true
+        val attempt = execution.attempt ?: return true
         return attempt === search.silent && attempt.lastEventAt == search.lastEventAt
     }
 
     private fun move(replacement: Attempt, connection: OutboundConnection) {
         search = null
-        stream.attempt?.let(displaced::keep)
-        stream.moveTo(replacement, connection)
+        execution.attempt?.let(displaced::keep)
+        execution.moveTo(replacement, connection)
     }
 
-    /** No other endpoint can resume the stream now, for [reason]. */
+    /** No other endpoint can take over now, for [reason]. */
     fun giveUp(reason: String) {
         if (search == null) return
         search = null
-        val attempt = stream.attempt
-        if (attempt == null) stream.resumeAnywhere() else stream.stayAt(attempt, reason)
+        val attempt = execution.attempt
+        if (attempt == null) execution.dispatchAgain() else execution.stayAt(attempt, reason)
     }
 
-    /** The replacement did not resume the stream. Returns whether it goes on at the silent endpoint. */
+    /** The replacement did not take over. Returns whether the request goes on at the silent endpoint. */
     fun takeBack(reason: String): Boolean {
         val kept = displaced.takeBack() ?: return false
-        stream.stayAt(kept, reason)
+        execution.stayAt(kept, reason)
         return true
     }
 
-    /** The stream has gone on at its current endpoint, so that the displaced attempt is not needed any more. */
-    fun streamWentOn() = displaced.timeOut()
+    /** The response has gone on at its current endpoint, so that the displaced attempt is not needed any more. */
+    fun responseWentOn() = displaced.timeOut()
 
-    /** Forgets [failed], an attempt that has ended by itself. */
-    fun drop(failed: Attempt) = displaced.drop(failed)
+    /** [failed], which is not the attempt of the request, has ended by itself for [reason]. */
+    fun otherAttemptFailed(failed: Attempt, reason: String) {
+        if (!displaced.drop(failed) && search?.candidate === failed) giveUp(reason)
+    }
 
     /** Ends the search and the displaced attempt, because the request has ended. */
     fun end() {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/DisplacedAttempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/DisplacedAttempt.kt
@@ -5,15 +5,16 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Keeps the silent attempt of a stream while another endpoint is asked to resume the stream, so that the stream can go
- * on where it was when the other endpoint refuses. The attempt is not read meanwhile.
+ * Keeps the silent attempt of a request while another endpoint is asked to take over, so that the request can go on
+ * where it was when the other endpoint refuses. The attempt is not read meanwhile.
  */
 internal class DisplacedAttempt(private val thread: EventThread) {
     private var attempt: Attempt? = null
     private var timer: Timer? = null
 
-    /** Keeps [silent] for the time in which an endpoint refuses a request. */
+    /** Keeps [silent] for the time in which an endpoint refuses a request, instead of the one that was kept before. */
     fun keep(silent: Attempt) {
+        timeOut()
         silent.pause()
         attempt = silent
         timer = thread.after(REFUSAL_TIME) { timeOut() }
@@ -28,15 +29,18 @@
         }
     }
 
-    /** Ends the kept attempt, because its stream goes on elsewhere, and counts it as a failure of its endpoint. */
+    /** Ends the kept attempt, because its request goes on elsewhere, and counts it as a failure of its endpoint. */
     fun timeOut() = end { it.timeOut() }
 
     /** Ends the kept attempt, because its request has ended. */
     fun cancel() = end { it.cancel() }
 
-    /** Drops the kept attempt if it is [ended], which has ended by itself. */
-    fun drop(ended: Attempt) {
-        if (attempt === ended) attempt = null
+    /** Drops the kept attempt if it is [ended], which has ended by itself; returns whether it was. */
+    fun drop(ended: Attempt): Boolean {
+        if (attempt !== ended) return false
+        timer?.cancel()
+        attempt = null
+        return true
     }
 
     private fun end(action: (Attempt) -> Unit) {
@@ -47,7 +51,7 @@
     }
 
     private companion object {
-        /** Endpoints refuse at once. For longer than this, two endpoints must not work on one stream. */
+        /** Endpoints refuse at once. For longer than this, two endpoints must not work on one request. */
         val REFUSAL_TIME = 300.milliseconds
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -45,8 +45,8 @@
 
     private val retries = RequestRetries(request, context)
     private val failedEndpoints = mutableSetOf<Endpoint>()
-    private val silenceCheck = SilenceCheck(request, context, failedEndpoints, ::retryElsewhere)
-    private val replacement = StreamReplacement(request, context, failedEndpoints, ReplaceableResponse())
+    private val silenceCheck = SilenceCheck(request, context, failedEndpoints, { isStreaming }, ::retryElsewhere)
+    private val replacement = AttemptReplacement(request, context, failedEndpoints, ReplaceableAttempt())
 
     /** Starts to serve the request. */
     fun start() {
@@ -137,15 +137,9 @@
         silenceCheck.stop()
         retries.recordMayHaveRun()
         failedEndpoints += expiredAttempt.endpoint
-        if (isStreaming) {
-            replacement.start(expiredAttempt)
-            // The results were released once the stream started, so they have to be computed again for another engine.
-            preparation?.restart() ?: replacement.connect()
-        } else {
-            expiredAttempt.timeOut()
-            attempt = null
-            dispatch()
-        }
+        replacement.start(expiredAttempt)
+        // The results were released once the stream started, so they have to be computed again for another engine.
+        preparation?.takeIf { isStreaming }?.restart() ?: replacement.connect()
     }
 
     override fun responseReceived(attempt: Attempt, response: FullResponse) {
@@ -156,7 +150,7 @@
 
     override fun eventReceived(attempt: Attempt, head: ResponseHead, event: StreamEvent) {
         if (isFinished) return
-        replacement.streamWentOn()
+        replacement.responseWentOn()
         if (!isStreaming) {
             isStreaming = true
             responseWriter.start(head)
@@ -180,13 +174,10 @@
 
     override fun attemptFailed(attempt: Attempt, failure: AttemptFailure, response: FullResponse?) {
         if (isFinished) return
-        replacement.drop(attempt)
-        if (attempt ===
-            this.attempt
-        ) {
+        if (attempt === this.attempt) {
             currentAttemptFailed(attempt, failure, response)
         } else {
-            replacement.giveUp(failure.reason)
+            replacement.otherAttemptFailed(attempt, failure.reason)
         }
     }
 
@@ -309,7 +300,7 @@
         onFinished(this)
     }
 
-    private inner class ReplaceableResponse : ReplaceableStream {
+    private inner class ReplaceableAttempt : ReplaceableRequest {
         override val attempt: Attempt? get() = this@ForwardedRequestExecution.attempt
 
         override val inputs: List<ResultHandle> get() = this@ForwardedRequestExecution.inputs
@@ -324,12 +315,12 @@
         override fun stayAt(attempt: Attempt, reason: String) {
             this@ForwardedRequestExecution.attempt = attempt
             decisionLog.attemptKept(attempt.endpoint, reason)
-            preparation?.release()
+            if (isStreaming) preparation?.release()
             attempt.restartReceiveTimeout()
             silenceCheck.start(attempt)
         }
 
-        override fun resumeAnywhere() = dispatch()
+        override fun dispatchAgain() = dispatch()
     }
 
     private companion object {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/SilenceCheck.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/SilenceCheck.kt
@@ -10,6 +10,7 @@
  * Checks at intervals whether an attempt of [request] is silent for so long that another endpoint takes over.
  *
  * @param tried endpoints that do not take over
+ * @param hasBegun whether the caller has received part of a stream
  * @param tooSilent called while the attempt has exceeded its receive timeout and an endpoint is free that was not
  *   tried; while there is none, a slow endpoint is better than none
  */
@@ -17,6 +18,7 @@
     private val request: AdmittedRequest,
     private val context: ServingContext,
     private val tried: Set<Endpoint>,
+    private val hasBegun: () -> Boolean,
     private val tooSilent: (Attempt) -> Unit,
 ) {
     private var timer: Timer? = null
@@ -40,7 +42,7 @@
         context.thread.now() - attempt.lastEventAt > timeoutOf(attempt) &&
         AttemptEndpointSelector(context).hasUntried(request, tried + attempt.endpoint)
 
-    private fun timeoutOf(attempt: Attempt): Duration = if (attempt.hasReceivedEvent) {
+    private fun timeoutOf(attempt: Attempt): Duration = if (hasBegun()) {
         ReceiveTimeout.betweenEvents(request.route, remaining = request.deadline - attempt.lastEventAt)
     } else {
         ReceiveTimeout.beforeFirstEvent(request.route, attempt.expectedTimeToFirstEvent)
