Quarantine parts with the same crashes only together

Callers saw: sound requests that share a rare part with the requests that crash endpoints were refused as well.

Cause: parts that explain the same crashes equally well waited for the fifth crash, and were then quarantined each by itself, so that no success could clear the wrong one any more.

Change: parts with the same crashes form one quarantine that a prompt meets only if it has all of them. At the fifth crash, more than two such parts are quarantined each, since telling them apart would take too many crashes. Parts that share only some crashes wait up to the fifth, as before.

Why it works: the part that crashes endpoints is in all of its crashes, so it is among the parts that are tied; a request without one of these is sound or ends the tie.

--- a/core/src/main/kotlin/org/bilberryhead/core/quarantine/CrashCover.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/quarantine/CrashCover.kt
@@ -13,43 +13,56 @@
 
 /**
  * Decides which parts explain crashes best: a greedy set cover. The part with the most crashes that no other one
- * explains comes first. Parts with equally many that share crashes are tied, and wait for more evidence.
+ * explains comes first. Parts that were in the same crashes explain them together; parts with equally many that share
+ * only some crashes are tied, and wait for more evidence.
  *
  * @param hasSucceeded whether a request with the part is known to have been answered successfully before
  */
 internal class CrashCover(private val limits: QuarantineLimits, private val hasSucceeded: (PromptPartId) -> Boolean) {
-    /** Returns the parts that explain [crashes]. */
-    fun explain(crashes: List<SuspectedCrash>): Set<PromptPartId> {
-        val explaining = mutableSetOf<PromptPartId>()
+    /** Returns sets of parts that together explain [crashes]; of each set, one part is the cause. */
+    fun explain(crashes: List<SuspectedCrash>): List<Set<PromptPartId>> {
+        val explaining = mutableListOf<Set<PromptPartId>>()
         var unexplained = crashes
         while (true) {
             val best = bestParts(unexplained)
             if (best.isEmpty()) return explaining
-            explaining += best.filter { it.value.size >= limits.crashesOfTied || !isTied(it.key, best) }.keys
+            explaining += setsOf(best)
             // The crashes of tied parts are left to these: one of them is the cause.
             unexplained = unexplained.filter { crash -> crash.suspects.none { it in best } }
         }
     }
 
+    /** Returns the sets of parts with the same crashes, unless other ones fit some of these crashes as well. */
+    private fun setsOf(best: Map<PromptPartId, Set<SuspectedCrash>>): List<Set<PromptPartId>> {
+        val partsByCrashes = best.keys.groupBy { best.getValue(it) }
+        return partsByCrashes
+            .filterKeys { it.size >= limits.crashesOfTied || !isTied(it, partsByCrashes.keys) }
+            .flatMap { (crashes, parts) -> split(parts, crashes.size) }
+    }
+
+    private fun split(parts: List<PromptPartId>, crashCount: Int): List<Set<PromptPartId>> {
+        val isTogether = crashCount < limits.crashesOfTied || parts.size <= limits.maximumTogether
+        return if (isTogether) listOf(parts.toSet()) else parts.map { setOf(it) }
+    }
+
+    private fun isTied(crashes: Set<SuspectedCrash>, others: Set<Set<SuspectedCrash>>): Boolean =
+        others.any { other -> other != crashes && other.any { it in crashes } }
+
     /** Returns the parts with the most crashes that suffice, with these crashes. */
-    private fun bestParts(crashes: List<SuspectedCrash>): Map<PromptPartId, List<SuspectedCrash>> {
+    private fun bestParts(crashes: List<SuspectedCrash>): Map<PromptPartId, Set<SuspectedCrash>> {
         val sufficient = crashes
             .flatMap { crash -> crash.suspects.map { it to crash } }
             .groupBy({ it.first }, { it.second })
+            .mapValues { it.value.toSet() }
             .filter { isSufficient(it.key, it.value) }
         val most = sufficient.values.maxOfOrNull { it.size } ?: return emptyMap()
         val best = sufficient.filterValues { it.size == most }
         return best.filterKeys { !hasSucceeded(it) }.ifEmpty { best }
     }
 
-    private fun isSufficient(part: PromptPartId, crashes: List<SuspectedCrash>): Boolean {
+    private fun isSufficient(part: PromptPartId, crashes: Set<SuspectedCrash>): Boolean {
         if (!hasSucceeded(part)) return crashes.size >= limits.crashes
         val span = crashes.maxOf { it.at } - crashes.minOf { it.at }
         return crashes.size >= limits.crashesOfTied && span >= limits.succeededSpan
     }
-
-    private fun isTied(part: PromptPartId, best: Map<PromptPartId, List<SuspectedCrash>>): Boolean {
-        val crashes = best.getValue(part).toSet()
-        return best.any { (other, otherCrashes) -> other != part && otherCrashes.any { it in crashes } }
-    }
 }
--- a/core/src/main/kotlin/org/bilberryhead/core/quarantine/CrashReport.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/quarantine/CrashReport.kt
@@ -27,19 +27,22 @@
 )
 
 /**
- * A part of prompts that is not sent to endpoints.
+ * Parts of prompts that are not sent to endpoints together.
  *
- * @property crashes the crashes for which it is held responsible
+ * @property parts one part, or several of which one is the cause and that were in the same crashes so far; prompts that
+ *   have only some of these may be sent, and tell which one it is
+ * @property crashes the crashes for which they are held responsible
  * @property until when the quarantine ends unless there is new evidence
  */
-data class QuarantinedPart(val part: PromptPartId, val crashes: Set<CrashId>, val until: Instant)
+data class QuarantinedParts(val parts: Set<PromptPartId>, val crashes: Set<CrashId>, val until: Instant)
 
 /**
  * Limits of the quarantine.
  *
  * @property crashes number of crashes since its last success from which on a part is quarantined
- * @property crashesOfTied the same for parts that explain the same crashes equally well, and for parts that have
+ * @property crashesOfTied the same for parts that explain overlapping crashes equally well, and for parts that have
  *   succeeded before
+ * @property maximumTogether largest number of parts that stay quarantined only together from [crashesOfTied] crashes on
  * @property succeededSpan least time between the first and the last of the crashes of a part that has succeeded before;
  *   endpoints that fail together for another reason do so in a shorter time
  * @property retention time after which a crash no longer counts, and a quarantine without new evidence ends
@@ -51,6 +54,7 @@
 data class QuarantineLimits(
     val crashes: Int = 3,
     val crashesOfTied: Int = 5,
+    val maximumTogether: Int = 2,
     val succeededSpan: Duration = 5.seconds,
     val retention: Duration = 10.minutes,
     val maximumCrashes: Int = 64,
--- a/core/src/main/kotlin/org/bilberryhead/core/quarantine/PartQuarantine.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/quarantine/PartQuarantine.kt
@@ -27,8 +27,8 @@
     private val succeeded = SucceededParts(limits.maximumSucceeded, limits.retention)
     private var suspectedParts = emptySet<PromptPartId>()
 
-    /** The parts that are quarantined. */
-    var quarantined: Map<PromptPartId, QuarantinedPart> = emptyMap()
+    /** The parts that are quarantined, alone or together. */
+    var quarantined: List<QuarantinedParts> = emptyList()
         private set
 
     /** Number of crashes that are remembered. */
@@ -42,9 +42,9 @@
         get() = crashes.filterValues { it.hasOwnReport }
             .map { (id, crash) -> CrashReport(id, crash.ownSuspects.toSet(), crash.ownCleared.toSet()) }
 
-    /** Returns the first of [parts] that is quarantined, or null when a request with them may be sent. */
-    fun firstQuarantined(parts: List<PromptPartId>): QuarantinedPart? =
-        if (quarantined.isEmpty()) null else parts.firstNotNullOfOrNull { quarantined[it] }
+    /** Returns why a request with [parts] may not be sent, or null when it may. */
+    fun quarantineOf(parts: List<PromptPartId>): QuarantinedParts? =
+        quarantined.firstOrNull { parts.containsAll(it.parts) }
 
     /** Records a [report]; [isOwn] when it is one of this entry. Returns whether it says anything new. */
     fun record(report: CrashReport, now: Instant, isOwn: Boolean = false): Boolean {
@@ -90,8 +90,8 @@
 
     /** Forgets the crashes that no longer count. To be called at intervals; returns whether own reports ended. */
     fun expire(now: Instant): Boolean {
-        val expired = crashes.filterValues { crash ->
-            val holding = crash.remaining.mapNotNull { quarantined[it]?.until }.maxOrNull()
+        val expired = crashes.filter { (id, crash) ->
+            val holding = quarantined.filter { id in it.crashes }.maxOfOrNull { it.until }
             now >= (holding ?: (crash.knownSince + limits.retention))
         }
         if (expired.isEmpty()) return false
@@ -103,17 +103,17 @@
     /** Removes the oldest crashes beyond the maximum; those that a quarantine is based on are kept longer. */
     private fun forgetSurplus() {
         while (crashes.size > limits.maximumCrashes) {
-            val oldest = crashes.entries.firstOrNull { (_, crash) -> crash.suspects.none { it in quarantined } }
-            crashes.remove(oldest?.key ?: crashes.keys.first())
+            val oldest = crashes.keys.firstOrNull { id -> quarantined.none { id in it.crashes } }
+            crashes.remove(oldest ?: crashes.keys.first())
         }
     }
 
     private fun decide(now: Instant) {
         val suspected = crashes.map { (id, crash) -> SuspectedCrash(id, crash.knownSince, crash.remaining) }
         suspectedParts = suspected.flatMapTo(mutableSetOf()) { it.suspects }
-        quarantined = CrashCover(limits) { succeeded.contains(it, now) }.explain(suspected).associateWith { part ->
-            val own = suspected.filter { part in it.suspects }
-            QuarantinedPart(part, own.mapTo(mutableSetOf()) { it.id }, own.maxOf { it.at } + limits.retention)
+        quarantined = CrashCover(limits) { succeeded.contains(it, now) }.explain(suspected).map { parts ->
+            val own = suspected.filter { it.suspects.containsAll(parts) }
+            QuarantinedParts(parts, own.mapTo(mutableSetOf()) { it.id }, own.maxOf { it.at } + limits.retention)
         }
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/QuarantineService.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/QuarantineService.kt
@@ -5,7 +5,7 @@
 import org.bilberryhead.core.quarantine.CrashReport
 import org.bilberryhead.core.quarantine.PartQuarantine
 import org.bilberryhead.core.quarantine.QuarantineLimits
-import org.bilberryhead.core.quarantine.QuarantinedPart
+import org.bilberryhead.core.quarantine.QuarantinedParts
 import org.bilberryhead.core.serving.PromptPartId
 import org.bilberryhead.forwarding.DecisionLog
 import org.bilberryhead.forwarding.EventThread
@@ -51,7 +51,7 @@
         },
         reportsRead = { record(it, isOwn = false) },
     )
-    private var loggedParts = emptyMap<PromptPartId, QuarantinedPart>()
+    private var loggedParts = emptyList<QuarantinedParts>()
 
     /** Receives the rows of the table of crash reports. */
     val reports: TableListener get() = tableListener
@@ -74,7 +74,7 @@
 
     /** Returns why the request [id] with the shared [parts] is refused, or null when it may be sent. */
     fun refusalOf(id: String?, parts: List<PromptPartId>): Refusal? {
-        val found = quarantine.firstQuarantined(parts) ?: return null
+        val found = quarantine.quarantineOf(parts) ?: return null
         val remaining = (found.until - thread.now()).coerceAtLeast(SHORTEST_RETRY_AFTER)
         metrics.refusedByQuarantine()
         decisions.write("request refused") {
@@ -113,17 +113,17 @@
     private fun logChanges() {
         val current = quarantine.quarantined
         if (current === loggedParts) return
-        current.filterKeys {
-            it !in loggedParts
-        }.values.forEach { decisions.write("part quarantined") { fieldsOf(it) } }
-        loggedParts.filterKeys { it !in current }.values.forEach { decisions.write("part cleared") { fieldsOf(it) } }
+        val currentParts = current.map { it.parts }
+        val formerParts = loggedParts.map { it.parts }
+        current.filter { it.parts !in formerParts }.forEach { decisions.write("part quarantined") { fieldsOf(it) } }
+        loggedParts.filter { it.parts !in currentParts }.forEach { decisions.write("part cleared") { fieldsOf(it) } }
         loggedParts = current
     }
 
-    private fun fieldsOf(part: QuarantinedPart) = mapOf(
-        "part" to part.part,
-        "crashes" to part.crashes.size,
-        "endpoints" to part.crashes.map { it.endpoint }.take(LOGGED_ITEMS),
+    private fun fieldsOf(quarantined: QuarantinedParts) = mapOf(
+        "part" to quarantined.parts.joinToString("+"),
+        "crashes" to quarantined.crashes.size,
+        "endpoints" to quarantined.crashes.map { it.endpoint }.take(LOGGED_ITEMS),
     )
 
     private fun removeUnchangedRows() {
