Answer every request that was read behind another one

Callers saw: of several requests that were sent on one connection without waiting, those behind the first got no answer when the process drained; a request that arrived between an answer and the next request that waited was run, and the answer of one of the two was dropped.

Cause: an answer that closes the connection dropped the requests that waited behind it. Between an answer and the scheduled start of the next request the connection looked idle, so that a drain or a timeout could close it, and a request that was read just then overtook the next one, whose start replaced it as the current one. A head that arrived in part behind a whole request was not known to have begun.

Change: a waiting request stays in the queue until it is served, and counts as busy. Only an answer behind which nothing was read, even in part, closes the connection; what arrives after it was announced, or after a request that asks for the close, is ignored. The decoder reports the start of each head. An interim response waits for the responses before it. Reading that was stopped is not resumed.

Conclusion: whether a connection has work to do is read from one place, the queue and the current response, so no moment is left in which what was read is not counted.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelPipeline
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -16,6 +17,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
@@ -58,21 +60,38 @@
     private var current: ActiveResponse? = null
     private val waitingRequests = ArrayDeque<CallerRequest>()
     private var lastProgressAt = state.now()
-
     private var headStartedAt: Instant? = null
+    private var isContinueDue = false
+    private var isReadingStopped = false
+
+    /** Whether what arrives is ignored, and the connection closes after the responses to what was read. */
+    private var isEnding = false
+
+    private val isServing: Boolean get() = current != null || waitingRequests.isNotEmpty()
+
+    /** Whether the current response is the last one: nothing follows that was read, even in part. */
+    private val isLast: Boolean
+        get() = waitingRequests.isEmpty() && (isReadingStopped || !isReading)
 
     /** Whether a request has been read in part. */
     val isReading: Boolean get() = requestHead != null || headStartedAt != null
 
-    /** Records that the first byte of a request head arrived at [now]. */
-    fun headStarted(now: Instant) {
-        headStartedAt = now
+    /** Adds this connection and its codec to [pipeline]. */
+    fun addTo(pipeline: ChannelPipeline) {
+        pipeline.addLast(newDecoder()).addLast(HttpResponseEncoder()).addLast(this)
+    }
+
+    private fun newDecoder() = StrictRequestDecoder(state.limits.headerBytes, ::recordHeadStart)
+
+    private fun recordHeadStart() {
+        if (isEnding) return
+        headStartedAt = state.now()
     }
 
-    /** Whether a request is being served, or part of a response has not been sent yet. */
-    val isBusy: Boolean get() = current != null || hasUnsentBytes
+    /** Whether a request is being served or waits to be, or part of a response has not been sent yet. */
+    val isBusy: Boolean get() = isServing || pendingBytes > 0
 
-    private val hasUnsentBytes: Boolean get() = (channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0) > 0
+    private val pendingBytes: Long get() = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
@@ -80,8 +99,8 @@
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
-            lastProgressAt = state.now()
-            if (message is HttpObject) read(message)
+            recordProgress()
+            if (message is HttpObject && !isEnding) read(message)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -105,11 +124,16 @@
         if (problem != null) return reject(BAD_REQUEST, problem)
         requestHead = request
         body.reset()
-        if (HttpUtil.is100ContinueExpected(request)) {
-            channel.writeAndFlush(
-                DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
-            )
-        }
+        isContinueDue = HttpUtil.is100ContinueExpected(request)
+        if (!isServing) sendDueContinue()
+    }
+
+    private fun sendDueContinue() {
+        if (!isContinueDue) return
+        isContinueDue = false
+        channel.writeAndFlush(
+            DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
+        )
     }
 
     private fun readBody(content: HttpContent) {
@@ -120,6 +144,7 @@
         body.write(ByteBufUtil.getBytes(content.content()))
         if (content !is LastHttpContent) return
         requestHead = null
+        isContinueDue = false
         val completeRequest = CallerRequest(
             method = request.method(),
             uri = request.uri(),
@@ -128,7 +153,8 @@
             keepsConnection = HttpUtil.isKeepAlive(request),
             receivedAt = state.now(),
         )
-        if (current == null) serve(completeRequest) else enqueue(completeRequest)
+        if (!completeRequest.keepsConnection) isEnding = true
+        if (isServing) enqueue(completeRequest) else serve(completeRequest)
     }
 
     private fun enqueue(request: CallerRequest) {
@@ -142,10 +168,30 @@
         response.listener = handler.serve(request, response)
     }
 
+    private fun serveNext() {
+        val next = waitingRequests.removeFirstOrNull() ?: return
+        resumeReading()
+        serve(next)
+    }
+
+    private fun resumeReading() {
+        if (isReadingStopped || channel.config().isAutoRead) return
+        // What the connection itself did not read was not late.
+        recordProgress()
+        headStartedAt = headStartedAt?.let { lastProgressAt }
+        channel.config().isAutoRead = true
+    }
+
+    private fun recordProgress() {
+        lastProgressAt = state.now()
+    }
+
     private fun reject(status: Int, reason: String) {
         requestHead = null
+        headStartedAt = null
+        isEnding = true
         state.rejected(status, reason)
-        if (current != null) {
+        if (isServing) {
             channel.close()
             return
         }
@@ -193,31 +239,32 @@
     fun checkTimeouts(now: Instant) {
         val limits = state.limits
         val started = headStartedAt
+        val isIdleTimeOver = now - lastProgressAt > limits.idleTimeout
         when {
-            started != null && requestHead == null && now - started > limits.headerTimeout && current == null ->
+            started != null && now - started > limits.headerTimeout && !isServing ->
                 reject(REQUEST_TIMEOUT, "the head of the request took too long")
 
-            requestHead != null && now - lastProgressAt > limits.idleTimeout ->
-                reject(REQUEST_TIMEOUT, "the body of the request took too long")
-
-            current == null && requestHead == null && started == null && now - lastProgressAt > limits.idleTimeout ->
-                channel.close()
+            requestHead != null && isIdleTimeOver -> reject(REQUEST_TIMEOUT, "the body of the request took too long")
+            !isServing && !isReading && isIdleTimeOver -> channel.close()
         }
     }
 
     /** Closes the connection unless a request is being read or served on it or a response is still being sent. */
     fun closeIfIdle() {
-        if (!isBusy && requestHead == null && headStartedAt == null) channel.close()
+        if (!isBusy && !isReading) channel.close()
     }
 
     /** Stops reading; responses in progress can still be written. */
     fun stopReading() {
+        isReadingStopped = true
         channel.config().isAutoRead = false
     }
 
     private inner class ActiveResponse(private val request: CallerRequest) : ResponseWriter {
         var listener: CallerListener? = null
-        private var closes = !request.keepsConnection
+
+        /** Whether the head of the response has announced that the connection closes after it. */
+        private var closes = false
 
         override val isOpen: Boolean get() = current === this
 
@@ -225,30 +272,36 @@
 
         override fun send(response: FullResponse) {
             if (!isOpen) return
-            val closing = closes || state.isDraining
-            writeFull(response, closing, request.method == HttpMethod.HEAD)
-            complete(closing)
+            announceClose()
+            writeFull(response, closes, request.method == HttpMethod.HEAD)
+            complete(closes)
         }
 
         override fun start(head: ResponseHead) {
             if (!isOpen) return
-            closes = closes || state.isDraining
             val message = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
             HopByHopHeaders.copyEndToEnd(head.headers, message.headers())
             HttpUtil.setTransferEncodingChunked(message, true)
+            announceClose()
             if (closes) message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
             channel.write(message)
         }
 
+        private fun announceClose() {
+            closes = isLast && (isEnding || state.isDraining)
+            if (closes) isEnding = true
+        }
+
         override fun write(bytes: ByteArray) {
             if (isOpen) channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
         }
 
         override fun finish() {
             if (!isOpen) return
+            val closing = closes || (isEnding && isLast)
             val written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-            if (closes) written.addListener(ChannelFutureListener.CLOSE)
-            complete(closes)
+            if (closing) written.addListener(ChannelFutureListener.CLOSE)
+            complete(closing)
         }
 
         override fun abort() {
@@ -259,11 +312,10 @@
 
         private fun complete(closing: Boolean) {
             current = null
-            lastProgressAt = state.now()
+            recordProgress()
             if (closing) return
-            val next = waitingRequests.removeFirstOrNull() ?: return
-            channel.config().isAutoRead = true
-            channel.eventLoop().execute { serve(next) }
+            if (waitingRequests.isNotEmpty()) return channel.eventLoop().execute(::serveNext)
+            sendDueContinue()
         }
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerServer.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerServer.kt
@@ -1,14 +1,10 @@
 package org.bilberryhead.forwarding.caller
 
 import io.netty.bootstrap.ServerBootstrap
-import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
-import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.HttpResponseEncoder
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.forwarding.EventThread
 import java.net.InetSocketAddress
@@ -67,19 +63,7 @@
         val connection = CallerConnection(state, handler)
         connections += connection
         channel.closeFuture().addListener { connections -= connection }
-        channel.pipeline()
-            .addLast(HeadStartRecorder(connection))
-            .addLast(StrictRequestDecoder(state.limits.headerBytes))
-            .addLast(HttpResponseEncoder())
-            .addLast(connection)
-    }
-
-    /** Records the arrival of the first byte of each request, from which the header timeout counts. */
-    private inner class HeadStartRecorder(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
-        override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            if (message is ByteBuf && message.isReadable && !connection.isReading) connection.headStarted(thread.now())
-            super.channelRead(context, message)
-        }
+        connection.addTo(channel.pipeline())
     }
 
     private companion object {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/RequestCheck.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/RequestCheck.kt
@@ -1,10 +1,13 @@
 package org.bilberryhead.forwarding.caller
 
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
 
 /** Detects requests whose end is ambiguous, which would allow request smuggling, or that lack a single Host header. */
 internal object RequestCheck {
@@ -25,9 +28,25 @@
     }
 }
 
-/** Decodes requests; rejects those that have both a Content-Length and a Transfer-Encoding header. */
-internal class StrictRequestDecoder(maximumHeaderBytes: Int) :
+/**
+ * Decodes requests; rejects those that have both a Content-Length and a Transfer-Encoding header.
+ *
+ * @param onHeadStarted called when the first byte of a request head has arrived
+ */
+internal class StrictRequestDecoder(maximumHeaderBytes: Int, private val onHeadStarted: () -> Unit = {}) :
     HttpRequestDecoder(maximumHeaderBytes, maximumHeaderBytes, MAXIMUM_CHUNK_BYTES) {
+    /** Whether no part of a request has arrived after the last complete one. */
+    var isBetweenRequests = true
+        private set
+
+    override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        if (isBetweenRequests) onHeadStarted()
+        isBetweenRequests = false
+        val previousSize = out.size
+        super.decode(context, buffer, out)
+        if (out.drop(previousSize).any { it is LastHttpContent }) isBetweenRequests = true
+    }
+
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
         throw IllegalArgumentException("both a length and a transfer encoding")
     }
--- /dev/null
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerConnectionTest.kt
@@ -0,0 +1,124 @@
+package org.bilberryhead.forwarding.caller
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import org.bilberryhead.forwarding.caller.CallerConnectionHarness.Companion.bodyRequest
+import org.bilberryhead.forwarding.caller.CallerConnectionHarness.Companion.request
+import kotlin.time.Duration.Companion.seconds
+
+class CallerConnectionTest :
+    DescribeSpec({
+        fun CallerConnectionHarness.bodies() = responses.map { it.body }
+
+        describe("requests that were read behind another one") {
+            it("are answered in order when the process drains, and only the last answer closes the connection") {
+                val harness = CallerConnectionHarness()
+                harness.receive(request("a") + request("b") + request("c"))
+                harness.isDraining = true
+                repeat(3) {
+                    harness.served.last().respond()
+                    harness.runTasks()
+                }
+                harness.bodies() shouldBe listOf("answer a", "answer b", "answer c")
+                harness.responses.map { it.header("Connection") } shouldBe listOf(null, null, "close")
+                harness.isOpen shouldBe false
+            }
+
+            it("are answered behind a stream that begins while the process drains") {
+                val harness = CallerConnectionHarness()
+                harness.receive(request("a") + request("b"))
+                harness.isDraining = true
+                harness.served.single().start()
+                harness.served.single().finish()
+                harness.runTasks()
+                harness.served.last().respond()
+                harness.bodies() shouldBe listOf("answer a", "answer b")
+            }
+
+            it("are not served after one whose caller asked to close the connection") {
+                val harness = CallerConnectionHarness()
+                harness.receive(request("a", "Connection: close\r\n") + request("b"))
+                harness.served.single().respond()
+                harness.runTasks()
+                harness.bodies() shouldBe listOf("answer a")
+                harness.served shouldHaveSize 1
+                harness.isOpen shouldBe false
+            }
+
+            it("are not served once an answer has announced the end of the connection") {
+                val harness = CallerConnectionHarness()
+                harness.receive(request("a"))
+                harness.isDraining = true
+                harness.served.single().start()
+                harness.receive(request("b"))
+                harness.served.single().finish()
+                harness.runTasks()
+                harness.bodies() shouldBe listOf("answer a")
+                harness.served shouldHaveSize 1
+                harness.isOpen shouldBe false
+            }
+
+            it("are not lost when the rest of one arrives while the process drains") {
+                val harness = CallerConnectionHarness()
+                harness.receive(request("a") + request("b").dropLast(3))
+                harness.isDraining = true
+                harness.served.single().respond()
+                harness.connection.closeIfIdle()
+                harness.receive(request("b").takeLast(3))
+                harness.served.last().respond()
+                harness.bodies() shouldBe listOf("answer a", "answer b")
+            }
+        }
+
+        describe("a connection between an answer and the next request that was read") {
+            it("counts as busy, and is closed neither as idle nor by a timeout") {
+                val harness = CallerConnectionHarness()
+                harness.receive(request("a") + request("b"))
+                harness.served.single().respond()
+                harness.connection.isBusy shouldBe true
+                harness.connection.closeIfIdle()
+                harness.advance(16.seconds)
+                harness.runTasks()
+                harness.served.last().respond()
+                harness.bodies() shouldBe listOf("answer a", "answer b")
+            }
+
+            it("does not let a request that arrives then overtake the next one, whose answer would be lost") {
+                val harness = CallerConnectionHarness()
+                harness.receive(request("a") + request("b"))
+                harness.served.single().respond()
+                harness.receive(request("c"), runsTasks = false)
+                harness.runTasks()
+                harness.served.last().respond()
+                harness.runTasks()
+                harness.served.last().respond()
+                harness.bodies() shouldBe listOf("answer a", "answer b", "answer c")
+            }
+
+            it("reads nothing any more once reading was stopped") {
+                val harness = CallerConnectionHarness()
+                harness.receive(request("a") + request("b"))
+                harness.connection.stopReading()
+                harness.served.single().respond()
+                harness.runTasks()
+                harness.receive(request("c"))
+                harness.served.last().respond()
+                harness.runTasks()
+                harness.served.map { it.id } shouldBe listOf("a", "b")
+                harness.bodies() shouldBe listOf("answer a", "answer b")
+            }
+        }
+
+        describe("a caller that disconnects") {
+            it("ends the request in progress and those behind it") {
+                val harness = CallerConnectionHarness()
+                harness.receive(request("a") + request("b"))
+                harness.channel.close()
+                harness.runTasks()
+                harness.served.map { it.id to it.isDisconnected } shouldBe listOf("a" to true)
+                harness.failures.shouldBeEmpty()
+            }
+        }
+    })
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/fuzz/HttpTargets.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/fuzz/HttpTargets.kt
@@ -7,12 +7,10 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpMethod
-import io.netty.handler.codec.http.HttpResponseEncoder
 import org.bilberryhead.core.serving.CallerLimits
 import org.bilberryhead.forwarding.caller.CallerConnection
 import org.bilberryhead.forwarding.caller.CallerListener
 import org.bilberryhead.forwarding.caller.CallerServerState
-import org.bilberryhead.forwarding.caller.StrictRequestDecoder
 import org.bilberryhead.forwarding.http.ExchangeFailure
 import org.bilberryhead.forwarding.http.FullResponse
 import org.bilberryhead.forwarding.http.OutboundConnection
@@ -60,7 +58,8 @@
             response.send(FullResponse(ResponseHead(200, EmptyHttpHeaders.INSTANCE), ByteArray(0)))
             CallerListener { }
         }
-        val channel = EmbeddedChannel(StrictRequestDecoder(2_000), HttpResponseEncoder(), connection)
+        val channel = EmbeddedChannel()
+        connection.addTo(channel.pipeline())
         feed(channel, bytes)
     }
 
