Finish the response in progress before a request behind it is rejected

Callers saw: a response, also a stream, that was cut when a request behind it on the same connection was malformed, too large or too slow.

Cause: such a rejection closed the connection at once when a response was in progress. A body of which the connection itself read no more, because enough requests waited, counted as too slow.

Evidence, at: "does not cut a stream before it" fails with expected:<[(200, false), (400, false)]> but was:<[(200, true)]>; "gets its rejection after the answers of all that were read before it" with expected:<[200, 200, 400]> but was:<[]>; "is not rejected for its slow body while the connection itself does not read" with was:<[]>.

Change: the rejection is kept until the responses before it are complete, and closes the connection. Timeouts do not run while the connection does not read.

Conclusion: each request before the rejected one keeps its answer, and the order of the responses is that of the requests.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -59,6 +59,7 @@
     private val body = ByteArrayOutputStream()
     private var current: ActiveResponse? = null
     private val waitingRequests = ArrayDeque<CallerRequest>()
+    private var rejection: FullResponse? = null
     private var lastProgressAt = state.now()
     private var headStartedAt: Instant? = null
     private var isContinueDue = false
@@ -71,7 +72,7 @@
 
     /** Whether the current response is the last one: nothing follows that was read, even in part. */
     private val isLast: Boolean
-        get() = waitingRequests.isEmpty() && (isReadingStopped || !isReading)
+        get() = waitingRequests.isEmpty() && rejection == null && (isReadingStopped || !isReading)
 
     /** Whether a request has been read in part. */
     val isReading: Boolean get() = requestHead != null || headStartedAt != null
@@ -186,19 +187,14 @@
         lastProgressAt = state.now()
     }
 
+    /** Responds to a request that is not read completely, after the responses to those before it. */
     private fun reject(status: Int, reason: String) {
         requestHead = null
         headStartedAt = null
         isEnding = true
         state.rejected(status, reason)
-        if (isServing) {
-            channel.close()
-            return
-        }
-        writeFull(
-            FullResponse(ResponseHead(status, EmptyHttpHeaders.INSTANCE), reason.encodeToByteArray()),
-            closes = true,
-        )
+        val response = FullResponse(ResponseHead(status, EmptyHttpHeaders.INSTANCE), reason.encodeToByteArray())
+        if (isServing) rejection = response else writeFull(response, closes = true)
     }
 
     private fun writeFull(response: FullResponse, closes: Boolean, isHeadRequest: Boolean = false) {
@@ -237,6 +233,7 @@
 
     /** Rejects a request that arrives too slowly, and closes a connection that was idle for too long. */
     fun checkTimeouts(now: Instant) {
+        if (!channel.config().isAutoRead) return
         val limits = state.limits
         val started = headStartedAt
         val isIdleTimeOver = now - lastProgressAt > limits.idleTimeout
@@ -315,6 +312,7 @@
             recordProgress()
             if (closing) return
             if (waitingRequests.isNotEmpty()) return channel.eventLoop().execute(::serveNext)
+            rejection?.let { return writeFull(it, closes = true) }
             sendDueContinue()
         }
     }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerConnectionTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerConnectionTest.kt
@@ -111,6 +111,51 @@
             }
         }
 
+        describe("a request that is rejected unread behind another one") {
+            it("gets its rejection after the answer of the other one") {
+                val harness = CallerConnectionHarness()
+                harness.receive(request("a") + bodyRequest("b", 30, "b".repeat(30)) + request("c"))
+                harness.isOpen shouldBe true
+                harness.served.single().respond()
+                harness.runTasks()
+                harness.statuses shouldBe listOf(200, 413)
+                harness.served.map { it.id } shouldBe listOf("a")
+                harness.isOpen shouldBe false
+            }
+
+            it("does not cut a stream before it") {
+                val harness = CallerConnectionHarness()
+                harness.receive(request("a"))
+                harness.served.single().start()
+                harness.receive("no request\r\n\r\n")
+                harness.served.single().finish()
+                harness.runTasks()
+                harness.responses.map { it.status to it.isTruncated } shouldBe listOf(200 to false, 400 to false)
+            }
+
+            it("gets its rejection after the answers of all that were read before it") {
+                val harness = CallerConnectionHarness()
+                harness.receive(request("a") + request("b") + "no request\r\n\r\n")
+                repeat(2) {
+                    harness.served.last().respond()
+                    harness.runTasks()
+                }
+                harness.statuses shouldBe listOf(200, 200, 400)
+            }
+
+            it("is not rejected for its slow body while the connection itself does not read") {
+                val harness = CallerConnectionHarness()
+                harness.receive((1..6).joinToString("") { request("r$it") } + bodyRequest("late", 5, "abc"))
+                harness.receive("de")
+                harness.advance(16.seconds)
+                repeat(7) {
+                    harness.served.last().respond()
+                    harness.runTasks()
+                }
+                harness.statuses shouldBe List(7) { 200 }
+            }
+        }
+
         describe("a caller that disconnects") {
             it("ends the request in progress and those behind it") {
                 val harness = CallerConnectionHarness()
