Answer a request whose handler fails unexpectedly

Callers saw: a connection that closed without an answer after an exception in the program, and with it the requests that were in progress or waited on it.

Cause: an exception of the handler, or one in the pipeline, closed the connection.

Evidence, at: "ends the request with status 502" fails with expected:<[502]> but was:<[]>; "cuts neither the answer before it nor that behind it" with [200, 200] instead of [200, 502, 200]; "does not cut a request in progress when it comes from the pipeline" with [].

Change: a request whose handler fails gets status 502, as its outcome is unknown. After an exception in the pipeline what was read whole is still answered; what was read in part is refused as not run, and the connection closes.

Conclusion: no exception other than a broken connection takes the answer of a request that was read.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -272,7 +272,9 @@
 
         override val isDraining: Boolean get() = drainingSince != null
 
-        override fun recordFailure(failure: Throwable) = thread.recordFailure(failure, "serving a caller")
+        override fun recordFailure(failure: Throwable) = thread.recordFailure(failure, SERVING)
+
+        override fun runGuarded(block: () -> Unit): Boolean = thread.runGuarded(SERVING, block)
 
         override fun rejected(status: Int, reason: String) {
             metrics.rejectedUnread(status)
@@ -283,6 +285,7 @@
     private companion object {
         const val OK = 200
         const val UNREADY = 503
+        const val SERVING = "serving a caller"
         val EXPIRY_CHECK_INTERVAL = 200.milliseconds
         val DECAY_INTERVAL = 1.seconds
         val DRAIN_CHECK_INTERVAL = 100.milliseconds
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -47,6 +47,9 @@
     /** Records an exception that was not expected. */
     fun recordFailure(failure: Throwable)
 
+    /** Runs [block]; records an exception that was not expected, and returns whether there was none. */
+    fun runGuarded(block: () -> Unit): Boolean
+
     /** Counts a request that was rejected before it was read completely. */
     fun rejected(status: Int, reason: String)
 }
@@ -166,7 +169,7 @@
     private fun serve(request: CallerRequest) {
         val response = ActiveResponse(request)
         current = response
-        response.listener = handler.serve(request, response)
+        if (!state.runGuarded { response.listener = handler.serve(request, response) }) response.fail()
     }
 
     private fun serveNext() {
@@ -222,9 +225,15 @@
     }
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        // Mostly a reset by the caller; channelInactive() then notifies the handler.
-        if (cause !is IOException) state.recordFailure(cause)
-        context.close()
+        if (cause is IOException) {
+            // Mostly a reset by the caller; channelInactive() then notifies the handler.
+            context.close()
+            return
+        }
+        state.recordFailure(cause)
+        if (isReading) reject(NOT_RUN, UNEXPECTED_FAILURE)
+        isEnding = true
+        if (!isBusy) context.close()
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
@@ -259,6 +268,7 @@
 
     private inner class ActiveResponse(private val request: CallerRequest) : ResponseWriter {
         var listener: CallerListener? = null
+        private var isStarted = false
 
         /** Whether the head of the response has announced that the connection closes after it. */
         private var closes = false
@@ -276,6 +286,7 @@
 
         override fun start(head: ResponseHead) {
             if (!isOpen) return
+            isStarted = true
             val message = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
             HopByHopHeaders.copyEndToEnd(head.headers, message.headers())
             HttpUtil.setTransferEncodingChunked(message, true)
@@ -307,6 +318,12 @@
             channel.close()
         }
 
+        /** Ends the response after an exception that was not expected: whether the request has run is unknown. */
+        fun fail() {
+            if (isStarted) return abort()
+            send(FullResponse(ResponseHead(UNKNOWN, EmptyHttpHeaders.INSTANCE), UNEXPECTED_FAILURE.encodeToByteArray()))
+        }
+
         private fun complete(closing: Boolean) {
             current = null
             recordProgress()
@@ -322,6 +339,9 @@
         const val REQUEST_TIMEOUT = 408
         const val BODY_TOO_LARGE = 413
         const val HEADERS_TOO_LARGE = 431
+        const val UNKNOWN = 502
+        const val NOT_RUN = 503
+        const val UNEXPECTED_FAILURE = "unexpected failure"
         const val MAXIMUM_WAITING_REQUESTS = 4
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
     }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerConnectionHarness.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerConnectionHarness.kt
@@ -56,6 +56,8 @@
             failures += failure
         }
 
+        override fun runGuarded(block: () -> Unit): Boolean = runCatching(block).onFailure(::recordFailure).isSuccess
+
         override fun rejected(status: Int, reason: String) = Unit
     }
     val connection = CallerConnection(state) { request, writer ->
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerConnectionTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerConnectionTest.kt
@@ -156,6 +156,34 @@
             }
         }
 
+        describe("an exception of the handler") {
+            it("ends the request with status 502, because its outcome is unknown") {
+                val harness = CallerConnectionHarness { if (it.id == "a") error("unexpected") }
+                harness.receive(request("a"))
+                harness.statuses shouldBe listOf(502)
+                harness.failures shouldHaveSize 1
+            }
+
+            it("cuts neither the answer before it nor that behind it") {
+                val harness = CallerConnectionHarness { if (it.id == "b") error("unexpected") }
+                harness.receive(request("a") + request("b") + request("c"))
+                harness.served.first().respond()
+                harness.runTasks()
+                harness.served.last().respond()
+                harness.statuses shouldBe listOf(200, 502, 200)
+            }
+
+            it("does not cut a request in progress when it comes from the pipeline") {
+                val harness = CallerConnectionHarness()
+                harness.receive(request("a"))
+                harness.channel.pipeline().fireExceptionCaught(IllegalStateException("unexpected"))
+                harness.served.single().respond()
+                harness.runTasks()
+                harness.bodies() shouldBe listOf("answer a")
+                harness.isOpen shouldBe false
+            }
+        }
+
         describe("a caller that disconnects") {
             it("ends the request in progress and those behind it") {
                 val harness = CallerConnectionHarness()
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/fuzz/HttpTargets.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/fuzz/HttpTargets.kt
@@ -98,6 +98,11 @@
 
         override fun recordFailure(failure: Throwable): Unit = throw AssertionError("unexpected", failure)
 
+        override fun runGuarded(block: () -> Unit): Boolean {
+            block()
+            return true
+        }
+
         override fun rejected(status: Int, reason: String) = check(status in 400..499)
     }
 
