End a request whose callback fails, instead of leaving it behind

Callers saw: after an exception in the program, a request that waited up to its deadline, or for ever when the deadline itself failed.

Cause: exceptions were caught around the start of a request, but in its deadline timer they were only logged, in the callback of an opened connection the event loop swallowed them, and before the start they reached the connection.

Evidence, at: UnexpectedFailureTest, in which the clock throws once, fails in its three cases: expected 503, 502 and 502 but got no response.

Change: the execution runs its own callbacks guarded and ends the request after an exception: status 502 if it may have been sent, 503 if not. Admission refuses a request whose start was never reached as not run.

Conclusion: every way into an execution but the check for silence is guarded; that one leaves the deadline in force.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -50,22 +50,30 @@
     private val silenceCheck = SilenceCheck(request, context)
     private val failedEndpoints = mutableSetOf<Endpoint>()
 
+    /** Runs a block; an exception that was not expected ends the request, so that its caller does not wait for ever. */
+    private val guarded: (block: () -> Unit) -> Unit = { block ->
+        val isDone = context.thread.runGuarded("request ${request.id}", block)
+        if (!isDone) context.thread.runGuarded("end of request ${request.id}", ::terminate)
+    }
+
     /** Starts to serve the request. */
-    fun start() {
-        deadlineTimer = context.thread.after(request.deadline - context.thread.now()) { onDeadline() }
-        if (route.stages.isEmpty()) return dispatch()
-        val newPreparation = PreparationFactory(context).create(request, this)
-        preparation = newPreparation
-        newPreparation.advance()
+    fun start() = guarded {
+        deadlineTimer = context.thread.after(request.deadline - context.thread.now()) { guarded(::onDeadline) }
+        if (route.stages.isEmpty()) {
+            dispatch()
+        } else {
+            PreparationFactory(context).create(request, this).also { preparation = it }.advance()
+        }
     }
 
-    override fun prepared(inputs: List<ResultHandle>) {
+    override fun prepared(inputs: List<ResultHandle>) = guarded {
         this.inputs = inputs
         decisionLog.prepared(inputs.size)
         dispatch()
     }
 
-    override fun notPrepared(reason: String, retryAfter: Duration) = refuse(reason, maxOf(retryAfter, RETRY_DELAY))
+    override fun notPrepared(reason: String, retryAfter: Duration) =
+        guarded { refuse(reason, maxOf(retryAfter, RETRY_DELAY)) }
 
     private fun dispatch() {
         if (isFinished) return
@@ -81,22 +89,35 @@
     private fun waitForConnection() {
         val newWaiter = ConnectionWaitQueue.Waiter(request.pool, request.priority) {
             waiter = null
-            dispatch()
+            guarded(::dispatch)
         }
         waiter = newWaiter
         context.connectionWaitQueue.add(newWaiter)
     }
 
     private fun connect(endpoint: Endpoint) {
-        val newAttempt = Attempt(endpoint, route.repeatRule, request.prompt, eventOrder, context.thread, this)
+        val newAttempt = Attempt(
+            endpoint,
+            route.repeatRule,
+            request.prompt,
+            eventOrder,
+            context.thread,
+            GuardedAttemptListener(this, guarded),
+        )
         attempt = newAttempt
         decisionLog.attemptStarted(endpoint, attemptCount + 1)
         endpoint.connections.acquire(
             mayRepeat = route.repeatRule.mayRepeat,
             opened = { connection ->
-                if (attempt !== newAttempt || isFinished) connection.release() else sendAttempt(newAttempt, connection)
+                guarded {
+                    if (attempt !== newAttempt || isFinished) {
+                        connection.release()
+                    } else {
+                        sendAttempt(newAttempt, connection)
+                    }
+                }
             },
-            failed = { newAttempt.connectFailed(it) },
+            failed = { reason -> guarded { newAttempt.connectFailed(reason) } },
         )
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
@@ -34,6 +34,14 @@
     fun terminateAll() = executions.toList().forEach { it.terminate() }
 
     override fun serve(request: CallerRequest, response: ResponseWriter): CallerListener {
+        var listener = IGNORE_DISCONNECT
+        val isServed = context.thread.runGuarded("admission") { listener = startOrRefuse(request, response) }
+        // A request that was started handles its own failures, so this one has not run.
+        if (!isServed) listener = refuse(request, response, "unexpected failure", FAILURE_RETRY_AFTER)
+        return listener
+    }
+
+    private fun startOrRefuse(request: CallerRequest, response: ResponseWriter): CallerListener {
         val matcher = context.matcher
             ?: return refuse(request, response, "no configuration is known yet", STARTUP_RETRY_AFTER)
         val id = request.headers[WireHeaders.REQUEST_ID]
@@ -68,7 +76,7 @@
             .forEach { context.retryBudget.countRequest(it, now) }
         val execution = ForwardedRequestExecution(request, response, context) { executions -= it }
         executions += execution
-        if (!context.thread.runGuarded("start of request ${request.id}") { execution.start() }) execution.terminate()
+        execution.start()
         return execution
     }
 
@@ -141,6 +149,7 @@
         val EXPECTED_STREAM_DURATION = 5.seconds
         val DRAIN_RETRY_AFTER = 50.milliseconds
         val STARTUP_RETRY_AFTER = 500.milliseconds
+        val FAILURE_RETRY_AFTER = 100.milliseconds
         val IGNORE_DISCONNECT = CallerListener { }
     }
 }
