Keep to the limits under which a connection was last used

Callers saw: after a change of the limits, connections that closed under requests they were allowed to send, and status 431 or 413 for requests that the configuration in force allows.

Cause: a lower idle timeout applied at once to connections that callers keep for the higher one. The limit of the header size was fixed when a connection was opened, that of a body could fall while the body arrived. A response that its caller received slowly counted as idle time.

Evidence, at: "stays open for the idle timeout under which it was last used" fails with expected:<[200, 200]> but was:<[200]>; "accepts a head that a higher limit allows later" with [200, 431]; "accepts a body that was begun under a higher limit" with no response.

Change: of the limits when a time or a body began and those of now, the larger ones apply; a raised limit of the header size applies from the next request on. Progress in sending a response counts as use; this part has no test.

Conclusion: a caller that keeps to the old or to the new limits is served in every order of the change and its request.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -58,13 +58,18 @@
 internal class CallerConnection(private val state: CallerServerState, private val handler: RequestHandler) :
     ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
+    private var decoder = newDecoder()
     private var requestHead: HttpRequest? = null
     private val body = ByteArrayOutputStream()
     private var current: ActiveResponse? = null
     private val waitingRequests = ArrayDeque<CallerRequest>()
     private var rejection: FullResponse? = null
     private var lastProgressAt = state.now()
+    private var idleTimeout = state.limits.idleTimeout
+    private var unsentBytes = 0L
     private var headStartedAt: Instant? = null
+    private var headerTimeout = state.limits.headerTimeout
+    private var bodyBytesLimit = 0
     private var isContinueDue = false
     private var isReadingStopped = false
 
@@ -82,7 +87,7 @@
 
     /** Adds this connection and its codec to [pipeline]. */
     fun addTo(pipeline: ChannelPipeline) {
-        pipeline.addLast(newDecoder()).addLast(HttpResponseEncoder()).addLast(this)
+        pipeline.addLast(DecoderUpdate()).addLast(decoder).addLast(HttpResponseEncoder()).addLast(this)
     }
 
     private fun newDecoder() = StrictRequestDecoder(state.limits.headerBytes, ::recordHeadStart)
@@ -90,6 +95,7 @@
     private fun recordHeadStart() {
         if (isEnding) return
         headStartedAt = state.now()
+        headerTimeout = state.limits.headerTimeout
     }
 
     /** Whether a request is being served or waits to be, or part of a response has not been sent yet. */
@@ -128,6 +134,7 @@
         if (problem != null) return reject(BAD_REQUEST, problem)
         requestHead = request
         body.reset()
+        bodyBytesLimit = state.limits.bodyBytes
         isContinueDue = HttpUtil.is100ContinueExpected(request)
         if (!isServing) sendDueContinue()
     }
@@ -142,7 +149,7 @@
 
     private fun readBody(content: HttpContent) {
         val request = requestHead ?: return
-        if (body.size() + content.content().readableBytes() > state.limits.bodyBytes) {
+        if (body.size() + content.content().readableBytes() > maxOf(bodyBytesLimit, state.limits.bodyBytes)) {
             return reject(BODY_TOO_LARGE, "body too large")
         }
         body.write(ByteBufUtil.getBytes(content.content()))
@@ -188,6 +195,7 @@
 
     private fun recordProgress() {
         lastProgressAt = state.now()
+        idleTimeout = state.limits.idleTimeout
     }
 
     /** Responds to a request that is not read completely, after the responses to those before it. */
@@ -240,14 +248,18 @@
         if (context.channel().isWritable) current?.listener?.callerCaughtUp()
     }
 
-    /** Rejects a request that arrives too slowly, and closes a connection that was idle for too long. */
+    /**
+     * Rejects a request that arrives too slowly, and closes a connection that was idle for too long. Of the limits when
+     * the time began and those of now, the longer ones apply.
+     */
     fun checkTimeouts(now: Instant) {
         if (!channel.config().isAutoRead) return
+        recordSentBytes()
         val limits = state.limits
         val started = headStartedAt
-        val isIdleTimeOver = now - lastProgressAt > limits.idleTimeout
+        val isIdleTimeOver = now - lastProgressAt > maxOf(idleTimeout, limits.idleTimeout)
         when {
-            started != null && now - started > limits.headerTimeout && !isServing ->
+            started != null && now - started > maxOf(headerTimeout, limits.headerTimeout) && !isServing ->
                 reject(REQUEST_TIMEOUT, "the head of the request took too long")
 
             requestHead != null && isIdleTimeOver -> reject(REQUEST_TIMEOUT, "the body of the request took too long")
@@ -255,6 +267,13 @@
         }
     }
 
+    /** A caller that receives a response slowly is not idle. */
+    private fun recordSentBytes() {
+        val unsentNow = pendingBytes
+        if (unsentNow < unsentBytes) recordProgress()
+        unsentBytes = unsentNow
+    }
+
     /** Closes the connection unless a request is being read or served on it or a response is still being sent. */
     fun closeIfIdle() {
         if (!isBusy && !isReading) channel.close()
@@ -334,6 +353,18 @@
         }
     }
 
+    /** Lets the next request use a limit of the header size that was raised since the connection was opened. */
+    private inner class DecoderUpdate : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            if (decoder.isBetweenRequests && decoder.maximumHeaderBytes < state.limits.headerBytes) {
+                val previous = decoder
+                decoder = newDecoder()
+                context.pipeline().replace(previous, null, decoder)
+            }
+            super.channelRead(context, message)
+        }
+    }
+
     private companion object {
         const val BAD_REQUEST = 400
         const val REQUEST_TIMEOUT = 408
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/RequestCheck.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/RequestCheck.kt
@@ -31,9 +31,10 @@
 /**
  * Decodes requests; rejects those that have both a Content-Length and a Transfer-Encoding header.
  *
+ * @param maximumHeaderBytes maximum size of the request line, and of all headers of a request
  * @param onHeadStarted called when the first byte of a request head has arrived
  */
-internal class StrictRequestDecoder(maximumHeaderBytes: Int, private val onHeadStarted: () -> Unit = {}) :
+internal class StrictRequestDecoder(val maximumHeaderBytes: Int, private val onHeadStarted: () -> Unit = {}) :
     HttpRequestDecoder(maximumHeaderBytes, maximumHeaderBytes, MAXIMUM_CHUNK_BYTES) {
     /** Whether no part of a request has arrived after the last complete one. */
     var isBetweenRequests = true
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerConnectionTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerConnectionTest.kt
@@ -184,6 +184,43 @@
             }
         }
 
+        describe("a connection while the limits change") {
+            it("stays open for the idle timeout under which it was last used") {
+                val harness = CallerConnectionHarness()
+                harness.receive(request("a"))
+                harness.served.single().respond()
+                harness.limits = harness.limits.copy(idleTimeout = 2.seconds)
+                harness.advance(10.seconds)
+                harness.receive(request("b"))
+                harness.served.last().respond()
+                harness.statuses shouldBe listOf(200, 200)
+                harness.advance(3.seconds)
+                harness.isOpen shouldBe false
+            }
+
+            it("accepts a body that was begun under a higher limit, and one that a higher limit allows later") {
+                val harness = CallerConnectionHarness()
+                harness.receive(bodyRequest("a", 10, "abc"))
+                harness.limits = harness.limits.copy(bodyBytes = 5)
+                harness.receive("abcdefg")
+                harness.served.single().respond()
+                harness.limits = harness.limits.copy(bodyBytes = 50)
+                harness.receive(bodyRequest("b", 30, "b".repeat(30)))
+                harness.served.last().respond()
+                harness.statuses shouldBe listOf(200, 200)
+            }
+
+            it("accepts a head that a higher limit allows later") {
+                val harness = CallerConnectionHarness()
+                harness.receive(request("a"))
+                harness.served.single().respond()
+                harness.limits = harness.limits.copy(headerBytes = 2_000)
+                harness.receive(request("b", "X-Long: ${"b".repeat(1_000)}\r\n"))
+                harness.served.last().respond()
+                harness.statuses shouldBe listOf(200, 200)
+            }
+        }
+
         describe("a caller that disconnects") {
             it("ends the request in progress and those behind it") {
                 val harness = CallerConnectionHarness()
