Wake every request that an endpoint can take

Callers saw: requests that waited up to their deadline and were refused although an endpoint was free.

Cause: a free connection woke one waiting request only. If that one had failed at the free endpoint, it went to the end of the queue and those behind it were not tried. New endpoints and raised limits woke none.

Change: waiting requests are dispatched in order until one finds no free endpoint in the whole pool; one that avoids endpoints at which it has failed keeps its place and lets the next one try. The queue is also dispatched when endpoints or the configuration change, and regularly, as this entry's share of the connections depends on other entries.

Conclusion: the queue rests only when the first request that may use every endpoint has found all of them busy.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -82,8 +82,12 @@
         random = random,
     )
     private val admission = RequestAdmission(servingContext)
-    private val endpointListener = EndpointListener(directory, endpoints, thread, decisions)
-    private val configurationListener = ConfigurationListener(decisions) { servingContext.matcher = it }
+    private val endpointListener =
+        EndpointListener(directory, endpoints, thread, decisions, connectionWaitQueue::dispatchAll)
+    private val configurationListener = ConfigurationListener(decisions) {
+        servingContext.matcher = it
+        connectionWaitQueue.dispatchAll()
+    }
     private val operatorWatch =
         watch(
             WireTables.OPERATOR,
@@ -129,7 +133,7 @@
 
     /** Opens the listeners and starts to watch the store. Throws `IOException` when an address cannot be bound. */
     fun start() {
-        endpoints.onConnectionAvailable = connectionWaitQueue::dispatchFirst
+        endpoints.onConnectionAvailable = connectionWaitQueue::dispatch
         callers.listen(settings.callers)
         SimpleHttpServer(thread, ::respondToReadinessCheck).listen(settings.readiness)
         CallerServer(
@@ -162,7 +166,11 @@
         watch(WireTables.LEASES, WatchTimings.forLeases(membership.renewalInterval), membership.leases).start()
         PeerCatchUp(thread, exchange, replica, decisions, ::peerAddresses).start()
         membership.start { endpointWatch.lastResponseAt }
-        thread.every(EXPIRY_CHECK_INTERVAL) { endpointListener.removeExpired() }
+        thread.every(EXPIRY_CHECK_INTERVAL) {
+            endpointListener.removeExpired()
+            // This entry's share of the connections may have grown.
+            connectionWaitQueue.dispatchAll()
+        }
         thread.every(DECAY_INTERVAL) { endpoints.decaySlowdown() }
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -77,20 +77,23 @@
 
     private fun dispatch() {
         if (isFinished) return
-        when (val selection = AttemptEndpointSelector(context).select(request, inputs, failedEndpoints)) {
+        val selection = AttemptEndpointSelector(context).select(request, inputs, failedEndpoints)
+        if (selection == AttemptEndpointSelector.Selection.AllBusy) return waitForConnection()
+        waiter?.let(context.connectionWaitQueue::remove)
+        waiter = null
+        when (selection) {
             AttemptEndpointSelector.Selection.NoneKnown ->
                 refuse("no endpoint of ${request.pool} is known", LONG_RETRY_DELAY)
 
-            AttemptEndpointSelector.Selection.AllBusy -> waitForConnection()
+            AttemptEndpointSelector.Selection.AllBusy -> Unit
             is AttemptEndpointSelector.Selection.Selected -> connect(selection.endpoint)
         }
     }
 
     private fun waitForConnection() {
-        val newWaiter = ConnectionWaitQueue.Waiter(request.pool, request.priority) {
-            waiter = null
-            guarded(::dispatch)
-        }
+        if (waiter != null) return
+        val isSelective = failedEndpoints.isNotEmpty()
+        val newWaiter = ConnectionWaitQueue.Waiter(request.pool, request.priority, isSelective) { guarded(::dispatch) }
         waiter = newWaiter
         context.connectionWaitQueue.add(newWaiter)
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EndpointListener.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EndpointListener.kt
@@ -10,12 +10,17 @@
 import org.bilberryhead.platform.wire.EndpointEntryDecoder
 import org.bilberryhead.platform.wire.StoreRow
 
-/** Updates the directory from the rows that endpoints write about themselves. */
+/**
+ * Updates the directory from the rows that endpoints write about themselves.
+ *
+ * @param onChange called after the directory has changed
+ */
 internal class EndpointListener(
     private val directory: EndpointDirectory,
     private val endpoints: Endpoints,
     private val thread: EventThread,
     private val decisions: DecisionLog,
+    private val onChange: () -> Unit,
 ) : TableListener {
     private val texts = mutableMapOf<EndpointId, String>()
 
@@ -63,6 +68,7 @@
                 mapOf("endpoint" to change.id, "change" to change::class.simpleName, "pool" to poolOf(change))
             }
         }
+        if (changes.isNotEmpty()) onChange()
     }
 
     private fun poolOf(change: EndpointChange) = (change as? EndpointChange.Appeared)?.entry?.pool
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -4,7 +4,6 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
-import io.netty.handler.codec.http.FullHttpRequest
 import org.bilberryhead.core.common.DaemonId
 import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.SocketAddress
@@ -15,18 +14,15 @@
 import org.bilberryhead.daemon.MonotonicClock
 import org.bilberryhead.daemon.SettingsError
 import org.bilberryhead.daemon.newMeterRegistry
-import org.bilberryhead.forwarding.http.SimpleHttpResponse
-import org.bilberryhead.forwarding.http.SimpleHttpServer
 import java.net.Socket
-import java.util.Base64
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 
-private const val HOST = "127.0.0.1"
+internal const val HOST = "127.0.0.1"
 
-private fun freeAddress() = SocketAddress(HOST, FreePorts.next())
+internal fun freeAddress() = SocketAddress(HOST, FreePorts.next())
 
 /** Starts an entry with one endpoint in pool `p` for each of [handlers], and closes them after [use]. */
 internal fun <T> deploy(
@@ -54,15 +50,13 @@
  */
 internal class LoopbackDeployment(
     private val configuration: String?,
-    private val pools: Map<String, List<ScriptedEndpoint>>,
+    pools: Map<String, List<ScriptedEndpoint>>,
     private val seeds: List<SocketAddress> = emptyList(),
     private val isStoreReachable: Boolean = true,
     drainLimit: Long = 8_000,
 ) : AutoCloseable {
-    private val storeThread = newEventThread()
     private val entryThread = newEventThread()
-    private val store = freeAddress()
-    private val tablesRead = CountDownLatch(2)
+    private val store = LoopbackStore(configuration, pools, isReachable = isStoreReachable)
     val settings = ForwardingSettings(
         id = DaemonId("entry"),
         dataCentre = DataCentre("x"),
@@ -71,16 +65,15 @@
         peers = freeAddress(),
         metrics = freeAddress(),
         seeds = seeds,
-        store = store,
+        store = store.address,
         drainLimit = drainLimit.milliseconds,
         retrySlack = 50.0,
     )
     private val daemon = ForwardingDaemon(settings, entryThread, ForwardingMetrics(newMeterRegistry()), Random(1))
 
     init {
-        if (isStoreReachable) SimpleHttpServer(storeThread, ::respond).listen(store)
         daemon.start()
-        if (isStoreReachable) check(tablesRead.await(10, TimeUnit.SECONDS)) { "the entry did not read the store" }
+        if (isStoreReachable) store.awaitTablesRead()
         // The entry applies the rows on its own thread, possibly after the latch has opened.
         awaitReady()
     }
@@ -104,28 +97,9 @@
     /** Starts to drain the entry; the returned latch opens when it has stopped. */
     fun drain(): CountDownLatch = CountDownLatch(1).also { ended -> daemon.drain { ended.countDown() } }
 
-    private fun respond(request: FullHttpRequest): SimpleHttpResponse {
-        val uri = request.uri()
-        return when {
-            "rows-feed" in uri -> SimpleHttpResponse(200, """{"rows":[],"ver":1}""")
-            "table=op" in uri -> rows(listOfNotNull(configuration?.let { "config" to it }))
-                .also { tablesRead.countDown() }
-            "table=servers" in uri -> rows(pools.flatMap(::entries)).also { tablesRead.countDown() }
-            else -> SimpleHttpResponse(200, """{"rows":[],"ver":1}""")
-        }
-    }
-
-    private fun entries(pool: Map.Entry<String, List<ScriptedEndpoint>>) = pool.value.mapIndexed { index, endpoint ->
-        "${pool.key}-$index" to """{"service":"${pool.key}","address":"${endpoint.address}","zone":"x",""" +
-            """"slots":4,"state":"ready","born":1}"""
-    }
-
-    private fun rows(rows: List<Pair<String, String>>): SimpleHttpResponse {
-        val text = rows.joinToString(",") { (key, value) ->
-            """{"key":"$key","value":"${Base64.getEncoder().encodeToString(value.encodeToByteArray())}","ver":1}"""
-        }
-        return SimpleHttpResponse(200, """{"rows":[$text],"truncated":false,"ver":1}""")
-    }
+    /** Changes the configuration and the endpoints of the pools in the store. */
+    fun change(configuration: String? = store.configuration, pools: Map<String, List<ScriptedEndpoint>> = store.pools) =
+        store.change(configuration, pools)
 
     /** Opens a connection as a caller. */
     fun connect() = Socket(HOST, settings.callers.port).apply { soTimeout = 10_000 }
@@ -144,7 +118,7 @@
 
     override fun close() {
         entryThread.loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS)
-        storeThread.loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS)
+        store.close()
     }
 
     companion object {
--- /dev/null
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackStore.kt
@@ -0,0 +1,84 @@
+package org.bilberryhead.forwarding
+
+import io.netty.handler.codec.http.FullHttpRequest
+import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.forwarding.http.SimpleHttpResponse
+import org.bilberryhead.forwarding.http.SimpleHttpServer
+import java.util.Base64
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+
+/**
+ * A store on the loopback interface that holds one configuration and the endpoints of its pools.
+ *
+ * @param isReachable whether the store listens
+ */
+internal class LoopbackStore(
+    configuration: String?,
+    pools: Map<String, List<ScriptedEndpoint>>,
+    isReachable: Boolean = true,
+) : AutoCloseable {
+    private val thread = newEventThread()
+    private val tablesRead = CountDownLatch(2)
+
+    @Volatile
+    private var version = 1
+
+    @Volatile
+    var configuration: String? = configuration
+        private set
+
+    @Volatile
+    var pools: Map<String, List<ScriptedEndpoint>> = pools
+        private set
+    val address: SocketAddress = freeAddress()
+
+    init {
+        if (isReachable) SimpleHttpServer(thread, ::respond).listen(address)
+    }
+
+    fun awaitTablesRead() = check(tablesRead.await(10, TimeUnit.SECONDS)) { "the entry did not read the store" }
+
+    fun change(configuration: String?, pools: Map<String, List<ScriptedEndpoint>>) {
+        this.configuration = configuration
+        this.pools = pools
+        version++
+    }
+
+    private fun respond(request: FullHttpRequest): SimpleHttpResponse {
+        val uri = request.uri()
+        val current = version
+        val isKnown = KNOWN_VERSION.find(uri)?.groupValues?.get(1)?.toInt() == current
+        return when {
+            isKnown -> rows(emptyList(), current)
+            "table=op" in uri ->
+                rows(listOfNotNull(configuration?.let { "config" to it }), current).also { tablesRead.countDown() }
+
+            "table=servers" in uri -> rows(pools.flatMap(::entries), current).also { tablesRead.countDown() }
+            else -> rows(emptyList(), current)
+        }
+    }
+
+    private fun entries(pool: Map.Entry<String, List<ScriptedEndpoint>>) = pool.value.mapIndexed { index, endpoint ->
+        "${pool.key}-$index" to """{"service":"${pool.key}","address":"${endpoint.address}","zone":"x",""" +
+            """"slots":4,"state":"ready","born":1}"""
+    }
+
+    private fun rows(rows: List<Pair<String, String>>, version: Int): SimpleHttpResponse {
+        val text = rows.joinToString(",") { (key, value) ->
+            """{"key":"$key","value":"${Base64.getEncoder().encodeToString(
+                value.encodeToByteArray(),
+            )}","ver":$version}"""
+        }
+        return SimpleHttpResponse(OK, """{"rows":[$text],"truncated":false,"ver":$version}""")
+    }
+
+    override fun close() {
+        thread.loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS)
+    }
+
+    private companion object {
+        const val OK = 200
+        val KNOWN_VERSION = Regex("""[?&]after=(\d+)""")
+    }
+}
