Report a refusal that does not say "not run" as unknown

Callers saw: status 503, 429 or 408 for an order that an endpoint may have run. These statuses promise that it has not.

Cause: the answer of an endpoint was passed on with its status even where it does not state that the request was not run. Only the header that says so is that statement.

Evidence, at: "is not refused by the status of an endpoint that does not say that it has not run the request" fails with expected:<502> but was:<503>.

Change: for requests that may run at most once such an answer counts as broken, so that the caller gets status 502.

Conclusion: a refusal reaches the caller of such a request only when an endpoint or the entry vouches for it.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
@@ -126,6 +126,9 @@
         when {
             isNotRun -> fail(ExchangeResult.REFUSED, AttemptOutcome.NotRun, "status $status, not run", response)
             status in SUCCESSFUL && !isSigned(response.head) -> failAsBroken("an answer without a signature")
+            status in REFUSALS && !repeatRule.mayRepeat ->
+                failAsBroken("status $status, which does not say that the request has not run")
+
             status in SERVER_FAILURES ->
                 fail(ExchangeResult.FAILED, AttemptOutcome.EndpointFailure, "status $status", response)
 
@@ -205,5 +208,8 @@
         const val MISDIRECTED = 421
         val SUCCESSFUL = 200..299
         val SERVER_FAILURES = 500..599
+
+        /** Statuses by which a caller is promised that its request has not run. */
+        val REFUSALS = setOf(408, 429, 503)
     }
 }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ForwardingTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ForwardingTest.kt
@@ -120,6 +120,15 @@
                 }
             }
 
+            it("is not refused by the status of an endpoint that does not say that it has not run the request") {
+                for (status in listOf("503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout")) {
+                    deploy({ respond(status) }) { entry, endpoints ->
+                        entry.get("/order/a").shouldNotBeNull().status shouldBe 502
+                        requestsTo(endpoints) shouldHaveSize 1
+                    }
+                }
+            }
+
             it("is refused with Retry-After when no endpoint runs it") {
                 deploy({ respond(status = "503 Service Unavailable", headers = "X-Not-Executed: 1\r\n") }) { entry, _ ->
                     val response = entry.get("/order/a").shouldNotBeNull()
