Wait in a drain for the rest of a request that has arrived in part

Callers saw: a connection that ended while a request was still being sent, although the drain had seconds left.

Cause: a drain with nothing to serve ended the process without regard to requests that were being read.

Evidence: without the change "waits for the rest of the request and serves it" fails with expected:<200> but was:<408>; the rest was no longer read.

Change: a connection that reads a request counts as busy. The timeouts for heads and bodies and the drain limit bound it.

Conclusion: the process ends only when no request is being read, served or answered, or at its drain limit.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerServer.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerServer.kt
@@ -19,8 +19,8 @@
     private val connections = mutableSetOf<CallerConnection>()
     private var listener: Channel? = null
 
-    /** Whether a request is being served on any connection. */
-    val isBusy: Boolean get() = connections.any { it.isBusy }
+    /** Whether a request is being read or served on any connection. */
+    val isBusy: Boolean get() = connections.any { it.isBusy || it.isReading }
 
     /** Listens on [address]. Throws `IOException` when the address cannot be bound. */
     fun listen(address: SocketAddress) {
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/DrainOrderTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/DrainOrderTest.kt
@@ -152,6 +152,24 @@
             }
         }
 
+        describe("a drain while nothing but a part of a request has arrived") {
+            it("waits for the rest of the request and serves it") {
+                ScriptedEndpoint(respondByPath).use { endpoint ->
+                    LoopbackDeployment(LoopbackDeployment.CONFIGURATION, mapOf("p" to listOf(endpoint))).use { entry ->
+                        entry.connect().use { caller ->
+                            val ended = entry.drain()
+                            TimeUnit.MILLISECONDS.sleep(2_000)
+                            caller.send("${ORDER}a$REST_OF_HEAD")
+                            TimeUnit.MILLISECONDS.sleep(1_600)
+                            caller.send("r1\r\n\r\n")
+                            caller.getInputStream().readMessage().shouldNotBeNull().status shouldBe 200
+                            ended.await(10, TimeUnit.SECONDS) shouldBe true
+                        }
+                    }
+                }
+            }
+        }
+
         describe("a drain while callers go on sending until the end") {
             it("passes on no request without returning its whole response") {
                 ScriptedEndpoint(respondByPath).use { endpoint ->
