--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -87,8 +87,12 @@
         random = random,
     )
     private val admission = RequestAdmission(servingContext)
-    private val endpointListener = EndpointListener(directory, endpoints, thread, decisions)
-    private val configurationListener = ConfigurationListener(decisions) { servingContext.matcher = it }
+    private val endpointListener =
+        EndpointListener(directory, endpoints, thread, decisions, connectionWaitQueue::dispatchAll)
+    private val configurationListener = ConfigurationListener(decisions) {
+        servingContext.matcher = it
+        connectionWaitQueue.dispatchAll()
+    }
     private val operatorWatch =
         watch(
             WireTables.OPERATOR,
@@ -134,7 +138,7 @@
 
     /** Opens the listeners and starts to watch the store. Throws `IOException` when an address cannot be bound. */
     fun start() {
-        endpoints.onConnectionAvailable = connectionWaitQueue::dispatchFirst
+        endpoints.onConnectionAvailable = connectionWaitQueue::dispatch
         callers.listen(settings.callers)
         SimpleHttpServer(thread, ::respondToReadinessCheck).listen(settings.readiness)
         CallerServer(
@@ -172,7 +176,11 @@
         quarantine.start(membership::isRemover)
         PeerCatchUp(thread, exchange, replica, decisions, ::peerAddresses).start()
         membership.start { endpointWatch.lastResponseAt }
-        thread.every(EXPIRY_CHECK_INTERVAL) { endpointListener.removeExpired() }
+        thread.every(EXPIRY_CHECK_INTERVAL) {
+            endpointListener.removeExpired()
+            // This entry's share of the connections may have grown.
+            connectionWaitQueue.dispatchAll()
+        }
         thread.every(DECAY_INTERVAL) { endpoints.decaySlowdown() }
     }
 
@@ -282,7 +290,9 @@
 
         override val isDraining: Boolean get() = drainingSince != null
 
-        override fun recordFailure(failure: Throwable) = thread.recordFailure(failure, "serving a caller")
+        override fun recordFailure(failure: Throwable) = thread.recordFailure(failure, SERVING)
+
+        override fun runGuarded(block: () -> Unit): Boolean = thread.runGuarded(SERVING, block)
 
         override fun rejected(status: Int, reason: String) {
             metrics.rejectedUnread(status)
@@ -293,6 +303,7 @@
     private companion object {
         const val OK = 200
         const val UNREADY = 503
+        const val SERVING = "serving a caller"
         val EXPIRY_CHECK_INTERVAL = 200.milliseconds
         val DECAY_INTERVAL = 1.seconds
         val DRAIN_CHECK_INTERVAL = 100.milliseconds
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelPipeline
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -16,6 +17,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
@@ -45,6 +47,9 @@
     /** Records an exception that was not expected. */
     fun recordFailure(failure: Throwable)
 
+    /** Runs [block]; records an exception that was not expected, and returns whether there was none. */
+    fun runGuarded(block: () -> Unit): Boolean
+
     /** Counts a request that was rejected before it was read completely. */
     fun rejected(status: Int, reason: String)
 }
@@ -53,26 +58,50 @@
 internal class CallerConnection(private val state: CallerServerState, private val handler: RequestHandler) :
     ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
+    private var decoder = newDecoder()
     private var requestHead: HttpRequest? = null
     private val body = ByteArrayOutputStream()
     private var current: ActiveResponse? = null
     private val waitingRequests = ArrayDeque<CallerRequest>()
+    private var rejection: FullResponse? = null
     private var lastProgressAt = state.now()
-
+    private var idleTimeout = state.limits.idleTimeout
+    private var unsentBytes = 0L
     private var headStartedAt: Instant? = null
+    private var headerTimeout = state.limits.headerTimeout
+    private var bodyBytesLimit = 0
+    private var isContinueDue = false
+    private var isReadingStopped = false
+
+    /** Whether what arrives is ignored, and the connection closes after the responses to what was read. */
+    private var isEnding = false
+
+    private val isServing: Boolean get() = current != null || waitingRequests.isNotEmpty()
+
+    /** Whether the current response is the last one: nothing follows that was read, even in part. */
+    private val isLast: Boolean
+        get() = waitingRequests.isEmpty() && rejection == null && (isReadingStopped || !isReading)
 
     /** Whether a request has been read in part. */
     val isReading: Boolean get() = requestHead != null || headStartedAt != null
 
-    /** Records that the first byte of a request head arrived at [now]. */
-    fun headStarted(now: Instant) {
-        headStartedAt = now
+    /** Adds this connection and its codec to [pipeline]. */
+    fun addTo(pipeline: ChannelPipeline) {
+        pipeline.addLast(DecoderUpdate()).addLast(decoder).addLast(HttpResponseEncoder()).addLast(this)
     }
 
-    /** Whether a request is being served, or part of a response has not been sent yet. */
-    val isBusy: Boolean get() = current != null || hasUnsentBytes
+    private fun newDecoder() = StrictRequestDecoder(state.limits.headerBytes, ::recordHeadStart)
 
-    private val hasUnsentBytes: Boolean get() = (channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0) > 0
+    private fun recordHeadStart() {
+        if (isEnding) return
+        headStartedAt = state.now()
+        headerTimeout = state.limits.headerTimeout
+    }
+
+    /** Whether a request is being served or waits to be, or part of a response has not been sent yet. */
+    val isBusy: Boolean get() = isServing || pendingBytes > 0
+
+    private val pendingBytes: Long get() = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
@@ -80,8 +109,8 @@
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
-            lastProgressAt = state.now()
-            if (message is HttpObject) read(message)
+            recordProgress()
+            if (message is HttpObject && !isEnding) read(message)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -105,21 +134,28 @@
         if (problem != null) return reject(BAD_REQUEST, problem)
         requestHead = request
         body.reset()
-        if (HttpUtil.is100ContinueExpected(request)) {
-            channel.writeAndFlush(
-                DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
-            )
-        }
+        bodyBytesLimit = state.limits.bodyBytes
+        isContinueDue = HttpUtil.is100ContinueExpected(request)
+        if (!isServing) sendDueContinue()
+    }
+
+    private fun sendDueContinue() {
+        if (!isContinueDue) return
+        isContinueDue = false
+        channel.writeAndFlush(
+            DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
+        )
     }
 
     private fun readBody(content: HttpContent) {
         val request = requestHead ?: return
-        if (body.size() + content.content().readableBytes() > state.limits.bodyBytes) {
+        if (body.size() + content.content().readableBytes() > maxOf(bodyBytesLimit, state.limits.bodyBytes)) {
             return reject(BODY_TOO_LARGE, "body too large")
         }
         body.write(ByteBufUtil.getBytes(content.content()))
         if (content !is LastHttpContent) return
         requestHead = null
+        isContinueDue = false
         val completeRequest = CallerRequest(
             method = request.method(),
             uri = request.uri(),
@@ -128,7 +164,8 @@
             keepsConnection = HttpUtil.isKeepAlive(request),
             receivedAt = state.now(),
         )
-        if (current == null) serve(completeRequest) else enqueue(completeRequest)
+        if (!completeRequest.keepsConnection) isEnding = true
+        if (isServing) enqueue(completeRequest) else serve(completeRequest)
     }
 
     private fun enqueue(request: CallerRequest) {
@@ -139,20 +176,36 @@
     private fun serve(request: CallerRequest) {
         val response = ActiveResponse(request)
         current = response
-        response.listener = handler.serve(request, response)
+        if (!state.runGuarded { response.listener = handler.serve(request, response) }) response.fail()
+    }
+
+    private fun serveNext() {
+        val next = waitingRequests.removeFirstOrNull() ?: return
+        resumeReading()
+        serve(next)
+    }
+
+    private fun resumeReading() {
+        if (isReadingStopped || channel.config().isAutoRead) return
+        // What the connection itself did not read was not late.
+        recordProgress()
+        headStartedAt = headStartedAt?.let { lastProgressAt }
+        channel.config().isAutoRead = true
+    }
+
+    private fun recordProgress() {
+        lastProgressAt = state.now()
+        idleTimeout = state.limits.idleTimeout
     }
 
+    /** Responds to a request that is not read completely, after the responses to those before it. */
     private fun reject(status: Int, reason: String) {
         requestHead = null
+        headStartedAt = null
+        isEnding = true
         state.rejected(status, reason)
-        if (current != null) {
-            channel.close()
-            return
-        }
-        writeFull(
-            FullResponse(ResponseHead(status, EmptyHttpHeaders.INSTANCE), reason.encodeToByteArray()),
-            closes = true,
-        )
+        val response = FullResponse(ResponseHead(status, EmptyHttpHeaders.INSTANCE), reason.encodeToByteArray())
+        if (isServing) rejection = response else writeFull(response, closes = true)
     }
 
     private fun writeFull(response: FullResponse, closes: Boolean, isHeadRequest: Boolean = false) {
@@ -180,44 +233,64 @@
     }
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        // Mostly a reset by the caller; channelInactive() then notifies the handler.
-        if (cause !is IOException) state.recordFailure(cause)
-        context.close()
+        if (cause is IOException) {
+            // Mostly a reset by the caller; channelInactive() then notifies the handler.
+            context.close()
+            return
+        }
+        state.recordFailure(cause)
+        if (isReading) reject(NOT_RUN, UNEXPECTED_FAILURE)
+        isEnding = true
+        if (!isBusy) context.close()
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
         if (context.channel().isWritable) current?.listener?.callerCaughtUp()
     }
 
-    /** Rejects a request that arrives too slowly, and closes a connection that was idle for too long. */
+    /**
+     * Rejects a request that arrives too slowly, and closes a connection that was idle for too long. Of the limits when
+     * the time began and those of now, the longer ones apply.
+     */
     fun checkTimeouts(now: Instant) {
+        if (!channel.config().isAutoRead) return
+        recordSentBytes()
         val limits = state.limits
         val started = headStartedAt
+        val isIdleTimeOver = now - lastProgressAt > maxOf(idleTimeout, limits.idleTimeout)
         when {
-            started != null && requestHead == null && now - started > limits.headerTimeout && current == null ->
+            started != null && now - started > maxOf(headerTimeout, limits.headerTimeout) && !isServing ->
                 reject(REQUEST_TIMEOUT, "the head of the request took too long")
 
-            requestHead != null && now - lastProgressAt > limits.idleTimeout ->
-                reject(REQUEST_TIMEOUT, "the body of the request took too long")
-
-            current == null && requestHead == null && started == null && now - lastProgressAt > limits.idleTimeout ->
-                channel.close()
+            requestHead != null && isIdleTimeOver -> reject(REQUEST_TIMEOUT, "the body of the request took too long")
+            !isServing && !isReading && isIdleTimeOver -> channel.close()
         }
     }
 
+    /** A caller that receives a response slowly is not idle. */
+    private fun recordSentBytes() {
+        val unsentNow = pendingBytes
+        if (unsentNow < unsentBytes) recordProgress()
+        unsentBytes = unsentNow
+    }
+
     /** Closes the connection unless a request is being read or served on it or a response is still being sent. */
     fun closeIfIdle() {
-        if (!isBusy && requestHead == null && headStartedAt == null) channel.close()
+        if (!isBusy && !isReading) channel.close()
     }
 
     /** Stops reading; responses in progress can still be written. */
     fun stopReading() {
+        isReadingStopped = true
         channel.config().isAutoRead = false
     }
 
     private inner class ActiveResponse(private val request: CallerRequest) : ResponseWriter {
         var listener: CallerListener? = null
-        private var closes = !request.keepsConnection
+        private var isStarted = false
+
+        /** Whether the head of the response has announced that the connection closes after it. */
+        private var closes = false
 
         override val isOpen: Boolean get() = current === this
 
@@ -225,30 +298,37 @@
 
         override fun send(response: FullResponse) {
             if (!isOpen) return
-            val closing = closes || state.isDraining
-            writeFull(response, closing, request.method == HttpMethod.HEAD)
-            complete(closing)
+            announceClose()
+            writeFull(response, closes, request.method == HttpMethod.HEAD)
+            complete(closes)
         }
 
         override fun start(head: ResponseHead) {
             if (!isOpen) return
-            closes = closes || state.isDraining
+            isStarted = true
             val message = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
             HopByHopHeaders.copyEndToEnd(head.headers, message.headers())
             HttpUtil.setTransferEncodingChunked(message, true)
+            announceClose()
             if (closes) message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
             channel.write(message)
         }
 
+        private fun announceClose() {
+            closes = isLast && (isEnding || state.isDraining)
+            if (closes) isEnding = true
+        }
+
         override fun write(bytes: ByteArray) {
             if (isOpen) channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
         }
 
         override fun finish() {
             if (!isOpen) return
+            val closing = closes || (isEnding && isLast)
             val written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-            if (closes) written.addListener(ChannelFutureListener.CLOSE)
-            complete(closes)
+            if (closing) written.addListener(ChannelFutureListener.CLOSE)
+            complete(closing)
         }
 
         override fun abort() {
@@ -257,13 +337,31 @@
             channel.close()
         }
 
+        /** Ends the response after an exception that was not expected: whether the request has run is unknown. */
+        fun fail() {
+            if (isStarted) return abort()
+            send(FullResponse(ResponseHead(UNKNOWN, EmptyHttpHeaders.INSTANCE), UNEXPECTED_FAILURE.encodeToByteArray()))
+        }
+
         private fun complete(closing: Boolean) {
             current = null
-            lastProgressAt = state.now()
+            recordProgress()
             if (closing) return
-            val next = waitingRequests.removeFirstOrNull() ?: return
-            channel.config().isAutoRead = true
-            channel.eventLoop().execute { serve(next) }
+            if (waitingRequests.isNotEmpty()) return channel.eventLoop().execute(::serveNext)
+            rejection?.let { return writeFull(it, closes = true) }
+            sendDueContinue()
+        }
+    }
+
+    /** Lets the next request use a limit of the header size that was raised since the connection was opened. */
+    private inner class DecoderUpdate : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            if (decoder.isBetweenRequests && decoder.maximumHeaderBytes < state.limits.headerBytes) {
+                val previous = decoder
+                decoder = newDecoder()
+                context.pipeline().replace(previous, null, decoder)
+            }
+            super.channelRead(context, message)
         }
     }
 
@@ -272,6 +370,9 @@
         const val REQUEST_TIMEOUT = 408
         const val BODY_TOO_LARGE = 413
         const val HEADERS_TOO_LARGE = 431
+        const val UNKNOWN = 502
+        const val NOT_RUN = 503
+        const val UNEXPECTED_FAILURE = "unexpected failure"
         const val MAXIMUM_WAITING_REQUESTS = 4
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
@@ -146,6 +146,9 @@
         when {
             isNotRun -> fail(ExchangeResult.REFUSED, AttemptOutcome.NotRun, "status $status, not run", response)
             status in SUCCESSFUL && !isSigned(response.head) -> failAsBroken("an answer without a signature")
+            status in REFUSALS && !request.route.repeatRule.mayRepeat ->
+                failAsBroken("status $status, which does not say that the request has not run")
+
             status in SERVER_FAILURES ->
                 fail(ExchangeResult.FAILED, AttemptOutcome.EndpointFailure, "status $status", response)
 
@@ -265,5 +268,8 @@
         val BEGINNING = 1.seconds
         val SUCCESSFUL = 200..299
         val SERVER_FAILURES = 500..599
+
+        /** Statuses by which a caller is promised that its request has not run. */
+        val REFUSALS = setOf(408, 429, 503)
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptReplacement.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptReplacement.kt
@@ -13,6 +13,9 @@
     /** Results that an engine needs to run the request. */
     val inputs: List<ResultHandle>
 
+    /** Runs [block]; an exception that was not expected ends the request. */
+    fun guarded(block: () -> Unit)
+
     /** Returns a new attempt at [endpoint], which has not been sent yet. */
     fun newAttempt(endpoint: Endpoint): Attempt
 
@@ -65,19 +68,18 @@
         current.candidate = replacement
         selection.endpoint.connections.acquire(
             mayRepeat = true,
-            opened = { connection ->
-                if (search === current && isNeeded(current)) {
-                    move(replacement, connection)
-                } else {
-                    replacement.cancel()
-                    connection.release()
-                    if (search === current) giveUp("the response went on")
-                }
-            },
-            failed = { replacement.connectFailed(it) },
+            opened = { connection -> execution.guarded { useConnection(current, replacement, connection) } },
+            failed = { reason -> execution.guarded { replacement.connectFailed(reason) } },
         )
     }
 
+    private fun useConnection(current: Search, replacement: Attempt, connection: OutboundConnection) {
+        if (search === current && isNeeded(current)) return move(replacement, connection)
+        replacement.cancel()
+        connection.release()
+        if (search === current) giveUp("the response went on")
+    }
+
     private fun isNeeded(search: Search): Boolean {
         val attempt = execution.attempt ?: return true
         return attempt === search.silent && attempt.lastEventAt == search.lastEventAt
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -48,33 +48,47 @@
     private val silenceCheck = SilenceCheck(request, context, failedEndpoints, { isStreaming }, ::retryElsewhere)
     private val replacement = AttemptReplacement(request, context, failedEndpoints, ReplaceableAttempt())
 
+    /** Runs a block; an exception that was not expected ends the request, so that its caller does not wait for ever. */
+    private val guarded: (block: () -> Unit) -> Unit = { block ->
+        val isDone = context.thread.runGuarded("request ${request.id}", block)
+        if (!isDone) context.thread.runGuarded("end of request ${request.id}", ::terminate)
+    }
+
     /** Starts to serve the request. */
-    fun start() {
-        deadlineTimer = context.thread.after(request.deadline - context.thread.now()) { onDeadline() }
-        if (route.stages.isEmpty()) return dispatch()
-        val newPreparation = PreparationFactory(context).create(request, this)
-        preparation = newPreparation
-        newPreparation.advance()
+    fun start() = guarded {
+        deadlineTimer = context.thread.after(request.deadline - context.thread.now()) { guarded(::onDeadline) }
+        if (route.stages.isEmpty()) {
+            dispatch()
+        } else {
+            PreparationFactory(context).create(request, this).also { preparation = it }.advance()
+        }
     }
 
-    override fun prepared(inputs: List<ResultHandle>) {
+    override fun prepared(inputs: List<ResultHandle>) = guarded {
         this.inputs = inputs
         decisionLog.prepared(inputs.size)
         if (replacement.isInProgress) replacement.connect() else dispatch()
     }
 
-    override fun notPrepared(reason: String, retryAfter: Duration) {
-        if (replacement.isInProgress && attempt != null) return replacement.giveUp(reason)
-        refuse(reason, maxOf(retryAfter, RETRY_DELAY))
+    override fun notPrepared(reason: String, retryAfter: Duration) = guarded {
+        if (replacement.isInProgress && attempt != null) {
+            replacement.giveUp(reason)
+        } else {
+            refuse(reason, maxOf(retryAfter, RETRY_DELAY))
+        }
     }
 
     private fun dispatch() {
         if (isFinished || refuseIfQuarantined()) return
-        when (val selection = AttemptEndpointSelector(context).select(request, inputs, failedEndpoints)) {
+        val selection = AttemptEndpointSelector(context).select(request, inputs, failedEndpoints)
+        if (selection == AttemptEndpointSelector.Selection.AllBusy) return waitForConnection()
+        waiter?.let(context.connectionWaitQueue::remove)
+        waiter = null
+        when (selection) {
             AttemptEndpointSelector.Selection.NoneKnown ->
                 refuse("no endpoint of ${request.pool} is known", LONG_RETRY_DELAY)
 
-            AttemptEndpointSelector.Selection.AllBusy -> waitForConnection()
+            AttemptEndpointSelector.Selection.AllBusy -> Unit
             is AttemptEndpointSelector.Selection.Selected -> connect(selection.endpoint)
         }
     }
@@ -87,17 +101,16 @@
     }
 
     private fun waitForConnection() {
-        val newWaiter = ConnectionWaitQueue.Waiter(request.pool, request.priority) {
-            waiter = null
-            dispatch()
-        }
+        if (waiter != null) return
+        val isSelective = failedEndpoints.isNotEmpty()
+        val newWaiter = ConnectionWaitQueue.Waiter(request.pool, request.priority, isSelective) { guarded(::dispatch) }
         waiter = newWaiter
         context.connectionWaitQueue.add(newWaiter)
     }
 
     private fun newAttempt(endpoint: Endpoint): Attempt {
         decisionLog.attemptStarted(endpoint, retries.attemptCount + 1)
-        return Attempt(endpoint, request, eventOrder, context, this)
+        return Attempt(endpoint, request, eventOrder, context, GuardedAttemptListener(this, guarded))
     }
 
     private fun connect(endpoint: Endpoint) {
@@ -106,9 +119,15 @@
         endpoint.connections.acquire(
             mayRepeat = route.repeatRule.mayRepeat,
             opened = { connection ->
-                if (attempt !== newAttempt || isFinished) connection.release() else sendAttempt(newAttempt, connection)
+                guarded {
+                    if (attempt !== newAttempt || isFinished) {
+                        connection.release()
+                    } else {
+                        sendAttempt(newAttempt, connection)
+                    }
+                }
             },
-            failed = { newAttempt.connectFailed(it) },
+            failed = { reason -> guarded { newAttempt.connectFailed(reason) } },
         )
     }
 
@@ -131,15 +150,16 @@
         if (route.repeatRule.mayRepeat && attempt === newAttempt) silenceCheck.start(newAttempt)
     }
 
-    private fun retryElsewhere(expiredAttempt: Attempt) {
-        if (!retries.take()) return
-        decisionLog.attemptFailed(expiredAttempt.endpoint, "silent for too long", "try elsewhere")
-        silenceCheck.stop()
-        retries.recordMayHaveRun()
-        failedEndpoints += expiredAttempt.endpoint
-        replacement.start(expiredAttempt)
-        // The results were released once the stream started, so they have to be computed again for another engine.
-        preparation?.takeIf { isStreaming }?.restart() ?: replacement.connect()
+    private fun retryElsewhere(expiredAttempt: Attempt): Unit = guarded {
+        if (retries.take()) {
+            decisionLog.attemptFailed(expiredAttempt.endpoint, "silent for too long", "try elsewhere")
+            silenceCheck.stop()
+            retries.recordMayHaveRun()
+            failedEndpoints += expiredAttempt.endpoint
+            replacement.start(expiredAttempt)
+            // The results were released once the stream started, so another engine needs them computed again.
+            preparation?.takeIf { isStreaming }?.restart() ?: replacement.connect()
+        }
     }
 
     override fun responseReceived(attempt: Attempt, response: FullResponse) {
@@ -305,6 +325,8 @@
 
         override val inputs: List<ResultHandle> get() = this@ForwardedRequestExecution.inputs
 
+        override fun guarded(block: () -> Unit) = this@ForwardedRequestExecution.guarded(block)
+
         override fun newAttempt(endpoint: Endpoint): Attempt = this@ForwardedRequestExecution.newAttempt(endpoint)
 
         override fun moveTo(replacement: Attempt, connection: OutboundConnection) {
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -4,7 +4,6 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
-import io.netty.handler.codec.http.FullHttpRequest
 import org.bilberryhead.core.common.DaemonId
 import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.SocketAddress
@@ -15,20 +14,17 @@
 import org.bilberryhead.daemon.MonotonicClock
 import org.bilberryhead.daemon.SettingsError
 import org.bilberryhead.daemon.newMeterRegistry
-import org.bilberryhead.forwarding.http.SimpleHttpResponse
-import org.bilberryhead.forwarding.http.SimpleHttpServer
 import org.bilberryhead.platform.wire.RowKey
 import org.bilberryhead.platform.wire.WireTables
 import java.net.Socket
-import java.util.Base64
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 
-private const val HOST = "127.0.0.1"
+internal const val HOST = "127.0.0.1"
 
-private fun freeAddress() = SocketAddress(HOST, FreePorts.next())
+internal fun freeAddress() = SocketAddress(HOST, FreePorts.next())
 
 /** Starts an entry with one endpoint in pool `p` for each of [handlers], and closes them after [use]. */
 internal fun <T> deploy(
@@ -58,17 +54,15 @@
  */
 internal class LoopbackDeployment(
     private val configuration: String?,
-    private val pools: Map<String, List<ScriptedEndpoint>>,
+    pools: Map<String, List<ScriptedEndpoint>>,
     private val seeds: List<SocketAddress> = emptyList(),
     private val isStoreReachable: Boolean = true,
     drainLimit: Long = 8_000,
     id: String = "entry",
     sharedStore: FakeRowStore? = null,
 ) : AutoCloseable {
-    private val storeThread = newEventThread()
     private val entryThread = newEventThread()
-    private val store = sharedStore?.address ?: freeAddress()
-    private val tablesRead = CountDownLatch(2)
+    private val store = LoopbackStore(configuration, pools, isReachable = isStoreReachable && sharedStore == null)
     val settings = ForwardingSettings(
         id = DaemonId(id),
         dataCentre = DataCentre("x"),
@@ -77,18 +71,16 @@
         peers = freeAddress(),
         metrics = freeAddress(),
         seeds = seeds,
-        store = store,
+        store = sharedStore?.address ?: store.address,
         drainLimit = drainLimit.milliseconds,
         retrySlack = 50.0,
     )
     private val daemon = ForwardingDaemon(settings, entryThread, ForwardingMetrics(newMeterRegistry()), Random(1))
 
     init {
-        val hasOwnStore = isStoreReachable && sharedStore == null
-        if (hasOwnStore) SimpleHttpServer(storeThread, ::respond).listen(store)
-        sharedStore?.let(::writeTables)
+        sharedStore?.let { writeTables(it, pools) }
         daemon.start()
-        if (hasOwnStore) check(tablesRead.await(10, TimeUnit.SECONDS)) { "the entry did not read the store" }
+        if (isStoreReachable && sharedStore == null) store.awaitTablesRead()
         // The entry applies the rows on its own thread, possibly after the latch has opened.
         awaitReady()
     }
@@ -112,33 +104,14 @@
     /** Starts to drain the entry; the returned latch opens when it has stopped. */
     fun drain(): CountDownLatch = CountDownLatch(1).also { ended -> daemon.drain { ended.countDown() } }
 
-    private fun writeTables(shared: FakeRowStore) {
+    private fun writeTables(shared: FakeRowStore, pools: Map<String, List<ScriptedEndpoint>>) {
         configuration?.let { shared.put(RowKey(WireTables.OPERATOR, WireTables.CONFIGURATION_KEY), it) }
-        pools.flatMap(::entries).forEach { (key, value) -> shared.put(RowKey(WireTables.ENDPOINTS, key), value) }
+        endpointRows(pools).forEach { (key, value) -> shared.put(RowKey(WireTables.ENDPOINTS, key), value) }
     }
 
-    private fun respond(request: FullHttpRequest): SimpleHttpResponse {
-        val uri = request.uri()
-        return when {
-            "rows-feed" in uri -> SimpleHttpResponse(200, """{"rows":[],"ver":1}""")
-            "table=op" in uri -> rows(listOfNotNull(configuration?.let { "config" to it }))
-                .also { tablesRead.countDown() }
-            "table=servers" in uri -> rows(pools.flatMap(::entries)).also { tablesRead.countDown() }
-            else -> SimpleHttpResponse(200, """{"rows":[],"ver":1}""")
-        }
-    }
-
-    private fun entries(pool: Map.Entry<String, List<ScriptedEndpoint>>) = pool.value.mapIndexed { index, endpoint ->
-        "${pool.key}-$index" to """{"service":"${pool.key}","address":"${endpoint.address}","zone":"x",""" +
-            """"slots":4,"state":"ready","born":1}"""
-    }
-
-    private fun rows(rows: List<Pair<String, String>>): SimpleHttpResponse {
-        val text = rows.joinToString(",") { (key, value) ->
-            """{"key":"$key","value":"${Base64.getEncoder().encodeToString(value.encodeToByteArray())}","ver":1}"""
-        }
-        return SimpleHttpResponse(200, """{"rows":[$text],"truncated":false,"ver":1}""")
-    }
+    /** Changes the configuration and the endpoints of the pools in the store. */
+    fun change(configuration: String? = store.configuration, pools: Map<String, List<ScriptedEndpoint>> = store.pools) =
+        store.change(configuration, pools)
 
     /** Opens a connection as a caller. */
     fun connect() = Socket(HOST, settings.callers.port).apply { soTimeout = 10_000 }
@@ -157,7 +130,7 @@
 
     override fun close() {
         entryThread.loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS)
-        storeThread.loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS)
+        store.close()
     }
 
     companion object {
