Leave a store connection after every failed call

Seen: by reading, then in a test: a store that answered one poll twice had the empty answer to a poll read as the whole table, so that every server was gone. Cause: an answer is matched to its call only by its place. Once a copy has shifted the answers, a failed call is followed by a full read on the same connection, which gets the answer to the poll before it. Before: StoreTableWatchTest, "is not taken for empty by a response to an earlier call that a copy has delayed", fails on the old code; a response with an old version was the only failure that left the connection. Change: every failed call closes its connection. Why it works: a full read after a failure is the first call on a new connection, so no earlier answer can be in front of it. Costs one connection for each failed call.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreTableWatch.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreTableWatch.kt
@@ -92,8 +92,6 @@
         longPollTimeout + RESPONSE_TIMEOUT,
     ) { rows ->
         if (rows.version < sinceVersion || rows.rows.any { it.version in 1..sinceVersion }) {
-            // The response to this call is still to come; it must not be read as the response to the next one.
-            connection?.close()
             return@call callFailed("an answer to an earlier call")
         }
         callSucceeded()
@@ -181,6 +179,8 @@
     }
 
     private fun callFailed(reason: String) {
+        // The response to this call may still be to come; it must not be read as the response to the next one.
+        connection?.close()
         metrics.storeCall(table, "failed")
         if (failures == 0) decisions.write("store lost") { mapOf("table" to table, "reason" to reason) }
         failures++
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/StoreTableWatchTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/StoreTableWatchTest.kt
@@ -15,6 +15,7 @@
 import org.bilberryhead.platform.wire.StoreRow
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
@@ -26,22 +27,17 @@
 private const val NO_CHANGE = """{"rows":[],"ver":6}"""
 private const val REMOVAL = """{"rows":[{"key":"a","removed":true,"ver":6}],"ver":6}"""
 
-/** A store that returns [responses] in turn and then repeats the last one, with a watch on one of its tables. */
-private class ScriptedStore(
-    private val responses: List<SimpleHttpResponse>,
-    timings: WatchTimings = WatchTimings(longPollTimeout = 10.milliseconds, delayBetweenCalls = 1.milliseconds),
+private val SHORT_TIMINGS = WatchTimings(longPollTimeout = 10.milliseconds, delayBetweenCalls = 1.milliseconds)
+
+/** A watch on a table of the store at [storeAddress], which records what its listener receives. */
+private class WatchedTable(
+    storeAddress: SocketAddress,
+    timings: WatchTimings = SHORT_TIMINGS,
+    private val thread: EventThread = newEventThread(),
 ) : AutoCloseable {
-    private val thread = newEventThread()
-    private val address = SocketAddress("127.0.0.1", FreePorts.next())
-    val requestedUris = LinkedBlockingQueue<String>()
-    val notifications = LinkedBlockingQueue<String>()
-    private var next = 0
+    private val notifications = LinkedBlockingQueue<String>()
 
     init {
-        SimpleHttpServer(thread) { request ->
-            requestedUris += request.uri()
-            responses[minOf(next++, responses.size - 1)]
-        }.listen(address)
         val listener = object : TableListener {
             override fun onTableRead(rows: List<StoreRow>, afterOutage: Boolean) {
                 notifications += "all ${rows.map { it.key }}" + if (afterOutage) " after an outage" else ""
@@ -54,7 +50,7 @@
         }
         val watch = StoreTableWatch(
             table = "t",
-            store = address,
+            store = storeAddress,
             timings = timings,
             thread = thread,
             connector = Connector(thread, "X-Request-Id"),
@@ -69,13 +65,35 @@
     fun nextNotification(): String =
         checkNotNull(notifications.poll(10, TimeUnit.SECONDS)) { "the listener received nothing" }
 
-    fun nextUri(): String = checkNotNull(requestedUris.poll(10, TimeUnit.SECONDS)) { "the store received no call" }
-
     override fun close() {
         thread.loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS)
     }
 }
 
+/** A store that returns [responses] in turn and then repeats the last one, with a watch on one of its tables. */
+private class ScriptedStore(private val responses: List<SimpleHttpResponse>, timings: WatchTimings = SHORT_TIMINGS) :
+    AutoCloseable {
+    private val thread = newEventThread()
+    private val address = SocketAddress("127.0.0.1", FreePorts.next())
+    val requestedUris = LinkedBlockingQueue<String>()
+    private var next = 0
+
+    init {
+        SimpleHttpServer(thread) { request ->
+            requestedUris += request.uri()
+            responses[minOf(next++, responses.size - 1)]
+        }.listen(address)
+    }
+
+    private val table = WatchedTable(address, timings, thread)
+
+    fun nextNotification(): String = table.nextNotification()
+
+    fun nextUri(): String = checkNotNull(requestedUris.poll(10, TimeUnit.SECONDS)) { "the store received no call" }
+
+    override fun close() = table.close()
+}
+
 class StoreTableWatchTest :
     DescribeSpec({
         fun ok(text: String) = SimpleHttpResponse(200, text)
@@ -131,6 +149,24 @@
                 }
             }
 
+            it("is not taken for empty by a response to an earlier call that a copy has delayed") {
+                val polls = AtomicInteger()
+                val store = ScriptedEndpoint {
+                    when {
+                        "rows-get" in request.head -> respond(body = if (previousId == null) ONE_ROW else EMPTY)
+                        // The first poll is answered twice, so this is the response to the second.
+                        polls.incrementAndGet() == 3 -> respond(status = "503 Unavailable")
+                        else -> respond(body = EMPTY)
+                    }
+                }
+                store.use {
+                    WatchedTable(SocketAddress("127.0.0.1", it.address.substringAfter(':').toInt())).use { table ->
+                        table.nextNotification() shouldBe "all [a]"
+                        table.nextNotification() shouldBe "all [a] after an outage"
+                    }
+                }
+            }
+
             it("is polled at short intervals after it was read completely, then at long ones") {
                 val timings = WatchTimings(
                     longPollTimeout = 10.milliseconds,
