Read on after keys that a path cannot hold, and never without end

Seen: report of an operator: machines that read a list with an odd entry ended again and again, or stopped following it. Cause: the next page was asked for with the last key as it was. A key with a line break was refused by the encoder ("The URI contains..."), so that the table was read from its start for ever; one with & or # asked for another page. A store that returned the same page again was read until the memory was full. Before: two tests of StoreTableWatchTest fail on the old code (expected from=a%26b%3D%23%0A%25%C3%BC%20%2B%00, was the first page again; the same rows twice). Change: the key is encoded; a page that ends where the one before it ended fails the call. Why it works: every key comes back unchanged, and each page goes further than the last.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreTableWatch.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreTableWatch.kt
@@ -73,10 +73,12 @@
 
     private fun readPage(from: String?): Unit = call(WirePaths.rows(table, from), RESPONSE_TIMEOUT) { rows ->
         if (from == null) rowsRead.clear()
+        val lastKey = rowsRead.lastOrNull()?.key
         rowsRead += rows.rows
         if (rows.hasMore && rows.rows.isNotEmpty()) {
+            if (rows.rows.last().key == lastKey) return@call callFailed("the rows do not go on")
             // Appending a zero byte gives the key that directly follows the last one in byte order.
-            readPage(from = rows.rows.last().key + "%00")
+            readPage(from = rows.rows.last().key + "\u0000")
         } else {
             val afterOutage = failures > 0
             callSucceeded()
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/StoreTableWatchTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/StoreTableWatchTest.kt
@@ -182,6 +182,22 @@
                 }
             }
 
+            it("is read on after a key with characters that a path cannot hold") {
+                val first = """{"rows":[{"key":"a&b=#\n%ü +","value":"aGk=","ver":5}],"ver":5,"truncated":true}"""
+                ScriptedStore(listOf(ok(first), ok(ONE_ROW), ok(EMPTY))).use { store ->
+                    store.nextNotification()
+                    store.nextUri()
+                    store.nextUri() shouldBe "/v1/rows-get?table=t&part=&from=a%26b%3D%23%0A%25%C3%BC%20%2B%00"
+                }
+            }
+
+            it("is not read without end when a store returns the same rows again and again") {
+                val first = """{"rows":[{"key":"a","value":"aGk=","ver":5}],"ver":5,"truncated":true}"""
+                ScriptedStore(listOf(ok(first), ok(first), ok(ONE_ROW), ok(EMPTY))).use { store ->
+                    store.nextNotification() shouldBe "all [a] after an outage"
+                }
+            }
+
             it("is read in several calls when a response is truncated") {
                 val first = """{"rows":[{"key":"a","value":"aGk=","ver":5}],"ver":5,"truncated":true}"""
                 val second = """{"rows":[{"key":"b","value":"aGk=","ver":5}],"ver":5,"truncated":false}"""
