Ignore numbers of members and ages that no peer can mean

Seen: in a test: an entry that had its rows from a peer with -1 members answered every request as not run ("ArithmeticException: / by zero" at the start of each). Cause: the number of a peer was used as it came. -1 gives no entries, by which the connections are divided; overflows; a negative age is newer than any other. Before: EntryMembershipTest, "is not taken from a number that no peer can know", fails on the old code: expected null, was 0. Change: numbers out of 1 to a million and negative ages are ignored. Why it works: the entry keeps the smallest share, as before it learns the number.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EntryMembership.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EntryMembership.kt
@@ -91,9 +91,12 @@
         ownRenewal = OwnRenewal(sentAt, wallTime)
     }
 
-    /** Records the number of members that another entry knows, for the time until this entry has read the rows. */
+    /**
+     * Records the number of members that another entry knows, for the time until this entry has read the rows. Ignores
+     * one that is not plausible.
+     */
     fun recordPeerCount(count: Int) {
-        peerCount = count
+        if (count in PLAUSIBLE_COUNTS) peerCount = count
     }
 
     /**
@@ -136,5 +139,8 @@
 
         /** The time of day may be set by a few seconds; a larger difference is taken for a suspended VM. */
         val MAXIMUM_CLOCK_STEP = 60.seconds
+
+        /** Numbers of entries that share the limits; far below the range of an integer. */
+        val PLAUSIBLE_COUNTS = 1..1_000_000
     }
 }
--- a/core/src/test/kotlin/org/bilberryhead/core/serving/EntryMembershipTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/EntryMembershipTest.kt
@@ -141,6 +141,14 @@
                 observer.shareCount shouldBe 33
             }
 
+            it("is not taken from a number that no peer can know") {
+                val observer = Observer("a")
+                for (count in listOf(-1, 0, Int.MAX_VALUE, Int.MIN_VALUE)) {
+                    observer.membership.recordPeerCount(count)
+                    observer.shareCount.shouldBeNull()
+                }
+            }
+
             it("is the smallest once the others may have ended its lease, until that is renewed") {
                 val observer = observer("b")
                 observer.pass(9.minutes + 1.seconds)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerCatchUp.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerCatchUp.kt
@@ -49,7 +49,7 @@
         if (replica.isStoreReachable) return
         val response = (outcome as? ExchangeOutcome.Completed)?.response ?: return
         val snapshot = PeerCodec.decode(SnapshotMessage.serializer(), response.body) ?: return
-        val peerAge = snapshot.ageMs?.milliseconds
+        val peerAge = snapshot.ageMs?.takeIf { it >= 0 }?.milliseconds
         val ownAge = replica.age
         val isNewer = peerAge != null && (ownAge == null || peerAge < ownAge)
         decisions.write("caught up from a peer") {
