Use no server that an odd entry names

Seen: report of an operator: another writer left one odd entry among the servers, and the machines that read it ended again and again or stopped following the list. Here they neither ended nor stopped, but they used what such entries name. Cause: octets over 255 passed as an address, for which the event thread then asked a name server; so did any name in a row of an entry. LoopbackDeployment waits until an entry has its share of the retries. Why it works: what cannot be used is refused where it is decoded, row by row; no decoder throws, so that no row stops those beside it.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EntryRow.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EntryRow.kt
@@ -8,6 +8,7 @@
 import org.bilberryhead.core.common.SocketAddressTextSerializer
 import org.bilberryhead.core.common.decodeOrNull
 import org.bilberryhead.core.serving.EntryRecord
+import org.bilberryhead.platform.wire.parseSocketAddress
 
 /**
  * The row that an entry writes about itself into the store, under its id.
@@ -24,12 +25,20 @@
     val run: Long = 0,
     val isLeaving: Boolean = false,
 ) {
+    /** Names in an address are excluded, as a lookup would stop the event thread. */
+    private val isPlausible: Boolean
+        get() = processorShare in PROCESSOR_SHARES && parseSocketAddress(peers.toString()) != null
+
     fun encode(): String = Json.encodeToString(serializer(), this)
 
     fun toRecord(id: DaemonId) = EntryRecord(id, dataCentre, peers, processorShare, run, isLeaving)
 
     companion object {
         /** Returns the row in [text], or null when it cannot be decoded. */
-        fun decode(text: String): EntryRow? = decodeOrNull { Json.decodeFromString(serializer(), text) }
+        fun decode(text: String): EntryRow? =
+            decodeOrNull { Json.decodeFromString(serializer(), text) }?.takeIf { it.isPlausible }
+
+        /** Excludes cores that would make every other entry look small. */
+        private val PROCESSOR_SHARES = 0.0..10_000.0
     }
 }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -17,6 +17,7 @@
 import org.bilberryhead.daemon.newMeterRegistry
 import org.bilberryhead.forwarding.http.SimpleHttpResponse
 import org.bilberryhead.forwarding.http.SimpleHttpServer
+import org.bilberryhead.platform.wire.WireTables
 import java.net.Socket
 import java.util.Base64
 import java.util.concurrent.CountDownLatch
@@ -51,6 +52,7 @@
  * @param seeds addresses of other entries from which the entry reads the configuration and the endpoints
  * @param isStoreReachable whether the store listens
  * @param drainLimit longest time of a drain, in milliseconds
+ * @param storeResponse returns the body of the store's response to a call; null for a store that holds the above
  */
 internal class LoopbackDeployment(
     private val configuration: String?,
@@ -58,11 +60,12 @@
     private val seeds: List<SocketAddress> = emptyList(),
     private val isStoreReachable: Boolean = true,
     drainLimit: Long = 8_000,
+    private val storeResponse: ((uri: String) -> String)? = null,
 ) : AutoCloseable {
     private val storeThread = newEventThread()
     private val entryThread = newEventThread()
     private val store = freeAddress()
-    private val tablesRead = CountDownLatch(2)
+    private val callsReceived = CountDownLatch(FIRST_CALLS)
     val settings = ForwardingSettings(
         id = DaemonId("entry"),
         dataCentre = DataCentre("x"),
@@ -80,7 +83,11 @@
     init {
         if (isStoreReachable) SimpleHttpServer(storeThread, ::respond).listen(store)
         daemon.start()
-        if (isStoreReachable) check(tablesRead.await(10, TimeUnit.SECONDS)) { "the entry did not read the store" }
+        if (isStoreReachable &&
+            storeResponse == null
+        ) {
+            check(callsReceived.await(10, TimeUnit.SECONDS)) { "the entry did not read the store" }
+        }
         // The entry applies the rows on its own thread, possibly after the latch has opened.
         awaitReady()
     }
@@ -98,6 +105,9 @@
         " 200 " in it.getInputStream().readMessage()?.head.orEmpty()
     }
 
+    /** Number of exceptions that the entry did not expect. */
+    val failureCount: Long get() = entryThread.failureCount
+
     /** Reloads the entry with [read], the result of reading its settings file again. */
     fun reload(read: Result<ForwardingSettings, List<SettingsError>>) = daemon.reload(read)
 
@@ -106,12 +116,16 @@
 
     private fun respond(request: FullHttpRequest): SimpleHttpResponse {
         val uri = request.uri()
+        storeResponse?.let { return SimpleHttpResponse(200, it(uri)) }
         return when {
             "rows-feed" in uri -> SimpleHttpResponse(200, """{"rows":[],"ver":1}""")
             "table=op" in uri -> rows(listOfNotNull(configuration?.let { "config" to it }))
-                .also { tablesRead.countDown() }
-            "table=servers" in uri -> rows(pools.flatMap(::entries)).also { tablesRead.countDown() }
-            else -> SimpleHttpResponse(200, """{"rows":[],"ver":1}""")
+                .also { callsReceived.countDown() }
+            "table=servers" in uri -> rows(pools.flatMap(::entries)).also { callsReceived.countDown() }
+            else -> SimpleHttpResponse(200, """{"rows":[],"ver":1}""").also {
+                // Without its lease and the other entries an entry has no share of the retries.
+                if ("rows-tx" in uri || "table=${WireTables.ENTRIES}" in uri) callsReceived.countDown()
+            }
         }
     }
 
@@ -150,6 +164,9 @@
     companion object {
         private const val MAXIMUM_READINESS_CHECKS = 500
 
+        /** Calls to the store after which an entry can serve: two tables that routing needs, two for retries. */
+        private const val FIRST_CALLS = 4
+
         /** One route of each kind and one client account. Calls of stages have a long timeout. */
         val CONFIGURATION = """
             {"version":1,"routes":[
