Never send a request twice on one connection

Seen: report of an operator: a faulty server wrote an earlier refusal once more, and callers were told "not run, try again" for requests that it ran (REFUSED), or a second server ran them as well (TWICE). Cause: a response is matched by its request id only. When the same id is sent again on the same connection (the only endpoint, or a caller that tries again), a copy of the refusal is read as the response to the second run. Change: a connection remembers hashes of the ids that it carried, a request gets one that has not carried its id, and at the maximum the longest idle one is replaced. After 500 requests a connection is closed, which bounds the memory. Why it works: a response with the id of a request on its connection can only be one to that request. Calls of stages have a connection each; calls of peers and releases have no ids and no refusal that a caller is told of.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/EndpointConnections.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/EndpointConnections.kt
@@ -34,18 +34,25 @@
     /**
      * Passes a connection on which an exchange can start to [opened], or the reason why there is none to [failed].
      *
+     * @param requestId id of the request; its connection has never carried a request with that id; null without one
      * @param mayRepeat whether the exchange may be repeated; one that may not gets a new connection instead of one that
      * has been idle for long, which the endpoint may be closing, as long as the maximum allows it
      */
-    fun acquire(mayRepeat: Boolean, opened: (OutboundConnection) -> Unit, failed: (String) -> Unit) {
+    fun acquire(
+        requestId: String?,
+        mayRepeat: Boolean,
+        opened: (OutboundConnection) -> Unit,
+        failed: (String) -> Unit,
+    ) {
         dropUnusable()
-        val reusable = idle.lastOrNull()
+        val reusable = idle.lastOrNull { requestId == null || !it.hasCarried(requestId) }
         val avoidsLongIdle = !mayRepeat && open.size + openingCount < maximumConnections()
         if (reusable != null && (!avoidsLongIdle || thread.now() - reusable.idleSince < SHORT_IDLE_TIME)) {
-            idle.removeLast()
+            idle -= reusable
             opened(reusable)
             return
         }
+        if (open.size + openingCount >= maximumConnections()) closeLongestIdle()
         openingCount++
         connector.open(
             address,
@@ -88,6 +95,12 @@
         idle -= connection
     }
 
+    private fun closeLongestIdle() {
+        val connection = idle.firstOrNull() ?: return
+        discard(connection)
+        connection.close()
+    }
+
     private fun dropUnusable() {
         val now = thread.now()
         idle.filterNot { it.isUsable(now) }.forEach {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
@@ -32,6 +32,7 @@
  *
  * A response with the id of another request is skipped, and the connection is not reused afterwards. Bytes that arrive
  * while no request is pending close the connection, as do bytes that go on without becoming part of the response.
+ * As a response is matched by its id, a request whose id was sent on the connection before needs another connection.
  *
  * @param onUnexpectedFailure receives an exception that is neither an I/O error nor an invalid response
  */
@@ -50,6 +51,7 @@
     private var bodyEndsAtClose = false
     private var failureReason: String? = null
     private var idleTimeout: Duration = DEFAULT_IDLE_TIMEOUT
+    private val carriedIdHashes = mutableSetOf<Int>()
 
     /** Called when the connection closes, when an exchange on it has ended, and when it is released unused. */
     var onStateChange: () -> Unit = {}
@@ -68,6 +70,12 @@
     /** Whether an exchange may start at [at], well before the other side's idle timeout closes the connection. */
     fun isUsable(at: Instant): Boolean = isOpen && isReusable && at - idleSince < idleTimeout
 
+    /**
+     * Returns whether a request with [requestId] was sent on this connection, so that a late copy of its response could
+     * be read as the response to another one with that id. May be true for an id that was not sent.
+     */
+    fun hasCarried(requestId: String): Boolean = requestId.hashCode() in carriedIdHashes
+
     /** Adds this connection and its codec to [pipeline]. */
     fun addTo(pipeline: ChannelPipeline) {
         pipeline.addLast(UnexpectedBytesCheck()).addLast(decoder).addLast(HttpRequestEncoder()).addLast(this)
@@ -99,6 +107,8 @@
         bytesWithoutProgress = 0
         decoder.expectsNoBody = request.method == HttpMethod.HEAD
         if (request.method == HttpMethod.HEAD) isReusable = false
+        requestId?.let { carriedIdHashes += it.hashCode() }
+        if (carriedIdHashes.size >= MAXIMUM_CARRIED_IDS) isReusable = false
         val message = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
             request.method,
@@ -269,6 +279,9 @@
 
         /** Leaves room for interim responses and for a late response to an earlier request, which is skipped. */
         const val MAXIMUM_BYTES_WITHOUT_PROGRESS = 1024 * 1024
+
+        /** Number of requests after which a connection is closed, which bounds the memory for their ids. */
+        const val MAXIMUM_CARRIED_IDS = 500
         const val KEEP_ALIVE_HEADER = "Keep-Alive"
         val TIMEOUT_PARAMETER = Regex("""timeout=(\d+)""")
         val DEFAULT_IDLE_TIMEOUT = 4.seconds
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerClient.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerClient.kt
@@ -73,6 +73,7 @@
         pendingCalls += pending
         scheduleLivenessCheck()
         connections.acquire(
+            requestId = null,
             mayRepeat = true,
             opened = { connection -> send(connection, path, body, pending) },
             failed = { pending.end(ExchangeOutcome.NotSent(it)) },
@@ -115,6 +116,7 @@
             }
         }
         connections.acquire(
+            requestId = null,
             mayRepeat = false,
             opened = { connection ->
                 connection.send(request(PeerPaths.ALIVE, ByteArray(0)), requestId = null, listener)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -92,6 +92,7 @@
         attempt = newAttempt
         decisionLog.attemptStarted(endpoint, attemptCount + 1)
         endpoint.connections.acquire(
+            requestId = request.id.value,
             mayRepeat = route.repeatRule.mayRepeat,
             opened = { connection ->
                 if (attempt !== newAttempt || isFinished) connection.release() else sendAttempt(newAttempt, connection)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/ResultReleaser.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/ResultReleaser.kt
@@ -40,6 +40,7 @@
         val releases = pendingReleases.remove(address) ?: return
         val endpoint = endpointByAddress(address) ?: return
         endpoint.connections.acquire(
+            requestId = null,
             mayRepeat = true,
             opened = { connection ->
                 val timer = thread.after(RESPONSE_TIMEOUT) { connection.close() }
