Pass on no text without a number in a numbered stream

Seen: report of an operator: a stream broke off, the next server answered with an error, and callers found its text or head in the middle of their stream (MIXED). Cause: an event without a number was always taken for the next one. Change: every event of a stream that can be resumed needs a number, and any other stream needs them from its first number on; else the attempt has failed. Why it works: only events whose numbers follow each other reach the caller.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EventSplitter.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EventSplitter.kt
@@ -58,16 +58,17 @@
  * Checks that the events of one response have consecutive numbers, also when another endpoint resumes the stream.
  *
  * @param lastReceivedByCaller number of the last event that the caller has received, or null
+ * @param requiresNumbers whether every event must have a number; otherwise those before the first with one need none
  */
-class EventOrder(lastReceivedByCaller: Long?) {
+class EventOrder(lastReceivedByCaller: Long?, private val requiresNumbers: Boolean = false) {
     /** Number of the last event that was delivered, or null before the first. */
     var lastDelivered: Long? = lastReceivedByCaller
         private set
 
     /** Records the next event of the response. Returns false when its number does not follow the last one. */
     fun recordNext(event: StreamEvent): Boolean {
-        val id = event.id ?: return true
         val previous = lastDelivered
+        val id = event.id ?: return previous == null && !requiresNumbers
         if (previous != null && id != previous + 1) return false
         lastDelivered = id
         return true
--- a/core/src/test/kotlin/org/bilberryhead/core/serving/EventSplitterTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/EventSplitterTest.kt
@@ -49,6 +49,15 @@
                 order.lastDelivered shouldBe 6
             }
 
+            it("refuses an event without a number after one with a number, or where all must have one") {
+                val order = EventOrder(lastReceivedByCaller = null)
+                order.recordNext(event(null)) shouldBe true
+                order.recordNext(event(4)) shouldBe true
+                order.recordNext(event(null)) shouldBe false
+                EventOrder(lastReceivedByCaller = 9).recordNext(event(null)) shouldBe false
+                EventOrder(lastReceivedByCaller = null, requiresNumbers = true).recordNext(event(null)) shouldBe false
+            }
+
             it("continues after the last event that the caller has received") {
                 EventOrder(lastReceivedByCaller = 9).recordNext(event(1)) shouldBe false
                 EventOrder(lastReceivedByCaller = 9).recordNext(event(10)) shouldBe true
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -35,7 +35,7 @@
     PreparationListener,
     CallerListener {
     private val route = request.route
-    private val eventOrder = EventOrder(request.lastEventId)
+    private val eventOrder = EventOrder(request.lastEventId, route.repeatRule == RepeatRule.RESUMABLE_STREAM)
     private val decisionLog = RequestDecisionLog(request, context)
     private var preparation: Preparation? = null
     private var inputs: List<ResultHandle> = emptyList()
