--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ResumedStreamTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ResumedStreamTest.kt
@@ -50,6 +50,10 @@
                 write("FF\r\n$BEGINNING")
                 closeConnection()
             },
+            "with its connection, as it has neither chunks nor a length" to {
+                unframed(BEGINNING)
+                closeConnection()
+            },
         )
 
         val wrongAnswers: Map<String, Responder> = mapOf(
@@ -75,6 +79,10 @@
                 unframed("id: 3\ndata: c\n\nid: 4\nda")
                 closeConnection()
             },
+            "a body without a frame that ends between two events" to {
+                unframed("id: 3\ndata: c\n\n")
+                closeConnection()
+            },
             "two heads in a row" to {
                 unframed("HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: $id\r\n\r\nno\n\n")
                 closeConnection()
@@ -112,6 +120,15 @@
             }
         }
 
+        describe("a stream that cannot be resumed") {
+            it("looks incomplete when it ends with its connection, as it has neither chunks nor a length") {
+                deploy({
+                    unframed(BEGINNING)
+                    closeConnection()
+                }) { entry, _ -> entry.get("/stream/a").shouldNotBeNull().body shouldBe BEGINNING + CUT }
+            }
+        }
+
         describe("a stream that its caller resumes") {
             it("is complete when nothing is left of it") {
                 deploy({
