--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptReplacement.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptReplacement.kt
@@ -67,6 +67,7 @@
         val replacement = execution.newAttempt(selection.endpoint)
         current.candidate = replacement
         selection.endpoint.connections.acquire(
+            requestId = request.id.value,
             mayRepeat = true,
             opened = { connection -> execution.guarded { useConnection(current, replacement, connection) } },
             failed = { reason -> execution.guarded { replacement.connectFailed(reason) } },
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -33,7 +33,7 @@
     PreparationListener,
     CallerListener {
     private val route = request.route
-    private val eventOrder = EventOrder(request.lastEventId)
+    private val eventOrder = EventOrder(request.lastEventId, route.repeatRule == RepeatRule.RESUMABLE_STREAM)
     private val decisionLog = RequestDecisionLog(request, context)
     private var preparation: Preparation? = null
     private var inputs: List<ResultHandle> = emptyList()
@@ -117,6 +117,7 @@
         val newAttempt = newAttempt(endpoint)
         attempt = newAttempt
         endpoint.connections.acquire(
+            requestId = request.id.value,
             mayRepeat = route.repeatRule.mayRepeat,
             opened = { connection ->
                 guarded {
@@ -187,6 +188,8 @@
 
     override fun streamCompleted(attempt: Attempt, head: ResponseHead) {
         if (isFinished) return
+        // Nothing says whether the caller has received the last event.
+        if (isStreaming && !attempt.hasReceivedEvent) return abort("the stream was resumed without an event")
         if (!isStreaming) responseWriter.start(head)
         responseWriter.finish()
         complete(head.status, "complete", attempt.endpoint)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreTableWatch.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreTableWatch.kt
@@ -73,10 +73,12 @@
 
     private fun readPage(from: String?): Unit = call(WirePaths.rows(table, from), RESPONSE_TIMEOUT) { rows ->
         if (from == null) rowsRead.clear()
+        val lastKey = rowsRead.lastOrNull()?.key
         rowsRead += rows.rows
         if (rows.hasMore && rows.rows.isNotEmpty()) {
+            if (rows.rows.last().key == lastKey) return@call callFailed("the rows do not go on")
             // Appending a zero byte gives the key that directly follows the last one in byte order.
-            readPage(from = rows.rows.last().key + "%00")
+            readPage(from = rows.rows.last().key + "\u0000")
         } else {
             val afterOutage = failures > 0
             callSucceeded()
@@ -92,8 +94,6 @@
         longPollTimeout + RESPONSE_TIMEOUT,
     ) { rows ->
         if (rows.version < sinceVersion || rows.rows.any { it.version in 1..sinceVersion }) {
-            // The response to this call is still to come; it must not be read as the response to the next one.
-            connection?.close()
             return@call callFailed("an answer to an earlier call")
         }
         callSucceeded()
@@ -181,6 +181,8 @@
     }
 
     private fun callFailed(reason: String) {
+        // The response to this call may still be to come; it must not be read as the response to the next one.
+        connection?.close()
         metrics.storeCall(table, "failed")
         if (failures == 0) decisions.write("store lost") { mapOf("table" to table, "reason" to reason) }
         failures++
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -51,6 +51,7 @@
  * @param drainLimit longest time of a drain, in milliseconds
  * @param id id of the entry
  * @param sharedStore a store that several entries use, in place of one that only this entry uses
+ * @param storeResponse returns the body of the store's response to a call; null for a store that holds the above
  */
 internal class LoopbackDeployment(
     private val configuration: String?,
@@ -60,9 +61,11 @@
     drainLimit: Long = 8_000,
     id: String = "entry",
     sharedStore: FakeRowStore? = null,
+    storeResponse: ((uri: String) -> String)? = null,
 ) : AutoCloseable {
     private val entryThread = newEventThread()
-    private val store = LoopbackStore(configuration, pools, isReachable = isStoreReachable && sharedStore == null)
+    private val store =
+        LoopbackStore(configuration, pools, isReachable = isStoreReachable && sharedStore == null, storeResponse)
     val settings = ForwardingSettings(
         id = DaemonId(id),
         dataCentre = DataCentre("x"),
@@ -80,7 +83,7 @@
     init {
         sharedStore?.let { writeTables(it, pools) }
         daemon.start()
-        if (isStoreReachable && sharedStore == null) store.awaitTablesRead()
+        if (isStoreReachable && sharedStore == null && storeResponse == null) store.awaitFirstCalls()
         // The entry applies the rows on its own thread, possibly after the latch has opened.
         awaitReady()
     }
@@ -98,6 +101,9 @@
         " 200 " in it.getInputStream().readMessage()?.head.orEmpty()
     }
 
+    /** Number of exceptions that the entry did not expect. */
+    val failureCount: Long get() = entryThread.failureCount
+
     /** Reloads the entry with [read], the result of reading its settings file again. */
     fun reload(read: Result<ForwardingSettings, List<SettingsError>>) = daemon.reload(read)
 
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackStore.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackStore.kt
@@ -4,6 +4,7 @@
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.forwarding.http.SimpleHttpResponse
 import org.bilberryhead.forwarding.http.SimpleHttpServer
+import org.bilberryhead.platform.wire.WireTables
 import java.util.Base64
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -21,14 +22,16 @@
  * A store on the loopback interface that holds one configuration and the endpoints of its pools.
  *
  * @param isReachable whether the store listens
+ * @param responseTo returns the body of the response to a call; null for a store that holds the above
  */
 internal class LoopbackStore(
     configuration: String?,
     pools: Map<String, List<ScriptedEndpoint>>,
     isReachable: Boolean = true,
+    private val responseTo: ((uri: String) -> String)? = null,
 ) : AutoCloseable {
     private val thread = newEventThread()
-    private val tablesRead = CountDownLatch(2)
+    private val firstCalls = CountDownLatch(FIRST_CALLS)
 
     @Volatile
     private var version = 1
@@ -46,7 +49,7 @@
         if (isReachable) SimpleHttpServer(thread, ::respond).listen(address)
     }
 
-    fun awaitTablesRead() = check(tablesRead.await(10, TimeUnit.SECONDS)) { "the entry did not read the store" }
+    fun awaitFirstCalls() = check(firstCalls.await(10, TimeUnit.SECONDS)) { "the entry did not read the store" }
 
     fun change(configuration: String?, pools: Map<String, List<ScriptedEndpoint>>) {
         this.configuration = configuration
@@ -56,15 +59,19 @@
 
     private fun respond(request: FullHttpRequest): SimpleHttpResponse {
         val uri = request.uri()
+        responseTo?.let { return SimpleHttpResponse(OK, it(uri)) }
         val current = version
         val isKnown = KNOWN_VERSION.find(uri)?.groupValues?.get(1)?.toInt() == current
         return when {
             isKnown -> rows(emptyList(), current)
             "table=op" in uri ->
-                rows(listOfNotNull(configuration?.let { "config" to it }), current).also { tablesRead.countDown() }
+                rows(listOfNotNull(configuration?.let { "config" to it }), current).also { firstCalls.countDown() }
 
-            "table=servers" in uri -> rows(endpointRows(pools), current).also { tablesRead.countDown() }
-            else -> rows(emptyList(), current)
+            "table=servers" in uri -> rows(endpointRows(pools), current).also { firstCalls.countDown() }
+            else -> rows(emptyList(), current).also {
+                // Without its lease and the other entries an entry has no share of the retries.
+                if ("rows-tx" in uri || "table=${WireTables.ENTRIES}" in uri) firstCalls.countDown()
+            }
         }
     }
 
@@ -83,6 +90,9 @@
 
     private companion object {
         const val OK = 200
+
+        /** Calls after which an entry can serve: two tables that routing needs, two for retries. */
+        const val FIRST_CALLS = 4
         val KNOWN_VERSION = Regex("""[?&]after=(\d+)""")
     }
 }
