Complete a stream that ends with its connection between two events

What callers would have seen: a stream without chunks and without a length was cut although it was whole.

Cause: took such a stream for broken, since the end of a process closes its connections in the same way. The interface of the endpoints allows it: a stream may end with its connection, and one that ends within an event has been broken off. So the check was wrong, not the endpoints.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
@@ -132,7 +132,6 @@
         when {
             isFinished -> Unit
             isStreaming && eventSplitter.hasPartialEvent -> failAsBroken("the stream ended within an event")
-            isStreaming && !hasEndMark(head) -> failAsBroken("the stream ended with its connection")
             isStreaming -> if (finish(ExchangeResult.SUCCEEDED)) {
                 if (hasReceivedEvent && hasExplicitEnd(head)) recordSound()
                 listener.streamCompleted(this, head)
@@ -177,10 +176,6 @@
     private fun isSigned(head: ResponseHead): Boolean =
         head.headers.contains(WireHeaders.SIGNATURE) && !head.headers.contains("Content-Encoding")
 
-    /** Returns whether the end of the body can be told from the end of a process that closes its connections. */
-    private fun hasEndMark(head: ResponseHead): Boolean =
-        head.headers.contains("Transfer-Encoding") || head.headers.contains("Content-Length")
-
     override fun exchangeFailed(failure: ExchangeFailure) = when (failure) {
         is ExchangeFailure.NotSent ->
             fail(ExchangeResult.FAILED, AttemptOutcome.NotSent, failure.reason, response = null)
