--- a/core/src/main/kotlin/org/bilberryhead/core/serving/ReceiveTimeout.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ReceiveTimeout.kt
@@ -17,7 +17,7 @@
     /**
      * Returns the longest time to wait for the next event of a stream of [route] that has begun. Its caller has part of
      * the response, which is lost when no other endpoint resumes it. So the endpoint gets half of the time that the
-     * caller waits; the other half is left for another endpoint.
+     * caller waits, but at least the longest silence of a sound endpoint; what is left is for another endpoint.
      *
      * @param remaining time from the last event to the deadline of the request
      */
