Answer requests that arrive together with one that a draining entry refuses

What callers saw: an entry that drains refuses a request as soon as it is read whole, with "Connection: close", and closes the connection. A caller that had sent two requests in one write got the refusal of the first, and neither an answer nor a refusal for the second, although both had arrived together.

Cause: whether a response is the last one of a connection was decided in the middle of a read, when the requests behind it had arrived but had not been decoded yet.

Change: CallerConnection serves what it has read when the read is complete (channelReadComplete). A response can then tell whether another request has been read.

Evidence, on the code before: CallerConnectionTest, "are answered behind one that a draining process refuses as soon as it has read it": 'expected:<["answer a", "answer b", "answer c"]> but was:<["answer a"]>'.

Conclusion: a response may close a connection only when all that was read with its request is known.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -165,7 +165,7 @@
             receivedAt = state.now(),
         )
         if (!completeRequest.keepsConnection) isEnding = true
-        if (isServing) enqueue(completeRequest) else serve(completeRequest)
+        enqueue(completeRequest)
     }
 
     private fun enqueue(request: CallerRequest) {
@@ -173,6 +173,12 @@
         if (waitingRequests.size > MAXIMUM_WAITING_REQUESTS) channel.config().isAutoRead = false
     }
 
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        // Only now is it known whether more requests have arrived; a response before that could close the connection.
+        serveNext()
+        context.fireChannelReadComplete()
+    }
+
     private fun serve(request: CallerRequest) {
         val response = ActiveResponse(request)
         current = response
@@ -180,6 +186,7 @@
     }
 
     private fun serveNext() {
+        if (current != null) return
         val next = waitingRequests.removeFirstOrNull() ?: return
         resumeReading()
         serve(next)
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EndOfProcessTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EndOfProcessTest.kt
@@ -37,8 +37,14 @@
 /** One caller: it sends requests in one way until it can no longer connect, and pauses within each and after each. */
 private class CallerCase(val work: Work, val sending: Sending, val pause: Duration)
 
-/** A request, the response to it or null, and the time from its last byte to its outcome. */
-private class Outcome(val case: CallerCase, val id: String, val response: RawMessage?, val elapsed: Duration) {
+/** A request, the time when its last byte was sent, the response to it or null, and the time to this outcome. */
+private class Outcome(
+    val case: CallerCase,
+    val id: String,
+    val sentAt: TimeSource.Monotonic.ValueTimeMark,
+    val response: RawMessage?,
+) {
+    val elapsed: Duration = sentAt.elapsedNow()
     val isComplete: Boolean get() = response != null && !response.isTruncated
 
     override fun toString() =
@@ -71,7 +77,7 @@
         var isOpen = true
         for (id in ids) {
             val response = if (isOpen) read(socket) else null
-            outcomes += Outcome(case, id, response, sentAt.elapsedNow())
+            outcomes += Outcome(case, id, sentAt, response)
             isOpen = response != null && response.header("Connection") != "close"
         }
         return isOpen
@@ -181,6 +187,16 @@
         outcomes.filter { it.isComplete }.shouldNotBeEmpty()
     }
 
+    /** Checks that requests which were sent together are answered together. */
+    fun checkPairs() {
+        withClue("no request ends without an answer after the answer to one that was sent together with it") {
+            outcomes.filter { it.case.sending == Sending.TWO_AT_ONCE }
+                .zipWithNext()
+                .filter { (first, second) -> first.sentAt == second.sentAt && first.isComplete && !second.isComplete }
+                .shouldBeEmpty()
+        }
+    }
+
     private fun isTrue(outcome: Outcome): Boolean = when (outcome.response?.status) {
         OK -> outcome.response.header("X-Response-Stamp") == "s" && "answer ${outcome.id}" in outcome.response.body
         else -> outcome.response?.status == UNKNOWN
@@ -211,6 +227,7 @@
                 EndOfProcess().use { end ->
                     end.play("TERM")
                     end.checkTruth()
+                    end.checkPairs()
                     withClue("every request that was passed on has its whole answer") {
                         end.outcomes.filter { it.id in end.passedOn && (!it.isComplete || it.response?.status != 200) }
                             .shouldBeEmpty()
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerConnectionTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerConnectionTest.kt
@@ -26,6 +26,15 @@
                 harness.isOpen shouldBe false
             }
 
+            it("are answered behind one that a draining process refuses as soon as it has read it") {
+                val harness = CallerConnectionHarness { it.respond(status = 503) }
+                harness.isDraining = true
+                harness.receive(request("a") + request("b") + request("c"))
+                harness.bodies() shouldBe listOf("answer a", "answer b", "answer c")
+                harness.responses.map { it.header("Connection") } shouldBe listOf(null, null, "close")
+                harness.isOpen shouldBe false
+            }
+
             it("are answered behind a stream that begins while the process drains") {
                 val harness = CallerConnectionHarness()
                 harness.receive(request("a") + request("b"))
