Refuse a request that was read in part when the process ends

What callers saw: at the end of a drain the entry stopped reading. A caller in the middle of a request kept its open connection, without an answer or a refusal, until the process was gone.

Cause: CallerConnection.stopReading left the connection of a request that was read in part open and silent, and CallerServer.stop closed idle connections only.

Change: stopReading refuses such a request: 503 "the process ends" after the responses before it, and the connection closes. The refusal is true, as the request was never whole.

Evidence: DrainTableTest held this case as allowed ("open only while a request was read in part"); its check now demands the refusal and a closed connection. On the code before: 'a request that is read in part when the process ends is refused; expected:<[503]> but was:<[]>' for [FIRST_HALF, SIGTERM, IDLE_CONNECTIONS_CLOSED, LISTENER_STOPPED, SECOND_HALF, ...]. After: 6,880 and 6,202 plays pass.

Conclusion: what an entry begins to read, it answers or refuses.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -286,8 +286,9 @@
         if (!isBusy && !isReading) channel.close()
     }
 
-    /** Stops reading; responses in progress can still be written. */
+    /** Stops reading, and refuses a request that was read only in part; responses in progress can still be written. */
     fun stopReading() {
+        if (isReading) reject(NOT_RUN, PROCESS_ENDS)
         isReadingStopped = true
         channel.config().isAutoRead = false
     }
@@ -379,6 +380,7 @@
         const val HEADERS_TOO_LARGE = 431
         const val UNKNOWN = 502
         const val NOT_RUN = 503
+        const val PROCESS_ENDS = "the process ends"
         const val UNEXPECTED_FAILURE = "unexpected failure"
         const val MAXIMUM_WAITING_REQUESTS = 4
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/DrainTableTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/DrainTableTest.kt
@@ -2,7 +2,7 @@
 
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
-import io.kotest.matchers.booleans.shouldBeTrue
+import io.kotest.matchers.booleans.shouldBeFalse
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldBeIn
 import io.kotest.matchers.ints.shouldBeGreaterThan
@@ -43,6 +43,7 @@
 private class DrainPlay(private val order: List<DrainEvent>, private val isStream: Boolean, untouchedTurn: Int) {
     private val passedOn = mutableListOf<ServedRequest>()
     private var hasStopped = false
+    private var isReadInPartAtEnd = false
     private val harness: CallerConnectionHarness = CallerConnectionHarness { request ->
         if (hasStopped) request.respond(NOT_RUN) else passedOn += request
     }
@@ -80,6 +81,7 @@
 
     private fun stop() {
         hasStopped = true
+        isReadInPartAtEnd = harness.readText.length in 1 until bodies[0].length
         // What an endpoint has not answered by now may have run.
         passedOn.filter { it.writer.isOpen }.forEach { if (isCutByEnd()) it.writer.abort() else it.respond(UNKNOWN) }
         harness.connection.stopReading()
@@ -87,7 +89,7 @@
     }
 
     fun check() {
-        val responses = harness.responses
+        val (responses, rejections) = harness.responses.partition { it.header("X-Request-Id") != null }
         val answered = responses.map { it.header("X-Request-Id") }
         withClue("every request that was read whole has one response, in order") {
             // A stream that the end of the process cuts can be followed by nothing.
@@ -100,12 +102,13 @@
             val wasPassedOn = passedOn.any { it.id == response.header("X-Request-Id") }
             response.status shouldBeIn if (wasPassedOn) setOf(OK, UNKNOWN) else setOf(NOT_RUN)
         }
-        withClue("only the last response closes the connection") {
-            responses.dropLast(1).filter { it.header("Connection") == "close" }.shouldBeEmpty()
+        withClue("a request that is read in part when the process ends is refused") {
+            rejections.map { it.status } shouldBe if (isReadInPartAtEnd) listOf(NOT_RUN) else emptyList()
         }
-        withClue("a connection that has ended is open only while a request was read in part") {
-            (!harness.isOpen || harness.connection.isReading).shouldBeTrue()
+        withClue("only the last response closes the connection") {
+            harness.responses.dropLast(1).filter { it.header("Connection") == "close" }.shouldBeEmpty()
         }
+        withClue("a connection that has ended is closed") { harness.isOpen.shouldBeFalse() }
         harness.channel.finishAndReleaseAll()
     }
 
