Send the next bad prompt only when the crashes before it are known, in the test

Reproduced on a scratch copy that repeats it in one process: the fifth repetition, "6 should be <= 5".

Cause: in the test. An entry knows of a crash about 40 ms after it (failures are collected for 30 ms, then the address is probed). The test sent the next bad prompt as soon as the one before it had ended; in a process whose code is compiled that is within 10 ms, so that the fifth and the sixth crash came before the third one was known. The rule counts from the time in which machines hear of the fifth crash.

The test now waits until the entry has reported each crash, 1 s at most, before the next bad prompt; the bound of five crashes stays. A crash that is not reported now fails the test, which it did not before.

--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/CrashingPromptTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/CrashingPromptTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThanOrEqualTo
 import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
@@ -24,6 +25,9 @@
 /** Crashes at which a part is held responsible, and those that may happen while that is not yet known. */
 private const val MAXIMUM_CRASHES = 5
 
+/** Longest time until an entry knows of a crash. */
+private val DETECTION_TIME = 1.seconds
+
 private fun ScriptedEndpoint.Exchange.stream() {
     startStream()
     sendChunk("id: 0\ndata: a\n\n")
@@ -53,11 +57,15 @@
     "X-Token-Usage: 20,10\r\nX-Prompt-Prefix: ${parts.split(' ').joinToString(",") { "$it:5" }},own-$id:5\r\n",
 )
 
-/** Sends requests with the part `bad` until one is refused, and returns the refusal. */
-private fun LoopbackDeployment.sendBadUntilRefused(prefix: String): RawMessage? {
+/**
+ * Sends requests with the part `bad` until one is refused, and returns the refusal. Each is sent once the entry knows of
+ * the crashes before it.
+ */
+private suspend fun LoopbackDeployment.sendBadUntilRefused(prefix: String, engines: CrashingEngines): RawMessage? {
     repeat(MAXIMUM_CRASHES) { number ->
-        val response = generate("$prefix-$number", "a bad c$number") ?: return@repeat
-        if (" 503 " in response.head) return response
+        val response = generate("$prefix-$number", "a bad c$number")
+        if (" 503 " in response?.head.orEmpty()) return response
+        eventually(DETECTION_TIME) { crashReportCount shouldBeGreaterThanOrEqualTo engines.crashes.get() }
         generate("$prefix-sound-$number", "a c$number").shouldNotBeNull().head shouldContain " 200 "
     }
     return generate("$prefix-last", "a bad d")
@@ -69,7 +77,7 @@
             it("is refused after few crashes instead of crashing the next engine, and requests beside it are served") {
                 CrashingEngines(count = 12).use { engines ->
                     LoopbackDeployment(ENGINE_CONFIGURATION, engines.pools).use { entry ->
-                        val refusal = entry.sendBadUntilRefused("r").shouldNotBeNull()
+                        val refusal = entry.sendBadUntilRefused("r", engines).shouldNotBeNull()
                         refusal.head shouldContain " 503 "
                         refusal.header("Retry-After").shouldNotBeNull().toDouble() shouldBeLessThanOrEqualTo 600.0
                         engines.crashes.get() shouldBeLessThanOrEqualTo MAXIMUM_CRASHES
@@ -94,7 +102,7 @@
                             LoopbackDeployment(ENGINE_CONFIGURATION, pools, id = id, sharedStore = store)
                         entry("e1").use { first ->
                             entry("e2").use { second ->
-                                first.sendBadUntilRefused("r").shouldNotBeNull().head shouldContain " 503 "
+                                first.sendBadUntilRefused("r", engines).shouldNotBeNull().head shouldContain " 503 "
                                 val reached = engines.badRequests.get()
                                 TimeUnit.SECONDS.sleep(1)
                                 second.generate("s", "a bad z").shouldNotBeNull().head shouldContain " 503 "
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -78,7 +78,8 @@
         drainLimit = drainLimit.milliseconds,
         retrySlack = 50.0,
     )
-    private val daemon = ForwardingDaemon(settings, entryThread, ForwardingMetrics(newMeterRegistry()), Random(1))
+    private val registry = newMeterRegistry()
+    private val daemon = ForwardingDaemon(settings, entryThread, ForwardingMetrics(registry), Random(1))
 
     init {
         sharedStore?.let { writeTables(it, pools) }
@@ -104,6 +105,9 @@
     /** Number of exceptions that the entry did not expect. */
     val failureCount: Long get() = entryThread.failureCount
 
+    /** Number of reports of the entry on crashes of endpoints. */
+    val crashReportCount: Int get() = registry.find("bilberry.endpoint.crashes").counter()?.count()?.toInt() ?: 0
+
     /** Reloads the entry with [read], the result of reading its settings file again. */
     fun reload(read: Result<ForwardingSettings, List<SettingsError>>) = daemon.reload(read)
 
