Run the stages of a long stream again when it breaks off

Callers would see a resumable stream with stages cut when its endpoint broke off, once the stream was older than its caller's patience, although another endpoint was free and the caller still read.

Cause: stages are run again before another endpoint resumes the stream. Their latest useful start was computed from the arrival of the request plus the time that a caller waits for an event, and never renewed, so that the stage's queue rejected the pieces at once.

Change: for a stream that has begun, CallerTimeout.endsAt counts from the last event that the caller was sent, and Preparation.restart gets that time. The deadline and the route's timeout bind as before.

Evidence: StagedStreamTest plays a stream of 4.5 s whose callers wait for 4 s between two events. Before, the caller got events 0 to 5 and a cut; the decision log says "attempt failed" reason "the connection was closed", next "TryElsewhere" "request ended" reason "its turn at a stage would come too late" After, the stages run again and the stream is complete (events 0 to 7, four stage calls). EndpointFaultTest and SilentEndpointTest pass with the change.

Conclusion: how old a stream is no longer decides whether it can be resumed.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/CallerTimeout.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/CallerTimeout.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /** How long callers wait for the next event of a stream, or for the response to any other request. */
 object CallerTimeout {
@@ -15,6 +16,15 @@
         route.timeout
     }
 
+    /**
+     * Returns when the caller of a request of [route] disconnects unless it receives something before.
+     *
+     * @param receivedAt when the request arrived
+     * @param lastEventAt when the caller was sent the last event of its stream; null before the first one
+     */
+    fun endsAt(route: ServingRoute, receivedAt: Instant, lastEventAt: Instant?): Instant =
+        (lastEventAt ?: receivedAt) + of(route)
+
     private val MINIMUM = 2.seconds
     private const val OBJECTIVE_FACTOR = 4
     private const val EVENT_GAP_FACTOR = 8
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -1,6 +1,7 @@
 package org.bilberryhead.forwarding.request
 
 import org.bilberryhead.core.serving.AttemptOutcome
+import org.bilberryhead.core.serving.CallerTimeout
 import org.bilberryhead.core.serving.EventOrder
 import org.bilberryhead.core.serving.NextStep
 import org.bilberryhead.core.serving.RepeatRule
@@ -17,6 +18,7 @@
 import org.bilberryhead.forwarding.stage.PreparationListener
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
 
 /**
  * Serves one admitted request up to its final response: runs its preparation stages, sends it to an endpoint, and
@@ -38,7 +40,14 @@
     private var preparation: Preparation? = null
     private var inputs: List<ResultHandle> = emptyList()
     private var attempt: Attempt? = null
-    private var isStreaming = false
+
+    /** When the caller was sent the last event of its stream; null before the first one. */
+    private var lastEventAt: Instant? = null
+    private val isStreaming: Boolean get() = lastEventAt != null
+
+    /** When the caller disconnects unless it is sent something before. */
+    private val callerTimeoutAt: Instant
+        get() = CallerTimeout.endsAt(route, request.callerRequest.receivedAt, lastEventAt)
     private var isFinished = false
     private var waiter: ConnectionWaitQueue.Waiter? = null
     private var deadlineTimer: Timer? = null
@@ -159,7 +168,7 @@
             failedEndpoints += expiredAttempt.endpoint
             replacement.start(expiredAttempt)
             // The results were released once the stream started, so another engine needs them computed again.
-            preparation?.takeIf { isStreaming }?.restart() ?: replacement.connect()
+            preparation?.takeIf { isStreaming }?.restart(callerTimeoutAt) ?: replacement.connect()
         }
     }
 
@@ -172,8 +181,9 @@
     override fun eventReceived(attempt: Attempt, head: ResponseHead, event: StreamEvent) {
         if (isFinished) return
         replacement.responseWentOn()
-        if (!isStreaming) {
-            isStreaming = true
+        val isFirst = !isStreaming
+        lastEventAt = context.thread.now()
+        if (isFirst) {
             responseWriter.start(head)
             preparation?.release()
             decisionLog.firstEventForwarded()
@@ -224,7 +234,7 @@
         when (nextStep) {
             NextStep.TryElsewhere ->
                 if (isStreaming || response?.head?.status == INPUTS_GONE) {
-                    preparation?.restart() ?: dispatch()
+                    preparation?.restart(callerTimeoutAt) ?: dispatch()
                 } else {
                     dispatch()
                 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/PreparationFactory.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/PreparationFactory.kt
@@ -20,7 +20,8 @@
             priority = request.priority,
             objectiveAt = request.callerRequest.receivedAt + request.route.objective,
             deadline = request.deadline,
-            callerTimeoutAt = request.callerRequest.receivedAt + CallerTimeout.of(request.route),
+            callerTimeoutAt =
+            CallerTimeout.endsAt(request.route, request.callerRequest.receivedAt, lastEventAt = null),
             readerDataCentre = request.prompt?.let { prompt ->
                 context.placement.preferredDataCentre(prompt, context.endpoints.usable(request.pool).map { it.entry })
             },
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/Preparation.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/Preparation.kt
@@ -24,7 +24,7 @@
  * @property pieceKey what the pieces of the first stages are computed from; null when the request has no key
  * @property objectiveAt when the response should start to meet the objective of the route
  * @property deadline when the request must have its final response
- * @property callerTimeoutAt when the caller will disconnect unless its response has started
+ * @property callerTimeoutAt when the caller will disconnect unless its response has started; a restart has its own
  * @property readerDataCentre the data centre in which an engine will most likely read the results; null if unknown
  */
 internal class PreparationSpec(
@@ -67,6 +67,7 @@
     private val retryCounts = mutableMapOf<PieceId, Int>()
     private val expiresAt = mutableMapOf<ResultHandle, Instant>()
     private val retryGrantedAt = mutableMapOf<PoolName, Instant>()
+    private var callerTimeoutAt = spec.callerTimeoutAt
     private var isFinished = false
 
     /** Submits the pieces whose inputs are computed, and reports to the listener when all stages are complete. */
@@ -81,9 +82,14 @@
         plan.takeReady().groupBy { spec.stages[it.id.stage].pool }.forEach(::submit)
     }
 
-    /** Computes the results of all stages again, after results were lost or released. Takes one retry for each pool. */
-    fun restart() {
+    /**
+     * Computes the results of all stages again, after results were lost or released. Takes one retry for each pool.
+     *
+     * @param callerTimeoutAt when the caller will disconnect unless its response has started or gone on
+     */
+    fun restart(callerTimeoutAt: Instant) {
         isFinished = false
+        this.callerTimeoutAt = callerTimeoutAt
         if (poolsOf(plan.restart()).all(::takeRetry)) advance() else fail("no retry is left to make its stages again")
     }
 
@@ -124,11 +130,11 @@
     )
 
     /**
-     * Latest start of the piece's call that is still of use: the response must start before the caller disconnects and
-     * before the deadline, and the call must read its inputs before their endpoints drop them.
+     * Latest start of the piece's call that is still of use: the response must start or go on before the caller
+     * disconnects and before the deadline, and the call must read its inputs before their endpoints drop them.
      */
     private fun latestUsefulStart(ready: ReadyPiece): Instant {
-        val latestForCaller = minOf(spec.callerTimeoutAt, spec.deadline) - timeToFirstEventFrom(ready.id.stage)
+        val latestForCaller = minOf(callerTimeoutAt, spec.deadline) - timeToFirstEventFrom(ready.id.stage)
         return ready.inputs.mapNotNull { expiresAt[it] }.fold(latestForCaller, ::minOf)
     }
 
