Take the retry of a replacement only when it is sent

Callers would see requests fail although their retry was allowed: a stream whose endpoint paused for over 2 s and went on had used up a retry of all requests, and ran its stages to the end, without anything sent to another endpoint.

Cause: the retry was taken when the search for a replacement began, and the search went on (stages, connection) after the silent endpoint had sent its next event.

Change: the search begins only while a retry is left (SharedRetryBudget.hasRetry) and takes it when the connection to the replacement is open, just before the request is sent; when none is left by then, the request stays at its endpoint. An event of the silent endpoint ends the search, which cancels the stages and releases their results. When the silent endpoint breaks off during the search, the retry is decided at once like that of any broken attempt, and the replacement uses it. An attempt is taken back before it is read on, so that what it had received meanwhile cannot end a search of an attempt that is not current.

"is not sent to a replacement, and goes on at its endpoint" guards the budget: another request takes the last retry while the stages run again.

Conclusion: a pause costs a retry only if a replacement is sent. Not given back: the retry of a replacement that the quarantine stops, or whose kept connection turns out closed, at the moment of sending; the budget is then counted too low, never too high.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/SharedRetryBudget.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/SharedRetryBudget.kt
@@ -29,11 +29,13 @@
         recent(requests, pool, now).addLast(now)
     }
 
+    /** Returns whether [tryRetry] would acquire a retry to [pool] now. */
+    fun hasRetry(pool: PoolName, now: Instant): Boolean = recent(retries, pool, now).size + 1 <= limit(pool, now)
+
     /** Acquires one retry to [pool] from the budget and returns whether it was available. */
     fun tryRetry(pool: PoolName, now: Instant): Boolean {
-        val recentRetries = recent(retries, pool, now)
-        if (recentRetries.size + 1 > limit(pool, now)) return false
-        recentRetries.addLast(now)
+        if (!hasRetry(pool, now)) return false
+        recent(retries, pool, now).addLast(now)
         return true
     }
 
--- a/core/src/test/kotlin/org/bilberryhead/core/serving/SharedRetryBudgetTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/SharedRetryBudgetTest.kt
@@ -29,6 +29,14 @@
                 List(100) { budget.tryRetry(pool, start + 1.seconds) }.count { it } shouldBe 18
             }
 
+            it("takes no retry by asking whether one is left") {
+                val budget = SharedRetryBudget(RetryLimits(ratio = 0.0, slack = 2.0)) { 1 }
+                repeat(3) { budget.hasRetry(pool, start) shouldBe true }
+                budget.tryRetry(pool, start) shouldBe true
+                budget.hasRetry(pool, start) shouldBe false
+                budget.tryRetry(pool, start) shouldBe false
+            }
+
             it("does not use the budget of one pool for another") {
                 val budget = SharedRetryBudget(RetryLimits(ratio = 0.2, slack = 0.0)) { 5 }
                 repeat(100) { budget.countRequest(pool, start) }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptReplacement.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptReplacement.kt
@@ -3,7 +3,6 @@
 import org.bilberryhead.core.serving.ResultHandle
 import org.bilberryhead.forwarding.endpoint.Endpoint
 import org.bilberryhead.forwarding.http.OutboundConnection
-import kotlin.time.Instant
 
 /** A request that another endpoint can take over. */
 internal interface ReplaceableRequest {
@@ -25,7 +24,7 @@
     /** The request goes on at [attempt] after all, for [reason]. */
     fun stayAt(attempt: Attempt, reason: String)
 
-    /** No replacement was found, and the attempt has broken off meanwhile. */
+    /** No replacement was found. The attempt has broken off meanwhile, for which a retry has been taken. */
     fun dispatchAgain()
 }
 
@@ -34,14 +33,16 @@
  * sent the request and has had time to refuse it, so that a failed replacement costs the caller nothing.
  *
  * @param tried endpoints that do not take over
+ * @param retries the retries of the request, one of which is taken when a replacement is sent
  */
 internal class AttemptReplacement(
     private val request: AdmittedRequest,
     private val context: ServingContext,
     private val tried: Set<Endpoint>,
+    private val retries: RequestRetries,
     private val execution: ReplaceableRequest,
 ) {
-    private class Search(val silent: Attempt, val lastEventAt: Instant) {
+    private class Search {
         /** The attempt at the endpoint that is to take over; null until one is selected. */
         var candidate: Attempt? = null
     }
@@ -52,12 +53,12 @@
     /** Whether a replacement is being prepared or connected. */
     val isInProgress: Boolean get() = search != null
 
-    /** Starts to replace the endpoint of [silent]; [connect] or [giveUp] follows. */
-    fun start(silent: Attempt) {
-        search = Search(silent, silent.lastEventAt)
+    /** Starts to replace the endpoint of the current attempt; [connect] or [giveUp] follows. */
+    fun start() {
+        search = Search()
     }
 
-    /** Connects to another endpoint and moves the request to it, unless the response has gone on meanwhile. */
+    /** Connects to another endpoint and moves the request to it, unless the response goes on meanwhile. */
     fun connect() {
         val current = search ?: return
         val selector = AttemptEndpointSelector(context)
@@ -75,15 +76,19 @@
     }
 
     private fun useConnection(current: Search, replacement: Attempt, connection: OutboundConnection) {
-        if (search === current && isNeeded(current)) return move(replacement, connection)
+        val obstacle = if (search === current) obstacleTo(replacement) else "it is not needed any more"
+        if (obstacle == null) return move(replacement, connection)
         replacement.cancel()
         connection.release()
-        if (search === current) giveUp("the response went on")
+        if (search === current) giveUp(obstacle)
     }
 
-    private fun isNeeded(search: Search): Boolean {
-        val attempt = execution.attempt ?: return true
-        return attempt === search.silent && attempt.lastEventAt == search.lastEventAt
+    /** Takes the retry for [replacement] and returns null, or why it cannot be sent. */
+    private fun obstacleTo(replacement: Attempt): String? = when {
+        !context.endpoints.isUsable(replacement.endpoint) -> "the other endpoint began to leave"
+        // Once the attempt has broken off, the retry has been taken.
+        execution.attempt != null && !retries.take() -> "no retry is left"
+        else -> null
     }
 
     private fun move(replacement: Attempt, connection: OutboundConnection) {
@@ -103,12 +108,17 @@
     /** The replacement did not take over. Returns whether the request goes on at the silent endpoint. */
     fun takeBack(reason: String): Boolean {
         val kept = displaced.takeBack() ?: return false
+        search = null
         execution.stayAt(kept, reason)
+        kept.resume()
         return true
     }
 
-    /** The response has gone on at its current endpoint, so that the displaced attempt is not needed any more. */
-    fun responseWentOn() = displaced.timeOut()
+    /** The response has gone on at its current endpoint, so that no other attempt is needed any more. */
+    fun responseWentOn() {
+        displaced.timeOut()
+        giveUp("the response went on")
+    }
 
     /** [failed], which is not the attempt of the request, has ended by itself for [reason]. */
     fun otherAttemptFailed(failed: Attempt, reason: String) {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/DisplacedAttempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/DisplacedAttempt.kt
@@ -20,13 +20,10 @@
         timer = thread.after(REFUSAL_TIME) { timeOut() }
     }
 
-    /** Returns the kept attempt, which is read again, or null when none is kept. */
+    /** Returns the kept attempt, whose reading is still paused, or null when none is kept. */
     fun takeBack(): Attempt? {
         timer?.cancel()
-        return attempt?.also {
-            attempt = null
-            it.resume()
-        }
+        return attempt.also { attempt = null }
     }
 
     /** Ends the kept attempt, because its request goes on elsewhere, and counts it as a failure of its endpoint. */
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -55,7 +55,7 @@
     private val retries = RequestRetries(request, context)
     private val failedEndpoints = mutableSetOf<Endpoint>()
     private val silenceCheck = SilenceCheck(request, context, failedEndpoints, { isStreaming }, ::retryElsewhere)
-    private val replacement = AttemptReplacement(request, context, failedEndpoints, ReplaceableAttempt())
+    private val replacement = AttemptReplacement(request, context, failedEndpoints, retries, ReplaceableAttempt())
 
     /** Runs a block; an exception that was not expected ends the request, so that its caller does not wait for ever. */
     private val guarded: (block: () -> Unit) -> Unit = { block ->
@@ -161,12 +161,11 @@
     }
 
     private fun retryElsewhere(expiredAttempt: Attempt): Unit = guarded {
-        if (retries.take()) {
+        if (retries.isAvailable()) {
             decisionLog.attemptFailed(expiredAttempt.endpoint, "silent for too long", "try elsewhere")
             silenceCheck.stop()
-            retries.recordMayHaveRun()
             failedEndpoints += expiredAttempt.endpoint
-            replacement.start(expiredAttempt)
+            replacement.start()
             // The results were released once the stream started, so another engine needs them computed again.
             preparation?.takeIf { isStreaming }?.restart(callerTimeoutAt) ?: replacement.connect()
         }
@@ -222,22 +221,16 @@
         attempt = null
         failedEndpoints += endpoint
         if (replacement.takeBack(reason)) return
-        if (replacement.isInProgress) {
-            return decisionLog.attemptFailed(
-                endpoint,
-                reason,
-                "its replacement is on the way",
-            )
-        }
         val nextStep = retries.next(outcome)
         decisionLog.attemptFailed(endpoint, reason, nextStep.toString())
         when (nextStep) {
-            NextStep.TryElsewhere ->
-                if (isStreaming || response?.head?.status == INPUTS_GONE) {
+            NextStep.TryElsewhere -> when {
+                replacement.isInProgress -> Unit
+                isStreaming || response?.head?.status == INPUTS_GONE ->
                     preparation?.restart(callerTimeoutAt) ?: dispatch()
-                } else {
-                    dispatch()
-                }
+
+                else -> dispatch()
+            }
 
             NextStep.ReportNotRun -> refuse(reason, LocalResponses.retryAfter(response) ?: RETRY_DELAY)
             NextStep.ReportUnknown -> if (isStreaming) {
@@ -343,6 +336,7 @@
         override fun newAttempt(endpoint: Endpoint): Attempt = this@ForwardedRequestExecution.newAttempt(endpoint)
 
         override fun moveTo(replacement: Attempt, connection: OutboundConnection) {
+            if (attempt != null) retries.recordMayHaveRun()
             this@ForwardedRequestExecution.attempt = replacement
             sendAttempt(replacement, connection)
         }
@@ -350,7 +344,7 @@
         override fun stayAt(attempt: Attempt, reason: String) {
             this@ForwardedRequestExecution.attempt = attempt
             decisionLog.attemptKept(attempt.endpoint, reason)
-            if (isStreaming) preparation?.release()
+            if (isStreaming) preparation?.end()
             attempt.restartReceiveTimeout()
             silenceCheck.start(attempt)
         }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestRetries.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestRetries.kt
@@ -32,8 +32,13 @@
         mayHaveRun = true
     }
 
+    /** Returns whether another endpoint may be tried now; takes no retry from the retry budget. */
+    fun isAvailable(): Boolean = hasAttemptLeft() && context.retryBudget.hasRetry(request.pool, context.thread.now())
+
     /** Returns whether another endpoint may be tried, and if so takes a retry from the retry budget. */
-    fun take(): Boolean = attemptCount < request.route.maximumAttempts && takeFromBudget()
+    fun take(): Boolean = hasAttemptLeft() && takeFromBudget()
+
+    private fun hasAttemptLeft(): Boolean = attemptCount < request.route.maximumAttempts
 
     /** Records that an attempt has ended with [outcome], and returns the next step. */
     fun next(outcome: AttemptOutcome): NextStep {
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -52,6 +52,7 @@
  * @param id id of the entry
  * @param sharedStore a store that several entries use, in place of one that only this entry uses
  * @param storeResponse returns the body of the store's response to a call; null for a store that holds the above
+ * @param retrySlack retries that the entry may send to a pool beyond a share of its requests
  */
 internal class LoopbackDeployment(
     private val configuration: String?,
@@ -62,6 +63,7 @@
     id: String = "entry",
     sharedStore: FakeRowStore? = null,
     storeResponse: ((uri: String) -> String)? = null,
+    retrySlack: Double = 50.0,
 ) : AutoCloseable {
     private val entryThread = newEventThread()
     private val store =
@@ -76,7 +78,7 @@
         seeds = seeds,
         store = sharedStore?.address ?: store.address,
         drainLimit = drainLimit.milliseconds,
-        retrySlack = 50.0,
+        retrySlack = retrySlack,
     )
     private val daemon = ForwardingDaemon(settings, entryThread, ForwardingMetrics(newMeterRegistry()), Random(1))
 
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/StagedStreamTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/StagedStreamTest.kt
@@ -3,6 +3,10 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import org.bilberryhead.core.testing.http.RawMessage
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -27,6 +31,7 @@
         fun deployStaged(
             engines: List<ScriptedEndpoint>,
             stage: NumberedHandler,
+            retrySlack: Double = 50.0,
             use: (LoopbackDeployment) -> Unit,
         ): Int {
             val calls = AtomicInteger()
@@ -35,7 +40,7 @@
             }
             try {
                 val pools = mapOf("p" to engines, "s" to listOf(stageEndpoint))
-                LoopbackDeployment(configuration, pools).use(use)
+                LoopbackDeployment(configuration, pools, retrySlack = retrySlack).use(use)
             } finally {
                 (engines + stageEndpoint).forEach { it.close() }
             }
@@ -77,4 +82,83 @@
                 } shouldBe 4
             }
         }
+
+        describe("a stream with stages that goes on before its replacement is sent") {
+            /** Plays the stream, whose endpoint goes on while its first stage runs again, and then [use]. */
+            fun playPause(retrySlack: Double = 50.0, use: (LoopbackDeployment) -> Unit = {}): Int {
+                val isRunAgain = CountDownLatch(1)
+                val hasGoneOn = CountDownLatch(1)
+                val engines = enginesWith { index ->
+                    when (index) {
+                        0 -> {
+                            startStream()
+                            sendChunk(events(0..0))
+                            isRunAgain.await(4, TimeUnit.SECONDS)
+                            sendChunk(events(1..1))
+                            TimeUnit.MILLISECONDS.sleep(100)
+                            hasGoneOn.countDown()
+                            TimeUnit.MILLISECONDS.sleep(600)
+                            sendChunk(events(2..2))
+                            endStream()
+                        }
+
+                        1 -> respond("500 Internal Server Error")
+                        else -> respond()
+                    }
+                }
+                val stage: NumberedHandler = { index ->
+                    if (index == 2) {
+                        isRunAgain.countDown()
+                        hasGoneOn.await(4, TimeUnit.SECONDS)
+                    }
+                    respondMade(index)
+                }
+                return deployStaged(engines, stage, retrySlack) { entry ->
+                    entry.getStream().body shouldBe events(0..2)
+                    use(entry)
+                }
+            }
+
+            it("leaves the retry to another request") {
+                playPause(retrySlack = 1.2) { entry ->
+                    entry.get("/lookup/a", "r2").shouldNotBeNull().head shouldContain " 200 "
+                }
+            }
+
+            it("does not run the rest of its stages again") {
+                playPause() shouldBe 3
+            }
+        }
+
+        describe("a stream with stages that is silent while another request takes the last retry") {
+            it("is not sent to a replacement, and goes on at its endpoint") {
+                val deployed = CompletableFuture<LoopbackDeployment>()
+                val lookup = CompletableFuture<RawMessage?>()
+                val engines = enginesWith { index ->
+                    when (index) {
+                        0 -> {
+                            startStream()
+                            sendChunk(events(0..0))
+                            lookup.get(4, TimeUnit.SECONDS)
+                            TimeUnit.MILLISECONDS.sleep(600)
+                            sendChunk(events(1..1))
+                            endStream()
+                        }
+
+                        1 -> respond("500 Internal Server Error")
+                        else -> respond()
+                    }
+                }
+                val stage: NumberedHandler = { index ->
+                    if (index == 2) lookup.complete(deployed.get().get("/lookup/a", "r2"))
+                    respondMade(index)
+                }
+                deployStaged(engines, stage, retrySlack = 1.2) { entry ->
+                    deployed.complete(entry)
+                    entry.getStream().body shouldBe events(0..1)
+                    lookup.get().shouldNotBeNull().head shouldContain " 200 "
+                } shouldBe 4
+                engines.sumOf { it.requests.size } shouldBe 3
+            }
+        }
     })
