Do not choose an unreachable replacement again

Callers would see 504 for a request whose endpoint was silent, while a sound but slower endpoint was free: the replacement that could not be reached was chosen again and again until the time was over.

Cause: only the endpoint of the current attempt was added to the failed endpoints, not that of a replacement to which no connection could be opened.

Change: the endpoint of every attempt that fails by itself counts as failed for the request.

Evidence: "is sent to a third one next, though that is slower" got "HTTP/1.1 504 Gateway Timeout" before and 200 after.

Conclusion: each endpoint is tried as a replacement once while there are others.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -209,6 +209,7 @@
         if (attempt === this.attempt) {
             currentAttemptFailed(attempt, failure, response)
         } else {
+            failedEndpoints += attempt.endpoint
             replacement.otherAttemptFailed(attempt, failure.reason)
         }
     }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/SilentEndpointTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/SilentEndpointTest.kt
@@ -13,6 +13,9 @@
 /** A silence that a sound endpoint may keep, longer than the objectives of the routes, in milliseconds. */
 private const val SILENCE_MILLIS = 1_300L
 
+/** A response time that makes other endpoints preferable, also for some time after they have failed. */
+private const val SLOW_RESPONSE_MILLIS = 2_000L
+
 private val configuration = LoopbackDeployment.CONFIGURATION.replace(
     """{"name":"lookup"""",
     """
@@ -72,6 +75,34 @@
             }
         }
 
+        describe("a request without a response whose endpoint is silent while another one cannot be reached") {
+            it("is sent to a third one next, though that is slower") {
+                val requests = AtomicInteger()
+                val endpoints = List(3) {
+                    ScriptedEndpoint {
+                        when (requests.getAndIncrement()) {
+                            0 -> {
+                                TimeUnit.MILLISECONDS.sleep(SLOW_RESPONSE_MILLIS)
+                                respond()
+                            }
+
+                            1 -> awaitClose()
+                            else -> respond()
+                        }
+                    }
+                }
+                endpoints.last().close()
+                try {
+                    LoopbackDeployment(configuration, mapOf("p" to endpoints)).use { entry ->
+                        entry.get("/lookup/a", "r1").shouldNotBeNull().head shouldContain " 200 "
+                        entry.get("/brisk/a", "r2").shouldNotBeNull().head shouldContain " 200 "
+                    }
+                } finally {
+                    endpoints.forEach { it.close() }
+                }
+            }
+        }
+
         describe("a stream that two endpoints in turn leave silent") {
             it("ends its exchanges with both when a third one has resumed it") {
                 val closed = CountDownLatch(2)
