Log a request as sent when it is sent

Operators saw "request sent" for endpoints to which no connection could be opened, with an attempt number that the next line had again; "attempts" of "request ended" counted them.

Cause: the line was written when the endpoint was selected.

Change: the figures of the selection are kept, and the line is written when the request is sent.

Conclusion: every "request sent" is an arrival, or one that broke off on its way.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -118,7 +118,7 @@
     }
 
     private fun newAttempt(endpoint: Endpoint): Attempt {
-        decisionLog.attemptStarted(endpoint, retries.attemptCount + 1)
+        decisionLog.endpointSelected(endpoint)
         return Attempt(endpoint, request, eventOrder, context, GuardedAttemptListener(this, guarded))
     }
 
@@ -153,6 +153,7 @@
         }
         retries.recordSent()
         newAttempt.connection = connection
+        decisionLog.attemptSent(endpoint, retries.attemptCount)
         val outbound =
             OutboundRequests.create(request, endpoint.entry.id, inputs, eventOrder.lastDelivered, context.thread.now())
         connection.send(outbound, request.id.value, newAttempt, maximumBodyBytes = Long.MAX_VALUE)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestDecisionLog.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestDecisionLog.kt
@@ -9,26 +9,36 @@
     private var preparationTime: Duration? = null
     private var attemptCount = 0
 
+    /** The figures by which each endpoint was selected. */
+    private val selectionFields = mutableMapOf<Endpoint, Map<String, Any?>>()
+
     /** All preparation stages are complete; the request reads [inputCount] results. */
     fun prepared(inputCount: Int) {
         preparationTime = elapsed()
         context.decisions.write("request prepared") { commonFields() + mapOf("inputs" to inputCount) }
     }
 
-    /** The request is about to be sent to [endpoint], as attempt number [attemptNumber]. */
-    fun attemptStarted(endpoint: Endpoint, attemptNumber: Int) {
-        attemptCount = attemptNumber
+    /** [endpoint] was selected; the request is sent there once a connection is open. */
+    fun endpointSelected(endpoint: Endpoint) {
         val now = context.thread.now()
+        selectionFields[endpoint] = mapOf(
+            "expected_ms" to endpoint.load.expectedResponseTime(now).inWholeMilliseconds,
+            "own_in_flight" to endpoint.load.inFlight,
+            "fault_rate" to "%.2f".format(endpoint.load.currentFailureRate(now)),
+        )
+    }
+
+    /** The request is sent to [endpoint] now, as attempt number [attemptNumber]. */
+    fun attemptSent(endpoint: Endpoint, attemptNumber: Int) {
+        attemptCount = attemptNumber
         context.decisions.write("request sent") {
-            commonFields() + mapOf(
+            val sentTo = mapOf(
                 "endpoint" to endpoint.entry.id,
                 "address" to endpoint.entry.address,
                 "attempt" to attemptNumber,
-                "expected_ms" to endpoint.load.expectedResponseTime(now).inWholeMilliseconds,
-                "own_in_flight" to endpoint.load.inFlight,
-                "fault_rate" to "%.2f".format(endpoint.load.currentFailureRate(now)),
-                "configuration" to request.configurationVersion,
             )
+            commonFields() + sentTo + selectionFields[endpoint].orEmpty() +
+                mapOf("configuration" to request.configurationVersion)
         }
     }
 
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/SilentEndpointTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/SilentEndpointTest.kt
@@ -1,9 +1,14 @@
 package org.bilberryhead.forwarding
 
+import ch.qos.logback.classic.Logger
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.AppenderBase
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import org.slf4j.LoggerFactory
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -101,6 +106,36 @@
                     endpoints.forEach { it.close() }
                 }
             }
+
+            it("is logged as sent only where it was sent") {
+                val unreachable = ScriptedEndpoint { respond() }
+                val silent = ScriptedEndpoint {
+                    TimeUnit.MILLISECONDS.sleep(SILENCE_MILLIS)
+                    respond()
+                }
+                unreachable.close()
+                val lines = CopyOnWriteArrayList<ILoggingEvent>()
+                val appender = object : AppenderBase<ILoggingEvent>() {
+                    override fun append(event: ILoggingEvent) {
+                        lines += event
+                    }
+                }
+                val logger = LoggerFactory.getLogger("decisions") as Logger
+                appender.start()
+                logger.addAppender(appender)
+                try {
+                    LoopbackDeployment(configuration, mapOf("p" to listOf(silent, unreachable))).use { entry ->
+                        entry.get("/brisk/a", "logged").shouldNotBeNull().head shouldContain " 200 "
+                    }
+                } finally {
+                    logger.detachAppender(appender)
+                    silent.close()
+                }
+                val sent = lines.filter { it.message == "request sent" }
+                    .map { line -> line.keyValuePairs.associate { it.key to it.value } }
+                    .filter { it["request"] == "logged" }
+                sent.map { it["endpoint"] to it["attempt"] } shouldBe listOf("p-0" to "1")
+            }
         }
 
         describe("a stream that two endpoints in turn leave silent") {
