Show that a stream goes on at a third endpoint after a late refusal

A replacement that refuses or breaks off later than 300 ms after it was sent cannot give the stream back to the silent endpoint, which has been ended by then, so that two endpoints never work on it for long. Whether the caller's stream is then cut was an open question.

Evidence: with a route of three attempts, the replacement answers 503 "not run" or closes the connection after 0.4 s and 0.8 s; in all four cases the third endpoint resumes the stream and it is complete.

--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/SilentEndpointTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/SilentEndpointTest.kt
@@ -138,6 +138,34 @@
             }
         }
 
+        describe("a stream whose replacement fails after its silent endpoint has been ended") {
+            val failures: Map<String, ScriptedEndpoint.Exchange.() -> Unit> =
+                mapOf("refuses" to { refuse() }, "breaks off" to { closeConnection() })
+            for ((description, failure) in failures) {
+                for (delayMillis in listOf(400L, 800L)) {
+                    it("is resumed at a third endpoint when the replacement $description after $delayMillis ms") {
+                        deployWith(3, { index ->
+                            if (index == 1) {
+                                TimeUnit.MILLISECONDS.sleep(delayMillis)
+                                return@deployWith failure()
+                            }
+                            startStream()
+                            if (index == 0) {
+                                sendEvents(0..0)
+                                awaitClose()
+                            } else {
+                                sendEvents(1..1)
+                                endStream()
+                            }
+                        }) { entry, requests ->
+                            entry.get("/restless/a").shouldNotBeNull().body shouldBe WHOLE_STREAM
+                            requests.get() shouldBe 3
+                        }
+                    }
+                }
+            }
+        }
+
         describe("a stream that two endpoints in turn leave silent") {
             it("ends its exchanges with both when a third one has resumed it") {
                 val closed = CountDownLatch(2)
