--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -1,6 +1,7 @@
 package org.bilberryhead.forwarding.request
 
 import org.bilberryhead.core.serving.AttemptOutcome
+import org.bilberryhead.core.serving.CallerTimeout
 import org.bilberryhead.core.serving.EventOrder
 import org.bilberryhead.core.serving.NextStep
 import org.bilberryhead.core.serving.RepeatRule
@@ -17,6 +18,7 @@
 import org.bilberryhead.forwarding.stage.PreparationListener
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
 
 /**
  * Serves one admitted request up to its final response: runs its preparation stages, sends it to an endpoint, and
@@ -38,7 +40,14 @@
     private var preparation: Preparation? = null
     private var inputs: List<ResultHandle> = emptyList()
     private var attempt: Attempt? = null
-    private var isStreaming = false
+
+    /** When the caller was sent the last event of its stream; null before the first one. */
+    private var lastEventAt: Instant? = null
+    private val isStreaming: Boolean get() = lastEventAt != null
+
+    /** When the caller disconnects unless it is sent something before. */
+    private val callerTimeoutAt: Instant
+        get() = CallerTimeout.endsAt(route, request.callerRequest.receivedAt, lastEventAt)
     private var isFinished = false
     private var waiter: ConnectionWaitQueue.Waiter? = null
     private var deadlineTimer: Timer? = null
@@ -46,7 +55,7 @@
     private val retries = RequestRetries(request, context)
     private val failedEndpoints = mutableSetOf<Endpoint>()
     private val silenceCheck = SilenceCheck(request, context, failedEndpoints, { isStreaming }, ::retryElsewhere)
-    private val replacement = AttemptReplacement(request, context, failedEndpoints, ReplaceableAttempt())
+    private val replacement = AttemptReplacement(request, context, failedEndpoints, retries, ReplaceableAttempt())
 
     /** Runs a block; an exception that was not expected ends the request, so that its caller does not wait for ever. */
     private val guarded: (block: () -> Unit) -> Unit = { block ->
@@ -109,7 +118,7 @@
     }
 
     private fun newAttempt(endpoint: Endpoint): Attempt {
-        decisionLog.attemptStarted(endpoint, retries.attemptCount + 1)
+        decisionLog.endpointSelected(endpoint)
         return Attempt(endpoint, request, eventOrder, context, GuardedAttemptListener(this, guarded))
     }
 
@@ -144,6 +153,7 @@
         }
         retries.recordSent()
         newAttempt.connection = connection
+        decisionLog.attemptSent(endpoint, retries.attemptCount)
         val outbound =
             OutboundRequests.create(request, endpoint.entry.id, inputs, eventOrder.lastDelivered, context.thread.now())
         connection.send(outbound, request.id.value, newAttempt, maximumBodyBytes = Long.MAX_VALUE)
@@ -152,14 +162,13 @@
     }
 
     private fun retryElsewhere(expiredAttempt: Attempt): Unit = guarded {
-        if (retries.take()) {
+        if (retries.isAvailable()) {
             decisionLog.attemptFailed(expiredAttempt.endpoint, "silent for too long", "try elsewhere")
             silenceCheck.stop()
-            retries.recordMayHaveRun()
             failedEndpoints += expiredAttempt.endpoint
-            replacement.start(expiredAttempt)
+            replacement.start()
             // The results were released once the stream started, so another engine needs them computed again.
-            preparation?.takeIf { isStreaming }?.restart() ?: replacement.connect()
+            preparation?.takeIf { isStreaming }?.restart(callerTimeoutAt) ?: replacement.connect()
         }
     }
 
@@ -172,8 +181,9 @@
     override fun eventReceived(attempt: Attempt, head: ResponseHead, event: StreamEvent) {
         if (isFinished) return
         replacement.responseWentOn()
-        if (!isStreaming) {
-            isStreaming = true
+        val isFirst = !isStreaming
+        lastEventAt = context.thread.now()
+        if (isFirst) {
             responseWriter.start(head)
             preparation?.release()
             decisionLog.firstEventForwarded()
@@ -200,6 +210,7 @@
         if (attempt === this.attempt) {
             currentAttemptFailed(attempt, failure, response)
         } else {
+            failedEndpoints += attempt.endpoint
             replacement.otherAttemptFailed(attempt, failure.reason)
         }
     }
@@ -212,22 +223,16 @@
         attempt = null
         failedEndpoints += endpoint
         if (replacement.takeBack(reason)) return
-        if (replacement.isInProgress) {
-            return decisionLog.attemptFailed(
-                endpoint,
-                reason,
-                "its replacement is on the way",
-            )
-        }
         val nextStep = retries.next(outcome)
         decisionLog.attemptFailed(endpoint, reason, nextStep.toString())
         when (nextStep) {
-            NextStep.TryElsewhere ->
-                if (isStreaming || response?.head?.status == INPUTS_GONE) {
-                    preparation?.restart() ?: dispatch()
-                } else {
-                    dispatch()
-                }
+            NextStep.TryElsewhere -> when {
+                replacement.isInProgress -> Unit
+                isStreaming || response?.head?.status == INPUTS_GONE ->
+                    preparation?.restart(callerTimeoutAt) ?: dispatch()
+
+                else -> dispatch()
+            }
 
             NextStep.ReportNotRun -> refuse(reason, LocalResponses.retryAfter(response) ?: RETRY_DELAY)
             NextStep.ReportUnknown -> if (isStreaming) {
@@ -333,6 +338,7 @@
         override fun newAttempt(endpoint: Endpoint): Attempt = this@ForwardedRequestExecution.newAttempt(endpoint)
 
         override fun moveTo(replacement: Attempt, connection: OutboundConnection) {
+            if (attempt != null) retries.recordMayHaveRun()
             this@ForwardedRequestExecution.attempt = replacement
             sendAttempt(replacement, connection)
         }
@@ -340,7 +346,7 @@
         override fun stayAt(attempt: Attempt, reason: String) {
             this@ForwardedRequestExecution.attempt = attempt
             decisionLog.attemptKept(attempt.endpoint, reason)
-            if (isStreaming) preparation?.release()
+            if (isStreaming) preparation?.end()
             attempt.restartReceiveTimeout()
             silenceCheck.start(attempt)
         }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/SilentEndpointTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/SilentEndpointTest.kt
@@ -1,9 +1,14 @@
 package org.bilberryhead.forwarding
 
+import ch.qos.logback.classic.Logger
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.AppenderBase
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import org.slf4j.LoggerFactory
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -13,6 +18,9 @@
 /** A silence that a sound endpoint may keep, longer than the objectives of the routes, in milliseconds. */
 private const val SILENCE_MILLIS = 1_300L
 
+/** A response time that makes other endpoints preferable, also for some time after they have failed. */
+private const val SLOW_RESPONSE_MILLIS = 2_000L
+
 private val configuration = LoopbackDeployment.CONFIGURATION.replace(
     """{"name":"lookup"""",
     """
@@ -72,6 +80,92 @@
             }
         }
 
+        describe("a request without a response whose endpoint is silent while another one cannot be reached") {
+            it("is sent to a third one next, though that is slower") {
+                val requests = AtomicInteger()
+                val endpoints = List(3) {
+                    ScriptedEndpoint {
+                        when (requests.getAndIncrement()) {
+                            0 -> {
+                                TimeUnit.MILLISECONDS.sleep(SLOW_RESPONSE_MILLIS)
+                                respond()
+                            }
+
+                            1 -> awaitClose()
+                            else -> respond()
+                        }
+                    }
+                }
+                endpoints.last().close()
+                try {
+                    LoopbackDeployment(configuration, mapOf("p" to endpoints)).use { entry ->
+                        entry.get("/lookup/a", "r1").shouldNotBeNull().head shouldContain " 200 "
+                        entry.get("/brisk/a", "r2").shouldNotBeNull().head shouldContain " 200 "
+                    }
+                } finally {
+                    endpoints.forEach { it.close() }
+                }
+            }
+
+            it("is logged as sent only where it was sent") {
+                val unreachable = ScriptedEndpoint { respond() }
+                val silent = ScriptedEndpoint {
+                    TimeUnit.MILLISECONDS.sleep(SILENCE_MILLIS)
+                    respond()
+                }
+                unreachable.close()
+                val lines = CopyOnWriteArrayList<ILoggingEvent>()
+                val appender = object : AppenderBase<ILoggingEvent>() {
+                    override fun append(event: ILoggingEvent) {
+                        lines += event
+                    }
+                }
+                val logger = LoggerFactory.getLogger("decisions") as Logger
+                appender.start()
+                logger.addAppender(appender)
+                try {
+                    LoopbackDeployment(configuration, mapOf("p" to listOf(silent, unreachable))).use { entry ->
+                        entry.get("/brisk/a", "logged").shouldNotBeNull().head shouldContain " 200 "
+                    }
+                } finally {
+                    logger.detachAppender(appender)
+                    silent.close()
+                }
+                val sent = lines.filter { it.message == "request sent" }
+                    .map { line -> line.keyValuePairs.associate { it.key to it.value } }
+                    .filter { it["request"] == "logged" }
+                sent.map { it["endpoint"] to it["attempt"] } shouldBe listOf("p-0" to "1")
+            }
+        }
+
+        describe("a stream whose replacement fails after its silent endpoint has been ended") {
+            val failures: Map<String, ScriptedEndpoint.Exchange.() -> Unit> =
+                mapOf("refuses" to { refuse() }, "breaks off" to { closeConnection() })
+            for ((description, failure) in failures) {
+                for (delayMillis in listOf(400L, 800L)) {
+                    it("is resumed at a third endpoint when the replacement $description after $delayMillis ms") {
+                        deployWith(3, { index ->
+                            if (index == 1) {
+                                TimeUnit.MILLISECONDS.sleep(delayMillis)
+                                return@deployWith failure()
+                            }
+                            startStream()
+                            if (index == 0) {
+                                sendEvents(0..0)
+                                awaitClose()
+                            } else {
+                                sendEvents(1..1)
+                                endStream()
+                            }
+                        }) { entry, requests ->
+                            entry.get("/restless/a").shouldNotBeNull().body shouldBe WHOLE_STREAM
+                            requests.get() shouldBe 3
+                        }
+                    }
+                }
+            }
+        }
+
         describe("a stream that two endpoints in turn leave silent") {
             it("ends its exchanges with both when a third one has resumed it") {
                 val closed = CountDownLatch(2)
