Poll a table from the version of its first page

What callers would see: a table of more than one page is read in several calls. A row of the first page that changes before the last page is read kept its old state: a drain or a removal of an endpoint was not applied until the next complete reading.

Cause: the changes were polled from the version of the last page, although the rows of the first page are those of an older version.

Change: polling begins at the version of the first page, and the rows count from the moment of that page. Changes that later pages hold already come once more, which changes nothing.

Evidence: the new test of StoreTableWatchTest failed before ("expected: <changed [(a, null)]> but was:<all [] after an outage>") and passes now.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreTableWatch.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreTableWatch.kt
@@ -45,6 +45,8 @@
     private var failures = 0
     private var answerAsOf = thread.now()
     private val rowsRead = mutableListOf<StoreRow>()
+    private var versionRead = 0L
+    private var rowsAsOf = answerAsOf
 
     /** Up to when the rows from the store are complete; null before the first response. */
     var lastResponseAt: Instant? = null
@@ -69,7 +71,11 @@
     private fun readPage(from: String?) = readPage(WirePaths.rows(table, from), isFirst = from == null)
 
     private fun readPage(path: String, isFirst: Boolean): Unit = call(path, path, Duration.ZERO) { rows ->
-        if (isFirst) rowsRead.clear()
+        if (isFirst) {
+            rowsRead.clear()
+            versionRead = rows.version
+            rowsAsOf = answerAsOf
+        }
         val lastKey = rowsRead.lastOrNull()?.key
         rowsRead += rows.rows
         if (rows.hasMore && rows.rows.isNotEmpty()) {
@@ -78,8 +84,10 @@
             readPage(from = rows.rows.last().key + "\u0000")
         } else {
             val afterOutage = failures > 0
+            // Rows of the first page may have changed before the last page was read.
+            answerAsOf = rowsAsOf
             callSucceeded()
-            version = rows.version
+            version = versionRead
             tableReadAt = thread.now()
             listener.onTableRead(rowsRead.toList(), afterOutage)
             scheduleNextCall()
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/StoreTableWatchTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/StoreTableWatchTest.kt
@@ -270,6 +270,15 @@
                 }
             }
 
+            it("is polled from the version of its first part, which may change while others are read") {
+                val first = """{"rows":[{"key":"a","value":"aGk=","ver":5}],"ver":5,"truncated":true}"""
+                val second = """{"rows":[{"key":"b","value":"aGk=","ver":7}],"ver":7,"truncated":false}"""
+                ScriptedStore(listOf(ok(first), ok(second), ok(REMOVAL), ok(NO_CHANGE))).use { store ->
+                    store.nextNotification() shouldBe "all [a, b]"
+                    store.nextNotification() shouldBe "changed [(a, null)]"
+                }
+            }
+
             it("is read in several calls when a response is truncated") {
                 val first = """{"rows":[{"key":"a","value":"aGk=","ver":5}],"ver":5,"truncated":true}"""
                 val second = """{"rows":[{"key":"b","value":"aGk=","ver":5}],"ver":5,"truncated":false}"""
