--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -51,6 +51,7 @@
  * @param drainLimit longest time of a drain, in milliseconds
  * @param id id of the entry
  * @param sharedStore a store that several entries use, in place of one that only this entry uses
+ * @param storeAddress address of a store that the test has started, in place of one of this deployment
  * @param storeResponse returns the body of the store's response to a call; null for a store that holds the above
  * @param retrySlack retries that the entry may send to a pool beyond a share of its requests
  */
@@ -64,10 +65,11 @@
     sharedStore: FakeRowStore? = null,
     storeResponse: ((uri: String) -> String)? = null,
     retrySlack: Double = 50.0,
+    storeAddress: SocketAddress? = null,
 ) : AutoCloseable {
+    private val isOwnStoreUsed = isStoreReachable && sharedStore == null && storeAddress == null
     private val entryThread = newEventThread()
-    private val store =
-        LoopbackStore(configuration, pools, isReachable = isStoreReachable && sharedStore == null, storeResponse)
+    private val store = LoopbackStore(configuration, pools, isReachable = isOwnStoreUsed, storeResponse)
     val settings = ForwardingSettings(
         id = DaemonId(id),
         dataCentre = DataCentre("x"),
@@ -76,7 +78,7 @@
         peers = freeAddress(),
         metrics = freeAddress(),
         seeds = seeds,
-        store = sharedStore?.address ?: store.address,
+        store = storeAddress ?: sharedStore?.address ?: store.address,
         drainLimit = drainLimit.milliseconds,
         retrySlack = retrySlack,
     )
@@ -86,7 +88,7 @@
     init {
         sharedStore?.let { writeTables(it, pools) }
         daemon.start()
-        if (isStoreReachable && sharedStore == null && storeResponse == null) store.awaitFirstCalls()
+        if (isOwnStoreUsed && storeResponse == null) store.awaitFirstCalls()
         // The entry applies the rows on its own thread, possibly after the latch has opened.
         awaitReady()
     }
