Take a retry for each piece that is sent again after a silent coordinator

What would be seen: a coordinator of stages that falls silent for more than 0.4 s and goes on, as a sound process may, had all its pieces computed twice: every other entry submitted them to the next coordinator at once, beside the first run and without a retry from the shared budget.

Cause: StageCoordinatorClient submitted pieces to the next coordinator after any outcome other than a complete response, without asking whether the first one may have sent them to an endpoint already. PeerClient ended a call at the first sign of silence, so that waiting was not possible.

Change: PieceResubmission in core decides. Pieces that the coordinator cannot have sent (the call was not sent, or was refused) go to the next one as before. Otherwise each piece takes a retry from SharedRetryBudget, for all pieces of the submission or for none. While the budget holds none, a silent coordinator's answer is awaited, and the budget is asked again at each liveness check; once the outcome would be of no use the pieces fail. When the connection has ended there is no answer to wait for: without a retry the pieces fail, and their preparation says so. PeerClient asks its caller whether a call to a silent peer ends, counts the silence against the peer in any case, and no longer calls a request unknown that was never sent.

Conclusion: repeats after a silent coordinator stay within the budget, and callers whose pieces cannot be sent again get the first coordinator's results as soon as it goes on.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/SharedRetryBudget.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/SharedRetryBudget.kt
@@ -29,11 +29,11 @@
         recent(requests, pool, now).addLast(now)
     }
 
-    /** Acquires one retry to [pool] from the budget and returns whether it was available. */
-    fun tryRetry(pool: PoolName, now: Instant): Boolean {
+    /** Acquires [count] retries to [pool] from the budget, or none, and returns whether they were available. */
+    fun tryRetry(pool: PoolName, now: Instant, count: Int = 1): Boolean {
         val recentRetries = recent(retries, pool, now)
-        if (recentRetries.size + 1 > limit(pool, now)) return false
-        recentRetries.addLast(now)
+        if (recentRetries.size + count > limit(pool, now)) return false
+        repeat(count) { recentRetries.addLast(now) }
         return true
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -274,7 +274,9 @@
     private fun stageClient(pool: PoolName): StageCoordinatorClient? {
         val localScheduler = stageScheduler(pool) ?: return null
         return stageClients.getOrPut(pool) {
-            StageCoordinatorClient(pool, localScheduler, peers, thread) { drainingSince != null }
+            StageCoordinatorClient(pool, localScheduler, peers, servingContext.retryBudget, thread) {
+                drainingSince != null
+            }
         }
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerClient.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerClient.kt
@@ -66,10 +66,20 @@
     /** Excludes the peer for a while, for example because it is draining. */
     fun markUnavailable() = reachability.recordFailure(thread.now())
 
-    /** Sends [body] to [path] and calls [ended] once with the outcome, unless the exchange is cancelled. */
-    fun call(path: String, body: ByteArray, ended: (ExchangeOutcome) -> Unit): PeerExchange {
+    /**
+     * Sends [body] to [path] and calls [ended] once with the outcome, unless the exchange is cancelled.
+     *
+     * @param isAbandoned returns whether a call that was sent ends now that the peer gives no sign of life; asked again
+     * at intervals while the peer stays silent
+     */
+    fun call(
+        path: String,
+        body: ByteArray,
+        isAbandoned: () -> Boolean = { true },
+        ended: (ExchangeOutcome) -> Unit,
+    ): PeerExchange {
         val exchange = PeerExchange()
-        val pending = PendingCall(exchange, ended)
+        val pending = PendingCall(exchange, isAbandoned, ended)
         pendingCalls += pending
         scheduleLivenessCheck()
         connections.acquire(
@@ -86,9 +96,9 @@
             pendingCalls -= pending
             return connection.release()
         }
-        pending.exchange.startedOn(connection)
+        pending.sentOn(connection)
         connection.send(request(path, body), requestId = null, pending.listener)
-        thread.after(HEAD_TIMEOUT) { if (!pending.isAccepted) pending.fail("no sign of life within $HEAD_TIMEOUT") }
+        thread.after(HEAD_TIMEOUT) { if (!pending.isAccepted) pending.silent("no sign of life within $HEAD_TIMEOUT") }
     }
 
     private fun request(path: String, body: ByteArray): OutboundRequest {
@@ -132,14 +142,22 @@
         )
     }
 
-    private fun failAll(reason: String) = pendingCalls.toList().forEach { it.fail(reason) }
+    private fun failAll(reason: String) {
+        pendingCalls.toList().forEach { it.silent(reason) }
+        if (pendingCalls.isNotEmpty()) scheduleLivenessCheck()
+    }
 
     private fun reportUnreachable(reason: String) {
         reachability.recordFailure(thread.now())
         decisions.write("peer lost") { mapOf("peer" to record.id, "address" to record.peerAddress, "reason" to reason) }
     }
 
-    private inner class PendingCall(val exchange: PeerExchange, private val ended: (ExchangeOutcome) -> Unit) {
+    private inner class PendingCall(
+        val exchange: PeerExchange,
+        private val isAbandoned: () -> Boolean,
+        private val ended: (ExchangeOutcome) -> Unit,
+    ) {
+        private var isSent = false
         var isAccepted = false
             private set
         private val collector = ResponseCollector(::end)
@@ -152,15 +170,25 @@
             }
         }
 
+        fun sentOn(connection: OutboundConnection) {
+            isSent = true
+            exchange.startedOn(connection)
+        }
+
         fun end(outcome: ExchangeOutcome) {
             if (!pendingCalls.remove(this) || exchange.isCancelled) return
             if (outcome !is ExchangeOutcome.Completed) reportUnreachable(outcome.toString())
             ended(outcome)
         }
 
-        fun fail(reason: String) {
+        /** The peer gives no sign of life: ends the call, unless its caller waits on. */
+        fun silent(reason: String) {
             if (this !in pendingCalls || exchange.isCancelled) return
-            end(ExchangeOutcome.Unknown(reason))
+            if (isSent && !isAbandoned()) {
+                if (isUsable) reportUnreachable(reason)
+                return
+            }
+            end(if (isSent) ExchangeOutcome.Unknown(reason) else ExchangeOutcome.NotSent(reason))
             exchange.cancel()
         }
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageCoordinatorClient.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageCoordinatorClient.kt
@@ -3,7 +3,10 @@
 import org.bilberryhead.core.common.PoolName
 import org.bilberryhead.core.common.RequestId
 import org.bilberryhead.core.serving.EntryRecord
+import org.bilberryhead.core.serving.PieceResubmission
+import org.bilberryhead.core.serving.ResubmissionDecision
 import org.bilberryhead.core.serving.ResultHandle
+import org.bilberryhead.core.serving.SharedRetryBudget
 import org.bilberryhead.core.serving.StagePiece
 import org.bilberryhead.forwarding.EventThread
 import org.bilberryhead.forwarding.http.ExchangeOutcome
@@ -28,8 +31,8 @@
 }
 
 /**
- * Submits the pieces of one pool to the entry that coordinates it, which may be this one, and to the next entry when
- * the coordinator does not respond.
+ * Submits the pieces of one pool to the entry that coordinates it, which may be this one. When the coordinator does not
+ * respond, they go to the next entry as far as the retry budget allows it; the others wait for the coordinator.
  *
  * @param local the scheduler of this entry for the pool
  */
@@ -37,9 +40,11 @@
     private val pool: PoolName,
     private val local: StageScheduler,
     private val coordinators: Coordinators,
+    retryBudget: SharedRetryBudget,
     private val thread: EventThread,
     private val isDraining: () -> Boolean,
 ) {
+    private val resubmission = PieceResubmission(pool, retryBudget)
     private val pendingExchanges = mutableMapOf<RequestId, MutableSet<PeerExchange>>()
     private val pendingReleases = mutableListOf<ResultHandle>()
 
@@ -59,42 +64,7 @@
         onOutcome: (StagePiece, PieceCallOutcome) -> Unit,
     ) {
         val peer = coordinator(excluded) ?: return local.submit(pieces, onOutcome)
-        val request = pieces.first().request
-        val now = thread.now()
-        val message = PiecesMessage(pool, pieces.map { PieceMessage.of(it, now) })
-        val body = PeerCodec.encode(PiecesMessage.serializer(), message)
-        var exchange: PeerExchange? = null
-        exchange = peer.call(PeerPaths.PIECES, body) { exchangeOutcome ->
-            exchange?.let { pendingExchanges[request]?.remove(it) }
-            val outcomes = outcomesOf(exchangeOutcome)
-            if (outcomes == null) {
-                peer.markUnavailable()
-                submit(pieces, excluded + peer, onOutcome)
-            } else {
-                deliver(pieces, outcomes, onOutcome)
-            }
-        }
-        pendingExchanges.getOrPut(request) { mutableSetOf() } += exchange
-    }
-
-    private fun outcomesOf(exchangeOutcome: ExchangeOutcome): PieceOutcomesMessage? =
-        (exchangeOutcome as? ExchangeOutcome.Completed)?.response
-            ?.takeIf { it.head.status == OK }
-            ?.let { PeerCodec.decode(PieceOutcomesMessage.serializer(), it.body) }
-
-    private fun deliver(
-        pieces: List<StagePiece>,
-        message: PieceOutcomesMessage,
-        onOutcome: (StagePiece, PieceCallOutcome) -> Unit,
-    ) {
-        val outcomes = message.ends.associateBy { it.stage to it.index }
-        for (piece in pieces) {
-            onOutcome(
-                piece,
-                outcomes[piece.stage to piece.index]?.toCallOutcome()
-                    ?: PieceCallOutcome.CallFailed("the coordinator left it out"),
-            )
-        }
+        Submission(pieces, peer, excluded, onOutcome).start()
     }
 
     /** Cancels the pieces of [request]; no outcome of them is delivered any more. */
@@ -128,6 +98,76 @@
         .firstOrNull { (_, peer) -> if (peer == null) !isDraining() else peer.isUsable && peer !in excluded }
         ?.second
 
+    /** Pieces of one request that were submitted to [peer]. */
+    private inner class Submission(
+        private val pieces: List<StagePiece>,
+        private val peer: PeerClient,
+        private val excluded: Set<PeerClient>,
+        private val onOutcome: (StagePiece, PieceCallOutcome) -> Unit,
+    ) {
+        private val request = pieces.first().request
+        private val usefulUntil = pieces.minOf { it.latestUsefulStart } + expectedCallTime
+        private var decision = ResubmissionDecision.WAIT
+        private var exchange: PeerExchange? = null
+
+        fun start() {
+            val now = thread.now()
+            val message = PiecesMessage(pool, pieces.map { PieceMessage.of(it, now) })
+            val body = PeerCodec.encode(PiecesMessage.serializer(), message)
+            val started = peer.call(PeerPaths.PIECES, body, ::isAbandoned, ::ended)
+            exchange = started
+            pendingExchanges.getOrPut(request) { mutableSetOf() } += started
+        }
+
+        private fun isAbandoned(): Boolean {
+            decision = resubmission.afterSilence(pieces.size, usefulUntil, thread.now())
+            return decision != ResubmissionDecision.WAIT
+        }
+
+        private fun ended(exchangeOutcome: ExchangeOutcome) {
+            exchange?.let { pendingExchanges[request]?.remove(it) }
+            val outcomes = outcomesOf(exchangeOutcome)
+            if (outcomes != null) return deliver(outcomes)
+            peer.markUnavailable()
+            when (decision) {
+                ResubmissionDecision.RESUBMIT -> resubmit()
+                ResubmissionDecision.FAIL -> failAll(PieceCallOutcome.DeadlineUnreachable(Duration.ZERO))
+                ResubmissionDecision.WAIT -> handleLoss(exchangeOutcome)
+            }
+        }
+
+        private fun handleLoss(exchangeOutcome: ExchangeOutcome) {
+            val mayHaveStarted = when (exchangeOutcome) {
+                is ExchangeOutcome.Completed -> exchangeOutcome.response.head.status == OK
+                is ExchangeOutcome.NotSent -> false
+                is ExchangeOutcome.Unknown -> true
+            }
+            val decisionAfterLoss = resubmission.afterLoss(pieces.size, mayHaveStarted, thread.now())
+            if (decisionAfterLoss == ResubmissionDecision.RESUBMIT) return resubmit()
+            failAll(PieceCallOutcome.CallFailed("the coordinator was lost"))
+        }
+
+        private fun resubmit() = submit(pieces, excluded + peer, onOutcome)
+
+        private fun failAll(outcome: PieceCallOutcome) = pieces.forEach { onOutcome(it, outcome) }
+
+        private fun outcomesOf(exchangeOutcome: ExchangeOutcome): PieceOutcomesMessage? =
+            (exchangeOutcome as? ExchangeOutcome.Completed)?.response
+                ?.takeIf { it.head.status == OK }
+                ?.let { PeerCodec.decode(PieceOutcomesMessage.serializer(), it.body) }
+
+        private fun deliver(message: PieceOutcomesMessage) {
+            val outcomes = message.ends.associateBy { it.stage to it.index }
+            for (piece in pieces) {
+                onOutcome(
+                    piece,
+                    outcomes[piece.stage to piece.index]?.toCallOutcome()
+                        ?: PieceCallOutcome.CallFailed("the coordinator left it out"),
+                )
+            }
+        }
+    }
+
     private companion object {
         const val OK = 200
         val RELEASE_BATCH_DELAY = 5.milliseconds
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ScriptedEndpoint.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ScriptedEndpoint.kt
@@ -24,6 +24,8 @@
 
         fun write(text: String) = socket.getOutputStream().writeText(text)
 
+        fun write(bytes: ByteArray) = socket.getOutputStream().write(bytes)
+
         fun respond(
             status: String = "200 OK",
             body: String = "answer",
