--- a/core/src/main/kotlin/org/bilberryhead/core/serving/SharedRetryBudget.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/SharedRetryBudget.kt
@@ -29,13 +29,15 @@
         recent(requests, pool, now).addLast(now)
     }
 
-    /** Returns whether [tryRetry] would acquire a retry to [pool] now. */
-    fun hasRetry(pool: PoolName, now: Instant): Boolean = recent(retries, pool, now).size + 1 <= limit(pool, now)
-
-    /** Acquires one retry to [pool] from the budget and returns whether it was available. */
-    fun tryRetry(pool: PoolName, now: Instant): Boolean {
-        if (!hasRetry(pool, now)) return false
-        recent(retries, pool, now).addLast(now)
+    /** Returns whether [tryRetry] would acquire [count] retries to [pool] now. */
+    fun hasRetry(pool: PoolName, now: Instant, count: Int = 1): Boolean =
+        recent(retries, pool, now).size + count <= limit(pool, now)
+
+    /** Acquires [count] retries to [pool] from the budget, or none, and returns whether they were available. */
+    fun tryRetry(pool: PoolName, now: Instant, count: Int = 1): Boolean {
+        if (!hasRetry(pool, now, count)) return false
+        val recentRetries = recent(retries, pool, now)
+        repeat(count) { recentRetries.addLast(now) }
         return true
     }
 
