--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -25,7 +25,6 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
-import org.bilberryhead.core.serving.CallerLimits
 import org.bilberryhead.forwarding.http.FullResponse
 import org.bilberryhead.forwarding.http.HopByHopHeaders
 import org.bilberryhead.forwarding.http.ResponseHead
@@ -33,27 +32,6 @@
 import java.io.IOException
 import kotlin.time.Instant
 
-/** Process state that caller connections depend on. */
-internal interface CallerServerState {
-    /** Returns the current time. */
-    fun now(): Instant
-
-    /** Size and time limits for the requests of callers. */
-    val limits: CallerLimits
-
-    /** Whether the process is draining; each response then closes its connection. */
-    val isDraining: Boolean
-
-    /** Records an exception that was not expected. */
-    fun recordFailure(failure: Throwable)
-
-    /** Runs [block]; records an exception that was not expected, and returns whether there was none. */
-    fun runGuarded(block: () -> Unit): Boolean
-
-    /** Counts a request that was rejected before it was read completely. */
-    fun rejected(status: Int, reason: String)
-}
-
 /** Reads complete requests from one caller's connection, serves them in order, and writes the responses. */
 internal class CallerConnection(private val state: CallerServerState, private val handler: RequestHandler) :
     ChannelInboundHandlerAdapter() {
