Log rows of members that cannot be read

What operators saw: nothing. A row of an entry or a lease that could not be read was dropped without a line, unlike rows of endpoints.

Evidence: with the listeners given the log but not writing to it, 4 of 5 tests of OddMembershipRowTest failed ("expected:<["nested", "large", "port", "empty"]> but was:<[]>"); the fifth guards the limit and passes on both. All 5 pass with the lines.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/membership/EntryListener.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/membership/EntryListener.kt
@@ -2,12 +2,15 @@
 
 import org.bilberryhead.core.common.DaemonId
 import org.bilberryhead.core.serving.EntryMembership
+import org.bilberryhead.core.serving.EntryRecord
+import org.bilberryhead.forwarding.DecisionLog
 import org.bilberryhead.forwarding.store.EntryRow
 import org.bilberryhead.forwarding.store.TableListener
 import org.bilberryhead.platform.wire.StoreRow
 
 /** Updates [membership] from the rows that entries write about themselves. */
-internal class EntryListener(private val membership: EntryMembership) : TableListener {
+internal class EntryListener(private val membership: EntryMembership, private val decisions: DecisionLog) :
+    TableListener {
     val versions = RowVersions()
 
     override fun onTableRead(rows: List<StoreRow>, afterOutage: Boolean) {
@@ -22,5 +25,10 @@
         membership.updateEntries(newestRows.mapNotNull(::record), removed)
     }
 
-    private fun record(row: StoreRow) = row.value?.let(EntryRow::decode)?.toRecord(DaemonId(row.key))
+    private fun record(row: StoreRow): EntryRecord? {
+        val text = row.value ?: return null
+        val decoded = EntryRow.decode(text)
+        if (decoded == null) decisions.write("entry row unreadable") { mapOf("entry" to row.key) }
+        return decoded?.toRecord(DaemonId(row.key))
+    }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/membership/MembershipService.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/membership/MembershipService.kt
@@ -28,8 +28,8 @@
 ) {
     private val ownRow = EntryRow(settings.dataCentre, settings.peers, settings.processorShare, random.nextLong())
     private val membership = EntryMembership(ownRow.toRecord(settings.id), timings)
-    private val entryListener = EntryListener(membership)
-    private val leaseListener = LeaseListener(membership)
+    private val entryListener = EntryListener(membership, decisions)
+    private val leaseListener = LeaseListener(membership, decisions)
     private val keeper = LeaseKeeper(settings.id, writer, thread, decisions) { sentAt ->
         membership.recordOwnRenewal(sentAt, wallClock.now())
     }
