Reload on a SIGHUP that comes while an entry starts

What callers would have seen: an entry whose settings file changes while it starts ends with status 129 and is away until it is started again; its connections are refused meanwhile. Settings that change after they were read are not applied.

Cause: the handler of SIGHUP was set last, after the listeners are open. Until then the JVM ends the process on SIGHUP.

Change: setting the handler is the first thing in main.

Conclusion: what is left is the start of the JVM itself, before main, which the program can't close. An inherited ignored SIGHUP doesn't help: the JVM then leaves it ignored and the handler is never called (tried). -Xrs takes SIGTERM, which the drain needs.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/Main.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/Main.kt
@@ -17,13 +17,14 @@
 import kotlin.random.Random
 import kotlin.system.exitProcess
 
-/** The command `bilberry-forwarding`. */
-class ForwardingCommand : DaemonCommand<ForwardingSettings>("bilberry-forwarding", ForwardingSettings.serializer()) {
+/** The command `bilberry-forwarding`, which reloads its settings on [reloadSignal]. */
+internal class ForwardingCommand(private val reloadSignal: ReloadSignal) :
+    DaemonCommand<ForwardingSettings>("bilberry-forwarding", ForwardingSettings.serializer()) {
     override suspend fun serve(settings: ForwardingSettings) {
         val signal = TerminationSignal(settings.drainLimit)
         val daemon = ForwardingDaemon(settings, newEventThread(), ForwardingMetrics(newMeterRegistry()), Random.Default)
         daemon.start()
-        Signal.handle(Signal("HUP")) { daemon.reload(readSettings()) }
+        reloadSignal.onReload { daemon.reload(readSettings()) }
         signal.await()
         val drained = CompletableDeferred<Unit>()
         daemon.drain { drained.complete(Unit) }
@@ -40,18 +41,21 @@
 private const val TRAINING_OPTION = "--training-run"
 
 /** Starts the command with [settings] in a temporary file, as on a command line. */
-private fun startCommand(settings: ForwardingSettings) {
+private fun startCommand(settings: ForwardingSettings, reloadSignal: ReloadSignal) {
     val file = createTempFile("training", ".json")
     file.toFile().deleteOnExit()
     file.writeText(Json.encodeToString(ForwardingSettings.serializer(), settings))
-    thread(isDaemon = true) { ForwardingCommand().main(listOf("--settings", file.toString())) }
+    thread(isDaemon = true) { ForwardingCommand(reloadSignal).main(listOf("--settings", file.toString())) }
 }
 
 /** Starts an entry. With `--training-run`, sends itself a few requests on loopback and exits instead. */
 fun main(arguments: Array<String>) {
+    // Comes before everything else: until then, a SIGHUP ends the process.
+    val reloadSignal = ReloadSignal()
+    Signal.handle(Signal(ReloadSignal.NAME), reloadSignal)
     if (TRAINING_OPTION in arguments) {
-        val succeeded = TrainingRun(::newEventThread, ::startCommand).run()
+        val succeeded = TrainingRun(::newEventThread) { startCommand(it, reloadSignal) }.run()
         exitProcess(if (succeeded > 0) 0 else 1)
     }
-    ForwardingCommand().main(arguments)
+    ForwardingCommand(reloadSignal).main(arguments)
 }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EntryProcess.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EntryProcess.kt
@@ -8,29 +8,56 @@
 import java.util.concurrent.TimeUnit
 import kotlin.io.path.createTempFile
 import kotlin.io.path.deleteIfExists
+import kotlin.io.path.readText
 import kotlin.io.path.writeText
 
-/** The program as a process of its own. Signals go only to this process, by its process ID. */
-internal class EntryProcess(private val settings: ForwardingSettings) : AutoCloseable {
-    private val settingsFile = createTempFile("entry", ".json").apply {
-        writeText(Json.encodeToString(ForwardingSettings.serializer(), settings))
+/**
+ * The program as a process of its own. Signals go only to this process, by its process ID.
+ *
+ * @param jvmOptions further options of the JVM
+ */
+internal class EntryProcess(private val settings: ForwardingSettings, jvmOptions: List<String> = emptyList()) :
+    AutoCloseable {
+    private val settingsFile = createTempFile("entry", ".json")
+    private val outputFile = createTempFile("entry", ".log")
+    private val process: Process
+
+    init {
+        writeSettings(settings)
+        val command = listOf(
+            "${System.getProperty("java.home")}/bin/java",
+            "-Xmx96m",
+            "-Xss256k",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+        ) + jvmOptions + listOf(
+            "-cp",
+            System.getProperty("java.class.path"),
+            "org.bilberryhead.forwarding.MainKt",
+            "--settings",
+            settingsFile.toString(),
+        )
+        process = ProcessBuilder(command).redirectErrorStream(true).redirectOutput(outputFile.toFile()).start()
     }
-    private val process = ProcessBuilder(
-        "${System.getProperty("java.home")}/bin/java", "-Xmx96m", "-Xss256k", "-XX:+UseSerialGC",
-        "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-        "org.bilberryhead.forwarding.MainKt", "--settings", settingsFile.toString(),
-    ).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start()
 
     /** Whether the process is running. */
     val isAlive: Boolean get() = process.isAlive
 
+    /** What the process has written so far. */
+    val output: String get() = outputFile.readText()
+
+    /** Puts [changed] in place of the settings file, without a signal. */
+    fun writeSettings(changed: ForwardingSettings) =
+        settingsFile.writeText(Json.encodeToString(ForwardingSettings.serializer(), changed))
+
     /** Waits until the entry is ready for callers. */
     fun awaitReady() {
         val isReady = generateSequence { TimeUnit.MILLISECONDS.sleep(100) }.take(300).any { isReady() }
         check(isReady) { "the entry is not ready" }
     }
 
-    private fun isReady(): Boolean = try {
+    /** Whether the entry is ready for callers. */
+    fun isReady(): Boolean = try {
         Socket(HOST, settings.readiness.port).use {
             it.getOutputStream().writeText("GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n")
             it.getInputStream().readMessage()?.status == 200
@@ -51,5 +78,6 @@
     override fun close() {
         process.destroyForcibly().waitFor()
         settingsFile.deleteIfExists()
+        outputFile.deleteIfExists()
     }
 }
