Decide the status of an undecodable request in RequestCheck

What status an undecodable request gets is a question of its check. Its reason is now always the message of the decoder.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -22,8 +22,6 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
-import io.netty.handler.codec.http.TooLongHttpHeaderException
-import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import org.bilberryhead.forwarding.http.FullResponse
 import org.bilberryhead.forwarding.http.HopByHopHeaders
@@ -96,16 +94,11 @@
 
     private fun read(message: HttpObject) {
         val failure = message.decoderResult().cause()
-        if (failure != null) return rejectUnreadable(failure)
+        if (failure != null) return reject(RequestCheck.statusOf(failure), failure.message ?: "not HTTP")
         if (message is HttpRequest) readHead(message)
         if (message is HttpContent) readBody(message)
     }
 
-    private fun rejectUnreadable(failure: Throwable) = when (failure) {
-        is TooLongHttpHeaderException, is TooLongHttpLineException -> reject(HEADERS_TOO_LARGE, "headers too large")
-        else -> reject(BAD_REQUEST, failure.message ?: "not HTTP")
-    }
-
     private fun readHead(request: HttpRequest) {
         headStartedAt = null
         val problem = RequestCheck.problemOf(request)
@@ -355,7 +348,6 @@
         const val BAD_REQUEST = 400
         const val REQUEST_TIMEOUT = 408
         const val BODY_TOO_LARGE = 413
-        const val HEADERS_TOO_LARGE = 431
         const val UNKNOWN = 502
         const val NOT_RUN = 503
         const val PROCESS_ENDS = "the process ends"
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/RequestCheck.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/RequestCheck.kt
@@ -8,6 +8,11 @@
 import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
+
+private const val BAD_REQUEST = 400
+private const val HEADERS_TOO_LARGE = 431
 
 /** Detects requests whose end is ambiguous, which would allow request smuggling, or that lack a single Host header. */
 internal object RequestCheck {
@@ -22,6 +27,12 @@
         else -> null
     }
 
+    /** Returns the status with which a request is rejected that could not be decoded because of [failure]. */
+    fun statusOf(failure: Throwable): Int = when (failure) {
+        is TooLongHttpHeaderException, is TooLongHttpLineException -> HEADERS_TOO_LARGE
+        else -> BAD_REQUEST
+    }
+
     private fun hasUnsupportedEncoding(request: HttpRequest): Boolean {
         val encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
         return encodings.isNotEmpty() && (encodings.size > 1 || !encodings.single().trim().equals("chunked", true))
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/CrashingPromptTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/CrashingPromptTest.kt
@@ -61,14 +61,14 @@
  * Sends requests with the part `bad` until one is refused, and returns the refusal. Each is sent once the entry knows of
  * the crashes before it.
  */
-private suspend fun LoopbackDeployment.sendBadUntilRefused(prefix: String, engines: CrashingEngines): RawMessage? {
+private suspend fun LoopbackDeployment.sendBadUntilRefused(id: String, engines: CrashingEngines): RawMessage? {
     repeat(MAXIMUM_CRASHES) { number ->
-        val response = generate("$prefix-$number", "a bad c$number")
+        val response = generate("$id-$number", "a bad c$number")
         if (" 503 " in response?.head.orEmpty()) return response
         eventually(DETECTION_TIME) { crashReportCount shouldBeGreaterThanOrEqualTo engines.crashes.get() }
-        generate("$prefix-sound-$number", "a c$number").shouldNotBeNull().head shouldContain " 200 "
+        generate("$id-sound-$number", "a c$number").shouldNotBeNull().head shouldContain " 200 "
     }
-    return generate("$prefix-last", "a bad d")
+    return generate("$id-last", "a bad d")
 }
 
 class CrashingPromptTest :
