Let a drain end when several requests are read in part

What callers would see: since an entry that drained while two callers were connected, one of them in the middle of a request, refused the first and left the others open; the process did not end by itself before its limit.

Cause: CallerServer.stop went through the set of its connections while stopReading closed one of them, which takes it out of the set: ConcurrentModificationException. Found by a review; DrainTableTest plays a single connection.

Change: stop goes through a copy.

Evidence: CallerServerStopTest failed 2 of 2 before ("expected:<true> but was:<false>"). It plays the cases of the review, where the code before gave "stopped=false failure=java.util.ConcurrentModificationException" for three half requests and for one beside an idle connection. With the change both pass.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerServer.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerServer.kt
@@ -53,7 +53,7 @@
      */
     fun stop(stopped: () -> Unit) {
         listener?.close()
-        connections.forEach { it.stopReading() }
+        connections.toList().forEach { it.stopReading() }
         closeIdle()
         // A selector closes the socket of a cancelled key only in its next selection.
         thread.after(SELECTION_DELAY, stopped)
