Begin a request's head at its first character, not at an empty line

Cause: StrictRequestDecoder reported the start of a head at any byte, also at the line ends that may stand between requests.

Change: line ends between requests are skipped and begin nothing. Found by a review.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/RequestCheck.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/RequestCheck.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
+import io.netty.util.ByteProcessor
 
 private const val BAD_REQUEST = 400
 private const val HEADERS_TOO_LARGE = 431
@@ -52,6 +53,11 @@
         private set
 
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        // Empty lines between requests begin no head.
+        if (isBetweenRequests && buffer.forEachByte(ByteProcessor.FIND_NON_CRLF) < 0) {
+            buffer.skipBytes(buffer.readableBytes())
+            return
+        }
         if (isBetweenRequests) onHeadStarted()
         isBetweenRequests = false
         val previousSize = out.size
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerConnectionTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerConnectionTest.kt
@@ -120,6 +120,23 @@
             }
         }
 
+        describe("an empty line after a request") {
+            it("is no request read in part, which would be refused unasked when the process ends") {
+                val harness = CallerConnectionHarness { it.respond() }
+                harness.receive(request("a") + "\r\n")
+                harness.connection.isReading shouldBe false
+                harness.connection.stopReading()
+                harness.statuses shouldBe listOf(200)
+            }
+
+            it("does not spoil the request behind it") {
+                val harness = CallerConnectionHarness { it.respond() }
+                harness.receive(request("a") + "\r\n")
+                harness.receive("\r\n" + request("b"))
+                harness.bodies() shouldBe listOf("answer a", "answer b")
+            }
+        }
+
         describe("a request that is rejected unread behind another one") {
             it("gets its rejection after the answer of the other one") {
                 val harness = CallerConnectionHarness()
