Cancel the pieces of one submission, not all of their request

What callers would see: a request whose pieces were cancelled at their coordinator by somebody else waited for them until its deadline.

Cause: when the connection of a submission closed, PeerHandler cancelled every piece with the id of its request.

Change: StageScheduler.cancel takes the pieces of the submission.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/PieceQueue.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/PieceQueue.kt
@@ -65,6 +65,11 @@
         pieces.forEach { waiting += Waiting(it, now) }
     }
 
+    /** Removes those of [pieces] that wait. */
+    fun drop(pieces: Set<StagePiece>) {
+        waiting.removeAll { it.piece in pieces }
+    }
+
     /** Removes the pieces of a request that has ended. */
     fun drop(request: RequestId) {
         waiting.removeAll { it.piece.request == request }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerHandler.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerHandler.kt
@@ -53,7 +53,8 @@
         val pieces = message.pieces.map { it.toPiece(thread.now()) }
         val outcomes = mutableListOf<PieceOutcomeMessage>()
         stageScheduler.submit(pieces) { piece, outcome -> collect(piece, outcome, outcomes, pieces.size, response) }
-        return CallerListener { stageScheduler.cancel(pieces.first().request) }
+        // The request may have other pieces here, of another submission or sent by another entry.
+        return CallerListener { stageScheduler.cancel(pieces.toSet()) }
     }
 
     private fun collect(
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageScheduler.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageScheduler.kt
@@ -97,6 +97,12 @@
         scheduleIn(BATCH_DELAY)
     }
 
+    /** Cancels those of [pieces] that wait or are being computed; no outcome of them is delivered any more. */
+    fun cancel(pieces: Set<StagePiece>) {
+        queue.drop(pieces)
+        listeners.keys.removeAll(pieces)
+    }
+
     /** Cancels the pieces of [request] that wait or are being computed; no outcome of them is delivered any more. */
     fun cancel(request: RequestId) {
         queue.drop(request)
