--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/CrashingPromptTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/CrashingPromptTest.kt
@@ -58,8 +58,8 @@
 )
 
 /**
- * Sends requests with the part `bad` until one is refused, and returns the refusal. Each is sent once the entry knows of
- * the crashes before it.
+ * Sends requests with the part `bad` until one is refused, and returns the refusal. Each is sent once the entry knows
+ * of the crashes before it.
  */
 private suspend fun LoopbackDeployment.sendBadUntilRefused(id: String, engines: CrashingEngines): RawMessage? {
     repeat(MAXIMUM_CRASHES) { number ->
