Give the stream of a test more time than its caller needs to read it

Cause, from the log of the run: "request ended", "the time of the request is over", after 5,020 ms. The route's timeout is 5 s, of which the caller does not read for 2 s; on the busy machine it had read 30 of 32 MiB in the remaining 3 s. The entry was right to end the stream.

The test's route has 60 s now. Its checks and sizes are the same.

--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EndpointFaultTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EndpointFaultTest.kt
@@ -254,7 +254,7 @@
 
             it("has to wait while the caller of a stream does not read") {
                 var sentBytes = 0L
-                deploy({
+                val endpoint = ScriptedEndpoint {
                     startStream()
                     runCatching {
                         while (true) {
@@ -262,7 +262,11 @@
                             sentBytes += 1024
                         }
                     }
-                }) { entry, _ ->
+                }
+                // The time of the route must not end the stream before the caller has read what is checked.
+                val configuration =
+                    LoopbackDeployment.CONFIGURATION.replace(""""timeout_ms":5000""", """"timeout_ms":60000""")
+                LoopbackDeployment(configuration, mapOf("p" to listOf(endpoint))).use { entry ->
                     entry.connect().use {
                         it.getOutputStream().writeText(
                             "GET /stream/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nX-Api-Key: k\r\n\r\n",
@@ -273,6 +277,7 @@
                             MAXIMUM_RECEIVED_BYTES
                     }
                 }
+                endpoint.close()
             }
         }
 
