Share the services of a stage scheduler between two tests

PieceSubmissionTest and SilentCoordinatorTest each had a stage context of their own with the same twelve lines.

--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/stage/PieceSubmissionTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/stage/PieceSubmissionTest.kt
@@ -5,28 +5,22 @@
 import io.kotest.matchers.shouldBe
 import org.bilberryhead.core.common.DaemonId
 import org.bilberryhead.core.common.DataCentre
-import org.bilberryhead.core.common.EndpointId
 import org.bilberryhead.core.common.PoolName
 import org.bilberryhead.core.common.RequestId
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.core.serving.CallerLimits
-import org.bilberryhead.core.serving.EndpointEntry
 import org.bilberryhead.core.serving.EntryRecord
 import org.bilberryhead.core.serving.PieceEndpointChooser
 import org.bilberryhead.core.serving.PieceProcessingProfile
-import org.bilberryhead.core.serving.ResultHandle
 import org.bilberryhead.core.serving.RetryLimits
 import org.bilberryhead.core.serving.SharedRetryBudget
 import org.bilberryhead.core.serving.StagePiece
 import org.bilberryhead.forwarding.DecisionLog
-import org.bilberryhead.forwarding.EventThread
-import org.bilberryhead.forwarding.HOST
 import org.bilberryhead.forwarding.ScriptedEndpoint
 import org.bilberryhead.forwarding.caller.CallerServer
 import org.bilberryhead.forwarding.caller.CallerServerState
 import org.bilberryhead.forwarding.freeAddress
 import org.bilberryhead.forwarding.http.Connector
-import org.bilberryhead.forwarding.http.SingleExchange
 import org.bilberryhead.forwarding.newEventThread
 import org.bilberryhead.forwarding.peer.PeerClient
 import org.bilberryhead.forwarding.peer.PeerHandler
@@ -40,8 +34,6 @@
 private val dataCentre = DataCentre("x")
 private val profile = PieceProcessingProfile(8, 8, 4, 500.milliseconds, 1.milliseconds, 10_000_000.0, 4.seconds)
 
-private fun addressOf(server: ScriptedEndpoint) = SocketAddress(HOST, server.address.substringAfter(':').toInt())
-
 private fun stageEndpoint(name: String, delayMs: Long) = ScriptedEndpoint {
     val pieces = Regex("\"piece\"").findAll(request.body).count()
     TimeUnit.MILLISECONDS.sleep(delayMs)
@@ -53,20 +45,7 @@
     val eventThread = newEventThread()
     val log = DecisionLog(linesPerSecond = 0, eventThread::now)
     val connector = Connector(eventThread, "X-Request-Id")
-    private val context = object : StageContext {
-        override val thread: EventThread get() = eventThread
-        override val exchange = SingleExchange(eventThread, connector)
-        override val decisions: DecisionLog get() = log
-        override val isDraining = false
-
-        override fun release(handles: List<ResultHandle>, onReleased: (ResultHandle) -> Unit) = Unit
-
-        override fun releaseThroughCoordinators(handles: List<ResultHandle>) = Unit
-
-        override fun usableEndpoints(pool: PoolName) = listOf(
-            EndpointEntry(EndpointId("e"), pool, addressOf(endpoint), dataCentre, 1, isDraining = false, 0),
-        )
-    }
+    private val context = FakeStageContext(eventThread, connector, log, endpoint)
     val scheduler = StageScheduler(pool, profile, context, PieceEndpointChooser(profile))
 
     fun serve(address: SocketAddress) {
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/stage/SilentCoordinatorTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/stage/SilentCoordinatorTest.kt
@@ -7,24 +7,19 @@
 import io.kotest.matchers.types.shouldBeInstanceOf
 import org.bilberryhead.core.common.DaemonId
 import org.bilberryhead.core.common.DataCentre
-import org.bilberryhead.core.common.EndpointId
 import org.bilberryhead.core.common.PoolName
 import org.bilberryhead.core.common.RequestId
 import org.bilberryhead.core.common.SocketAddress
-import org.bilberryhead.core.serving.EndpointEntry
 import org.bilberryhead.core.serving.EntryRecord
 import org.bilberryhead.core.serving.PieceEndpointChooser
 import org.bilberryhead.core.serving.PieceProcessingProfile
-import org.bilberryhead.core.serving.ResultHandle
 import org.bilberryhead.core.serving.RetryLimits
 import org.bilberryhead.core.serving.SharedRetryBudget
 import org.bilberryhead.core.serving.StagePiece
 import org.bilberryhead.forwarding.DecisionLog
-import org.bilberryhead.forwarding.EventThread
 import org.bilberryhead.forwarding.ScriptedEndpoint
 import org.bilberryhead.forwarding.freeAddress
 import org.bilberryhead.forwarding.http.Connector
-import org.bilberryhead.forwarding.http.SingleExchange
 import org.bilberryhead.forwarding.newEventThread
 import org.bilberryhead.forwarding.peer.PeerClient
 import org.bilberryhead.forwarding.peer.PeerCodec
@@ -45,8 +40,6 @@
 /** A silence that a sound process may keep. */
 private val SILENCE: Duration = 1_300.milliseconds
 
-private fun addressOf(server: ScriptedEndpoint) = SocketAddress("127.0.0.1", server.address.substringAfter(':').toInt())
-
 /** A stage endpoint that computes the pieces that this entry sends itself. */
 private fun newStageEndpoint() = ScriptedEndpoint {
     val pieces = Regex("\"piece\"").findAll(request.body).count()
@@ -74,20 +67,7 @@
     private val connector = Connector(eventThread, "X-Request-Id")
     private val profile =
         PieceProcessingProfile(8, 8, 4, 100.milliseconds, 1.milliseconds, 10_000_000.0, 4.seconds)
-    private val context = object : StageContext {
-        override val thread: EventThread get() = eventThread
-        override val exchange = SingleExchange(eventThread, connector)
-        override val decisions: DecisionLog get() = log
-        override val isDraining = false
-
-        override fun release(handles: List<ResultHandle>, onReleased: (ResultHandle) -> Unit) = Unit
-
-        override fun releaseThroughCoordinators(handles: List<ResultHandle>) = Unit
-
-        override fun usableEndpoints(pool: PoolName) = listOf(
-            EndpointEntry(EndpointId("e"), pool, addressOf(stageEndpoint), dataCentre, 1, isDraining = false, 0),
-        )
-    }
+    private val context = FakeStageContext(eventThread, connector, log, stageEndpoint)
     private val coordinatorRecord = EntryRecord(DaemonId("coordinator"), dataCentre, coordinator, 1.0)
     private val ownRecord = EntryRecord(DaemonId("own"), dataCentre, freeAddress(), 1.0)
     private val peer = PeerClient(coordinatorRecord, eventThread, log, connector)
