Keep no response bodies and no whole log in the test of the end of a process

EndOfProcessTest failed once with 'Java heap space' beside load. Its endpoint answers a fourth of the requests with 300 kB, and the test kept each of these bodies to the end and read the whole log of the entry into one text, in a heap of 1 GB.

Each response is now checked when it has been read, and only what it says is kept; the log is read line by line. The checks are the same. That this was the cause of the one failure is likely, not shown: it was not reproduced.

--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EndOfProcessTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EndOfProcessTest.kt
@@ -37,18 +37,24 @@
 /** One caller: it sends requests in one way until it can no longer connect, and pauses within each and after each. */
 private class CallerCase(val work: Work, val sending: Sending, val pause: Duration)
 
-/** A request, the time when its last byte was sent, the response to it or null, and the time to this outcome. */
+/**
+ * A request, the time when its last byte was sent, what the response to it says, and the time to this outcome. The body
+ * of the response is not kept: those of all requests do not fit into the memory of the test.
+ */
 private class Outcome(
     val case: CallerCase,
     val id: String,
     val sentAt: TimeSource.Monotonic.ValueTimeMark,
-    val response: RawMessage?,
+    response: RawMessage?,
 ) {
     val elapsed: Duration = sentAt.elapsedNow()
-    val isComplete: Boolean get() = response != null && !response.isTruncated
+    val isComplete: Boolean = response != null && !response.isTruncated
+    val status: Int? = response?.status
+    val isSigned: Boolean = response?.header("X-Response-Stamp") == "s"
+    val hasOwnBody: Boolean = response != null && "answer $id" in response.body
+    private val statusLine: String? = response?.head?.lines()?.first()
 
-    override fun toString() =
-        "$id ${case.work} ${case.sending} ${case.pause}: ${response?.head?.lines()?.first()}, $elapsed"
+    override fun toString() = "$id ${case.work} ${case.sending} ${case.pause}: $statusLine, $elapsed"
 }
 
 private class Caller(private val case: CallerCase, private val port: Int, private val nextNumber: () -> Int) {
@@ -137,7 +143,9 @@
 
     /** The ids of the requests that the entry has read whole, by its log; known when the process is gone. */
     val read: Set<String> by lazy {
-        REQUEST_FIELD.findAll(entry.output).mapTo(mutableSetOf()) { it.groupValues[1] }
+        entry.useOutputLines { lines ->
+            lines.flatMap { REQUEST_FIELD.findAll(it) }.mapTo(mutableSetOf()) { it.groupValues[1] }
+        }
     }
 
     private fun ScriptedEndpoint.Exchange.serve() {
@@ -188,7 +196,7 @@
             outcomes.filter { it.id in passedOn && it.isComplete }.filterNot(::isTrue).shouldBeEmpty()
         }
         withClue("requests that were not passed on are refused, or their connection ends") {
-            outcomes.filter { it.id !in passedOn && it.isComplete && it.response?.status != NOT_RUN }.shouldBeEmpty()
+            outcomes.filter { it.id !in passedOn && it.isComplete && it.status != NOT_RUN }.shouldBeEmpty()
         }
         outcomes.filter { it.isComplete }.shouldNotBeEmpty()
     }
@@ -210,9 +218,9 @@
         }
     }
 
-    private fun isTrue(outcome: Outcome): Boolean = when (outcome.response?.status) {
-        OK -> outcome.response.header("X-Response-Stamp") == "s" && "answer ${outcome.id}" in outcome.response.body
-        else -> outcome.response?.status == UNKNOWN
+    private fun isTrue(outcome: Outcome): Boolean = when (outcome.status) {
+        OK -> outcome.isSigned && outcome.hasOwnBody
+        else -> outcome.status == UNKNOWN
     }
 
     override fun close() {
@@ -244,7 +252,7 @@
                     end.checkTruth()
                     end.checkPairs()
                     withClue("every request that was passed on has its whole answer") {
-                        end.outcomes.filter { it.id in end.passedOn && (!it.isComplete || it.response?.status != 200) }
+                        end.outcomes.filter { it.id in end.passedOn && (!it.isComplete || it.status != 200) }
                             .shouldBeEmpty()
                     }
                     end.checkLog()
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EntryProcess.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EntryProcess.kt
@@ -9,6 +9,7 @@
 import kotlin.io.path.createTempFile
 import kotlin.io.path.deleteIfExists
 import kotlin.io.path.readText
+import kotlin.io.path.useLines
 import kotlin.io.path.writeText
 
 /**
@@ -46,6 +47,9 @@
     /** What the process has written so far. */
     val output: String get() = outputFile.readText()
 
+    /** Passes the lines that the process has written so far to [use], one by one. */
+    fun <T> useOutputLines(use: (Sequence<String>) -> T): T = outputFile.useLines(block = use)
+
     /** Puts [changed] in place of the settings file, without a signal. */
     fun writeSettings(changed: ForwardingSettings) =
         settingsFile.writeText(Json.encodeToString(ForwardingSettings.serializer(), changed))
