--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EndOfProcessTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EndOfProcessTest.kt
@@ -5,8 +5,6 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldNotBeEmpty
 import io.kotest.matchers.shouldBe
-import org.bilberryhead.core.common.DaemonId
-import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.testing.http.RawMessage
 import org.bilberryhead.core.testing.http.readMessage
 import org.bilberryhead.core.testing.http.writeText
@@ -122,15 +120,7 @@
 private class EndOfProcess : AutoCloseable {
     private val endpoint = ScriptedEndpoint { serve() }
     private val store = LoopbackStore(LoopbackDeployment.CONFIGURATION, mapOf("p" to listOf(endpoint)))
-    private val settings = ForwardingSettings(
-        id = DaemonId("entry"),
-        dataCentre = DataCentre("x"),
-        callers = freeAddress(),
-        readiness = freeAddress(),
-        peers = freeAddress(),
-        metrics = freeAddress(),
-        seeds = emptyList(),
-        store = store.address,
+    private val settings = settingsOfProcess(store.address).copy(
         drainLimit = DRAIN_LIMIT,
         retrySlack = 50.0,
         decisionLinesPerSecond = 100_000,
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EntryProcess.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EntryProcess.kt
@@ -1,6 +1,9 @@
 package org.bilberryhead.forwarding
 
 import kotlinx.serialization.json.Json
+import org.bilberryhead.core.common.DaemonId
+import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.core.testing.http.readMessage
 import org.bilberryhead.core.testing.http.writeText
 import java.io.IOException
@@ -12,6 +15,18 @@
 import kotlin.io.path.useLines
 import kotlin.io.path.writeText
 
+/** Returns settings of an entry on the loopback interface that uses the store at [store]. */
+internal fun settingsOfProcess(store: SocketAddress) = ForwardingSettings(
+    id = DaemonId("entry"),
+    dataCentre = DataCentre("x"),
+    callers = freeAddress(),
+    readiness = freeAddress(),
+    peers = freeAddress(),
+    metrics = freeAddress(),
+    seeds = emptyList(),
+    store = store,
+)
+
 /**
  * The program as a process of its own. Signals go only to this process, by its process ID.
  *
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ReloadAtStartTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ReloadAtStartTest.kt
@@ -3,8 +3,6 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
-import org.bilberryhead.core.common.DaemonId
-import org.bilberryhead.core.common.DataCentre
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -18,16 +16,7 @@
 private class StartingEntry : AutoCloseable {
     private val endpoint = ScriptedEndpoint { respond(body = "found") }
     private val store = LoopbackStore(LoopbackDeployment.CONFIGURATION, mapOf("p" to listOf(endpoint)))
-    val settings = ForwardingSettings(
-        id = DaemonId("entry"),
-        dataCentre = DataCentre("x"),
-        callers = freeAddress(),
-        readiness = freeAddress(),
-        peers = freeAddress(),
-        metrics = freeAddress(),
-        seeds = emptyList(),
-        store = store.address,
-    )
+    val settings = settingsOfProcess(store.address)
     val process = EntryProcess(settings, listOf("-Xlog:class+init=info"))
 
     /** Waits until the program creates its first object of the class [name]. */
