Send nothing new to an endpoint that says itself that it leaves

An endpoint says in all of its responses that it leaves (Server-Leaving: 1), possibly before its row says so. Entries did not know the header: callers' requests were sent to the endpoint until the list named it as draining, and without the store for as long as it lived, and were lost when it ended.

The directory now remembers runs (id and start) that have announced their leaving, and counts them as draining in whatever list comes later, of the store, a peer or from before an outage. The header is read from every head: of responses, refusals, failures and streams, of stage calls and of releases of results. Stage calls and releases check again once their connection is open, as requests and replacements did. Releases are no longer sent to endpoints that drain; they drop results themselves. Entries do not tell one another (decision 0011).

Evidence: LeavingEndpointTest, as it was before the change (9 tests), failed in 7 of them at: 'expected:<503> but was:<200>' (a response, a stream, a request that waits), '<500>', '<502>', 'expected:<[1, 1]> but was:<[3, 3]>' (refusals) and a second stage call.

Conclusion: shown on loopback and in core; not played on a deployment. An endpoint that restarted under its id and leaves before its new row was read is taken for its earlier run.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointDirectory.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointDirectory.kt
@@ -23,7 +23,10 @@
     val slots: Int,
     val isDraining: Boolean,
     val startedAt: Long,
-)
+) {
+    /** The run of the endpoint that this entry is about. */
+    val run: EndpointRun get() = EndpointRun(id, startedAt)
+}
 
 /** A change in what is known about one endpoint. */
 sealed interface EndpointChange {
@@ -46,7 +49,8 @@
 }
 
 /**
- * Holds the endpoints that may be used, according to the entries in the platform's store.
+ * Holds the endpoints that may be used, according to the entries in the platform's store and to the endpoints
+ * themselves: a run that has announced that it leaves counts as draining, whatever is listed then or later.
  *
  * Entries may expire during an outage of the store. The endpoints register again within [reregistrationPeriod] after
  * the outage, so a removal that is read in that time takes effect only when the time is over.
@@ -57,6 +61,7 @@
 class EndpointDirectory(private val reregistrationPeriod: Duration = 2.seconds - 200.milliseconds) {
     private val entries = mutableMapOf<EndpointId, EndpointEntry>()
     private val removalDueAt = mutableMapOf<EndpointId, Instant>()
+    private val leavingRuns = LeavingRuns()
     private var reregistrationEnd: Instant? = null
     private var usable: Map<PoolName, List<EndpointEntry>> = emptyMap()
 
@@ -69,6 +74,10 @@
     /** The entry of the endpoint that listens on [address], which may be draining, or null when there is none. */
     fun entryAt(address: SocketAddress): EndpointEntry? = entries.values.firstOrNull { it.address == address }
 
+    /** The runs of other endpoints that are registered at the address of [entry]; they may be draining. */
+    fun othersAtAddressOf(entry: EndpointEntry): List<EndpointRun> =
+        entries.values.filter { it.address == entry.address && it.id != entry.id }.map { it.run }
+
     /** Whether no endpoint is known. */
     val isEmpty: Boolean get() = entries.isEmpty()
 
@@ -81,12 +90,19 @@
     fun replaceAll(listed: List<EndpointEntry>, now: Instant): List<EndpointChange> {
         val present = listed.mapTo(mutableSetOf()) { it.id }
         val missing = entries.keys.filter { it !in present }
-        return updateUsable(listed.mapNotNull(::put) + missing.mapNotNull { remove(it, now) })
+        return updateUsable(listed.mapNotNull(::register) + missing.mapNotNull { remove(it, now) })
     }
 
     /** Applies changed entries and the ids of those that were removed, and returns the changes. */
     fun update(changed: List<EndpointEntry>, removed: List<EndpointId>, now: Instant): List<EndpointChange> =
-        updateUsable(changed.mapNotNull(::put) + removed.mapNotNull { remove(it, now) })
+        updateUsable(changed.mapNotNull(::register) + removed.mapNotNull { remove(it, now) })
+
+    /** Records that [run] has announced itself that it leaves, and returns the changes. */
+    fun recordLeaving(run: EndpointRun): List<EndpointChange> {
+        if (!leavingRuns.add(run)) return emptyList()
+        val entry = entries[run.id]?.takeIf { it.run == run } ?: return emptyList()
+        return updateUsable(listOfNotNull(put(entry)))
+    }
 
     /** Drops expired entries whose endpoints have not registered again in time, and returns the changes. */
     fun dropExpired(now: Instant): List<EndpointChange> {
@@ -95,8 +111,13 @@
         return updateUsable(due.map(::drop))
     }
 
-    private fun put(entry: EndpointEntry): EndpointChange? {
-        removalDueAt.remove(entry.id)
+    private fun register(listed: EndpointEntry): EndpointChange? {
+        removalDueAt.remove(listed.id)
+        return put(listed)
+    }
+
+    private fun put(listed: EndpointEntry): EndpointChange? {
+        val entry = listed.copy(isDraining = listed.isDraining || listed.run in leavingRuns)
         val previous = entries.put(entry.id, entry)
         return when {
             entry.isDraining && previous?.isDraining != true -> EndpointChange.Draining(entry.id)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -17,8 +17,10 @@
 import org.bilberryhead.daemon.SettingsError
 import org.bilberryhead.forwarding.caller.CallerServer
 import org.bilberryhead.forwarding.caller.CallerServerState
+import org.bilberryhead.forwarding.endpoint.EndpointAnnouncements
 import org.bilberryhead.forwarding.endpoint.Endpoints
 import org.bilberryhead.forwarding.http.Connector
+import org.bilberryhead.forwarding.http.ResponseHead
 import org.bilberryhead.forwarding.http.SimpleHttpResponse
 import org.bilberryhead.forwarding.http.SimpleHttpServer
 import org.bilberryhead.forwarding.http.SingleExchange
@@ -71,7 +73,7 @@
     private val directory = EndpointDirectory()
     private val endpoints = Endpoints(thread, connector, directory, ::poolOf, membership::shareCount)
     private val connectionWaitQueue = ConnectionWaitQueue()
-    private val releaser = ResultReleaser(thread, endpoints::byAddress)
+    private val releaser = ResultReleaser(thread, endpoints::byAddress, endpoints::isUsable)
     private val stageSchedulers = mutableMapOf<PoolName, StageScheduler>()
     private val stageClients = mutableMapOf<PoolName, StageCoordinatorClient>()
     private val servingContext = ServingContext(
@@ -89,6 +91,7 @@
     private val admission = RequestAdmission(servingContext)
     private val endpointListener =
         EndpointListener(directory, endpoints, thread, decisions, connectionWaitQueue::dispatchAll)
+    private val announcements = EndpointAnnouncements(directory, decisions, endpointListener::apply)
     private val configurationListener = ConfigurationListener(decisions) {
         servingContext.matcher = it
         connectionWaitQueue.dispatchAll()
@@ -123,6 +126,10 @@
             .forEach { (pool, poolHandles) -> pool?.let(::stageClient)?.release(poolHandles) }
 
         override fun usableEndpoints(pool: PoolName): List<EndpointEntry> = directory.usable(pool)
+
+        override fun obstacleTo(entry: EndpointEntry): String? = endpoints.obstacleTo(entry)
+
+        override fun headReceived(entry: EndpointEntry, head: ResponseHead) = announcements.headReceived(entry, head)
     }
 
     private val replica = object : StoreReplica {
@@ -139,6 +146,7 @@
     /** Opens the listeners and starts to watch the store. Throws `IOException` when an address cannot be bound. */
     fun start() {
         endpoints.onConnectionAvailable = connectionWaitQueue::dispatch
+        endpoints.onHeadReceived = announcements::headReceived
         callers.listen(settings.callers)
         SimpleHttpServer(thread, ::respondToReadinessCheck).listen(settings.readiness)
         CallerServer(
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/EndpointConnections.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/EndpointConnections.kt
@@ -5,6 +5,7 @@
 import org.bilberryhead.forwarding.http.ConnectFailure
 import org.bilberryhead.forwarding.http.Connector
 import org.bilberryhead.forwarding.http.OutboundConnection
+import org.bilberryhead.forwarding.http.ResponseHead
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -13,6 +14,7 @@
  *
  * @param maximumConnections maximum number of connections: this entry's share of those that the endpoint accepts
  * @param onAvailable called when another exchange may be able to start
+ * @param onHeadReceived called with the head of each response of the endpoint
  */
 internal class EndpointConnections(
     private val address: SocketAddress,
@@ -20,6 +22,7 @@
     private val thread: EventThread,
     private val maximumConnections: () -> Int,
     private val onAvailable: () -> Unit,
+    private val onHeadReceived: (ResponseHead) -> Unit = {},
 ) {
     private val idle = ArrayDeque<OutboundConnection>()
     private val open = mutableSetOf<OutboundConnection>()
@@ -99,6 +102,7 @@
 
     private fun register(connection: OutboundConnection) {
         open += connection
+        connection.onHeadReceived = onHeadReceived
         connection.onStateChange = { updateState(connection) }
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/Endpoints.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/Endpoints.kt
@@ -11,6 +11,7 @@
 import org.bilberryhead.core.serving.ServingPool
 import org.bilberryhead.forwarding.EventThread
 import org.bilberryhead.forwarding.http.Connector
+import org.bilberryhead.forwarding.http.ResponseHead
 import org.bilberryhead.platform.wire.StageCodec
 import kotlin.math.max
 
@@ -33,12 +34,20 @@
     /** Called when an endpoint of a pool can start another exchange. */
     var onConnectionAvailable: (PoolName) -> Unit = {}
 
+    /** Called with the head of each response of an endpoint. */
+    var onHeadReceived: (EndpointEntry, ResponseHead) -> Unit = { _, _ -> }
+
     /** Returns the endpoints of [pool] that accept new work. */
     fun usable(pool: PoolName): List<Endpoint> = directory.usable(pool).map(::getOrCreate)
 
-    /** Returns whether [endpoint] still accepts new work: it neither drains nor has been restarted. */
-    fun isUsable(endpoint: Endpoint): Boolean =
-        directory.entry(endpoint.entry.id)?.let { !it.isDraining && it.startedAt == endpoint.entry.startedAt } ?: false
+    /** Returns whether [endpoint] still accepts new work. */
+    fun isUsable(endpoint: Endpoint): Boolean = obstacleTo(endpoint.entry) == null
+
+    /** Returns why the run of an endpoint that [entry] is about accepts no new work any more, or null. */
+    fun obstacleTo(entry: EndpointEntry): String? {
+        val current = directory.entry(entry.id)
+        return if (current == null || current.isDraining || current.run != entry.run) "the endpoint leaves" else null
+    }
 
     /** Returns the endpoint of [entry]; creates it when it is new or its process was restarted. */
     fun getOrCreate(entry: EndpointEntry): Endpoint {
@@ -77,6 +86,7 @@
             thread = thread,
             maximumConnections = { connectionShare(entry.pool) },
             onAvailable = { onConnectionAvailable(entry.pool) },
+            onHeadReceived = { onHeadReceived(entry, it) },
         )
         return Endpoint(entry, pools(entry.pool), connections)
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
@@ -56,6 +56,9 @@
     /** Called when the connection closes, when an exchange on it has ended, and when it is released unused. */
     var onStateChange: () -> Unit = {}
 
+    /** Called with the head of each response, after the listener of its exchange. */
+    var onHeadReceived: (ResponseHead) -> Unit = {}
+
     /** Whether the connection can carry another exchange after the current one. */
     var isReusable = true
         private set
@@ -175,7 +178,9 @@
             else -> {
                 readConnectionHeaders(response)
                 bytesWithoutProgress = 0
-                activeListener.headReceived(ResponseHead(response.status().code(), response.headers()))
+                val head = ResponseHead(response.status().code(), response.headers())
+                activeListener.headReceived(head)
+                onHeadReceived(head)
             }
         }
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/SingleExchange.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/SingleExchange.kt
@@ -46,19 +46,31 @@
     /**
      * Sends [request] to [address]. Calls [sent] once the request was handed to the connection, and [ended] exactly
      * once with the outcome; without a response within [timeout] after connecting the outcome is unknown.
+     *
+     * @param obstacle returns why the request must not be sent once the connection is open, or null
+     * @param headReceived called with the head of the response
      */
     fun send(
         address: SocketAddress,
         request: OutboundRequest,
         timeout: Duration,
         sent: () -> Unit = {},
+        obstacle: () -> String? = { null },
+        headReceived: (ResponseHead) -> Unit = {},
         ended: (ExchangeOutcome) -> Unit,
     ) {
         connector.open(
             address,
             opened = { connection ->
-                exchange(connection, request, timeout, ended)
-                sent()
+                connection.onHeadReceived = headReceived
+                val reason = obstacle()
+                if (reason == null) {
+                    exchange(connection, request, timeout, ended)
+                    sent()
+                } else {
+                    connection.close()
+                    ended(ExchangeOutcome.NotSent(reason))
+                }
             },
             failed = { ended(ExchangeOutcome.NotSent(it.reason)) },
         )
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/ResultReleaser.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/ResultReleaser.kt
@@ -7,6 +7,7 @@
 import org.bilberryhead.forwarding.EventThread
 import org.bilberryhead.forwarding.endpoint.Endpoint
 import org.bilberryhead.forwarding.http.ExchangeOutcome
+import org.bilberryhead.forwarding.http.OutboundConnection
 import org.bilberryhead.forwarding.http.OutboundRequest
 import org.bilberryhead.forwarding.http.ResponseCollector
 import org.bilberryhead.platform.wire.StageCodec
@@ -15,10 +16,17 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Reports results that are no longer needed to their endpoints, in batches. A failed call is not repeated. */
+/**
+ * Reports results that are no longer needed to their endpoints, in batches. A failed call is not repeated; the endpoint
+ * drops the results itself when their retention time is over.
+ *
+ * @param endpointByAddress the endpoint that listens on an address, or null
+ * @param isUsable whether an endpoint accepts calls
+ */
 internal class ResultReleaser(
     private val thread: EventThread,
     private val endpointByAddress: (SocketAddress) -> Endpoint?,
+    private val isUsable: (Endpoint) -> Boolean,
 ) {
     private class Release(val handle: ResultHandle, val onReleased: (ResultHandle) -> Unit)
 
@@ -38,23 +46,24 @@
 
     private fun send(address: SocketAddress) {
         val releases = pendingReleases.remove(address) ?: return
-        val endpoint = endpointByAddress(address) ?: return
+        val endpoint = endpointByAddress(address)?.takeIf(isUsable) ?: return
         endpoint.connections.acquire(
             requestId = null,
             mayRepeat = true,
-            opened = { connection ->
-                val timer = thread.after(RESPONSE_TIMEOUT) { connection.close() }
-                val collector = ResponseCollector { outcome ->
-                    timer.cancel()
-                    if (outcome is ExchangeOutcome.Completed) releases.forEach { it.onReleased(it.handle) }
-                }
-                connection.send(request(endpoint, releases.map { it.handle }), requestId = null, collector)
-            },
-            // The endpoint drops the results itself when their retention time is over.
+            opened = { if (isUsable(endpoint)) send(endpoint, releases, it) else it.release() },
             failed = {},
         )
     }
 
+    private fun send(endpoint: Endpoint, releases: List<Release>, connection: OutboundConnection) {
+        val timer = thread.after(RESPONSE_TIMEOUT) { connection.close() }
+        val collector = ResponseCollector { outcome ->
+            timer.cancel()
+            if (outcome is ExchangeOutcome.Completed) releases.forEach { it.onReleased(it.handle) }
+        }
+        connection.send(request(endpoint, releases.map { it.handle }), requestId = null, collector)
+    }
+
     private fun request(endpoint: Endpoint, handles: List<ResultHandle>): OutboundRequest {
         val headers = DefaultHttpHeaders()
             .add("Host", endpoint.entry.address.toString())
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageScheduler.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageScheduler.kt
@@ -18,6 +18,7 @@
 import org.bilberryhead.forwarding.Timer
 import org.bilberryhead.forwarding.http.ExchangeOutcome
 import org.bilberryhead.forwarding.http.OutboundRequest
+import org.bilberryhead.forwarding.http.ResponseHead
 import org.bilberryhead.forwarding.http.SingleExchange
 import org.bilberryhead.platform.wire.HeaderValues
 import org.bilberryhead.platform.wire.StageCodec
@@ -59,6 +60,12 @@
 
     /** Returns the endpoints of [pool] that accept new work. */
     fun usableEndpoints(pool: PoolName): List<EndpointEntry>
+
+    /** Returns why the endpoint of [entry] gets no new call, or null when it may be called. */
+    fun obstacleTo(entry: EndpointEntry): String?
+
+    /** Reads what the endpoint of [entry] says about itself in [head], the head of its response. */
+    fun headReceived(entry: EndpointEntry, head: ResponseHead)
 }
 
 /**
@@ -184,7 +191,14 @@
         val timeout = expected * TIMEOUT_FACTOR + TIMEOUT_SLACK
         val inputs =
             CallInputs(releasableInputs(pieces, endpoint, now), context.thread, context::releaseThroughCoordinators)
-        context.exchange.send(endpoint.address, request(endpoint, pieces, now), timeout, inputs::callSent) { outcome ->
+        context.exchange.send(
+            endpoint.address,
+            request(endpoint, pieces, now),
+            timeout,
+            sent = inputs::callSent,
+            obstacle = { context.obstacleTo(endpoint) },
+            headReceived = { context.headReceived(endpoint, it) },
+        ) { outcome ->
             inputs.callEnded()
             val endedAt = context.thread.now()
             val results = resultsOf(outcome, pieces.size)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EndpointListener.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EndpointListener.kt
@@ -60,7 +60,8 @@
         return entry
     }
 
-    private fun apply(changes: List<EndpointChange>) {
+    /** Applies [changes] that the directory has made. */
+    fun apply(changes: List<EndpointChange>) {
         endpoints.applyChanges(changes)
         changes.forEach { if (it is EndpointChange.Gone) texts.remove(it.id) }
         for (change in changes) {
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/stage/FakeStageContext.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/stage/FakeStageContext.kt
@@ -11,6 +11,7 @@
 import org.bilberryhead.forwarding.HOST
 import org.bilberryhead.forwarding.ScriptedEndpoint
 import org.bilberryhead.forwarding.http.Connector
+import org.bilberryhead.forwarding.http.ResponseHead
 import org.bilberryhead.forwarding.http.SingleExchange
 
 internal fun addressOf(server: ScriptedEndpoint) = SocketAddress(HOST, server.address.substringAfter(':').toInt())
@@ -29,6 +30,10 @@
 
     override fun releaseThroughCoordinators(handles: List<ResultHandle>) = Unit
 
+    override fun obstacleTo(entry: EndpointEntry): String? = null
+
+    override fun headReceived(entry: EndpointEntry, head: ResponseHead) = Unit
+
     override fun usableEndpoints(pool: PoolName) = listOf(
         EndpointEntry(EndpointId("e"), pool, addressOf(endpoint), DataCentre("x"), 1, isDraining = false, 0),
     )
