Pass nothing on during a drain that the end of the drain could cut

Cause: while an entry drains, a new request was taken if its usual time (three times the objective of its route, or 5 s for a stream) ended before the drain did; the time that it may take was not looked at. What had been read before was sent whenever a connection became free or an endpoint had refused it, up to the end of the drain.

LateInDrainTest on the code before, objective 200 ms, timeout 10 s, drain limit 6 s: all three orders (a first request, one that waits for a connection, one that an endpoint has refused as not run) were passed on during the drain and ended by it after 5.7 s; each test printed "HTTP/1.1 502 Bad Gateway" where 503 was expected, and the request was at the endpoint.

Change: DrainAdmission decides in core whether a request may be sent: if its longest time (the earlier of its caller's deadline and the timeout of its route) ends before the drain does. In the first third of the drain its usual time is enough for what may be repeated, so that a short drain does not refuse those streams from its start on. It is asked when a request arrives, before each selection of an endpoint and each sending, before a silent endpoint is replaced, and while a request waits. What may not be sent is refused at once as not run, or reported as unknown once an attempt may have run. A stream that has begun goes on elsewhere as before, because otherwise it is cut there and then. Streams that may run only once go by their longest time from the start of the drain on: they cost their callers a retry, and are not cut.

Conclusion: an order is no longer cut by a drain unless it was sent before the drain began. Not excluded: what was sent before it, and repeatable requests of its first third, that take longer than the drain.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import org.bilberryhead.core.common.PoolName
 import org.bilberryhead.core.serving.CallerLimits
+import org.bilberryhead.core.serving.DrainAdmission
 import org.bilberryhead.core.serving.EndpointDirectory
 import org.bilberryhead.core.serving.EndpointEntry
 import org.bilberryhead.core.serving.EnginePlacement
@@ -206,7 +207,7 @@
     fun drain(ended: () -> Unit) = thread.loop.execute {
         val now = thread.now()
         drainingSince = now
-        admission.drainDeadline = now + settings.drainLimit - DRAIN_RESERVE
+        servingContext.drain = DrainAdmission(startedAt = now, endsAt = now + settings.drainLimit - DRAIN_RESERVE)
         membership.leave()
         log.atInfo {
             message = "draining"
@@ -232,6 +233,7 @@
             return
         }
         if (elapsed >= BALANCER_REMOVAL_TIME) callers.closeIdle()
+        admission.refuseBarred()
         if (elapsed >= settings.drainLimit / 2) admission.refuseUnsent()
         thread.after(DRAIN_CHECK_INTERVAL) { awaitDrained(since, ended) }
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptReplacement.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptReplacement.kt
@@ -9,6 +9,9 @@
     /** The attempt that the response comes from; null after it has broken off. */
     val attempt: Attempt?
 
+    /** Whether the end of a drain could cut the request if it were sent now. */
+    val isTooLate: Boolean
+
     /** Results that an engine needs to run the request. */
     val inputs: List<ResultHandle>
 
@@ -86,6 +89,7 @@
     /** Takes the retry for [replacement] and returns null, or why it cannot be sent. */
     private fun obstacleTo(replacement: Attempt): String? = when {
         !context.endpoints.isUsable(replacement.endpoint) -> "the other endpoint began to leave"
+        execution.isTooLate -> "the process ends soon"
         // Once the attempt has broken off, the retry has been taken.
         execution.attempt != null && !retries.take() -> "no retry is left"
         else -> null
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -88,7 +88,7 @@
     }
 
     private fun dispatch() {
-        if (isFinished || refuseIfQuarantined()) return
+        if (isFinished || refuseIfBarred()) return
         val selection = AttemptEndpointSelector(context).select(request, inputs, failedEndpoints)
         if (selection == AttemptEndpointSelector.Selection.AllBusy) return waitForConnection()
         waiter?.let(context.connectionWaitQueue::remove)
@@ -102,8 +102,16 @@
         }
     }
 
-    /** Refuses the request when a part of its prompt crashes endpoints, and returns whether it did. */
-    private fun refuseIfQuarantined(): Boolean {
+    /**
+     * Refuses the request if it has yet to be sent and the end of a drain could cut it, or a part of its prompt crashes
+     * endpoints; returns whether it did.
+     */
+    fun refuseIfBarred(): Boolean {
+        if (attempt?.connection != null) return false
+        if (!context.maySend(request, isStreaming)) {
+            refuse("the process ends soon", RETRY_DELAY)
+            return true
+        }
         val refusal = context.quarantine.refusalOf(request.id.value, request.sharedParts) ?: return false
         refuse(refusal.reason, refusal.retryAfter, spread = 0.0)
         return true
@@ -147,7 +155,7 @@
             connection.release()
             return newAttempt.connectFailed("the endpoint began to leave while the connection was opened")
         }
-        if (refuseIfQuarantined()) {
+        if (refuseIfBarred()) {
             newAttempt.cancel()
             return connection.release()
         }
@@ -162,7 +170,7 @@
     }
 
     private fun retryElsewhere(expiredAttempt: Attempt): Unit = guarded {
-        if (retries.isAvailable()) {
+        if (retries.isAvailable() && context.maySend(request, isStreaming)) {
             decisionLog.attemptFailed(expiredAttempt.endpoint, "silent for too long", "try elsewhere")
             silenceCheck.stop()
             failedEndpoints += expiredAttempt.endpoint
@@ -331,6 +339,8 @@
     private inner class ReplaceableAttempt : ReplaceableRequest {
         override val attempt: Attempt? get() = this@ForwardedRequestExecution.attempt
 
+        override val isTooLate: Boolean get() = !context.maySend(request, isStreaming)
+
         override val inputs: List<ResultHandle> get() = this@ForwardedRequestExecution.inputs
 
         override fun guarded(block: () -> Unit) = this@ForwardedRequestExecution.guarded(block)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
@@ -14,8 +14,6 @@
 import org.bilberryhead.platform.wire.WireHeaders
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 
 /** Determines the route and the client account of each request, and starts to serve the request or refuses it. */
 internal class RequestAdmission(private val context: ServingContext) : RequestHandler {
@@ -24,8 +22,8 @@
     /** Number of requests that are being served. */
     val runningCount: Int get() = executions.size
 
-    /** When the process will stop at the latest; null unless the entry is draining. */
-    var drainDeadline: Instant? = null
+    /** Refuses every request that waits to be sent and may not be sent any more. */
+    fun refuseBarred() = executions.toList().forEach { it.refuseIfBarred() }
 
     /** Refuses every request that has not been sent to an endpoint. */
     fun refuseUnsent() = executions.toList().forEach { it.refuseIfUnsent() }
@@ -54,21 +52,20 @@
             route.stages.isNotEmpty() && hasInvalidPieceCounts(request) ->
                 reject(request, response, BAD_REQUEST, "the numbers of pieces are not valid", matcher)
 
-            !canFinishBeforeDrain(route) -> refuse(request, response, "the process ends soon", DRAIN_RETRY_AFTER)
-            else -> startUnlessQuarantined(admit(RequestId(id), request, route, identity, matcher), response)
+            else -> startUnlessTooLate(admit(RequestId(id), request, route, identity, matcher), response)
         }
     }
 
-    /** Returns whether a request of [route] will probably finish before the drain deadline; true when not draining. */
-    private fun canFinishBeforeDrain(route: ServingRoute): Boolean {
-        val remaining = (drainDeadline ?: return true) - context.thread.now()
-        val expected = if (route.repeatRule.isStream) EXPECTED_STREAM_DURATION else route.objective * OBJECTIVE_FACTOR
-        return remaining > minOf(expected, route.timeout)
-    }
-
     private fun hasInvalidPieceCounts(request: CallerRequest): Boolean =
         request.headers[WireHeaders.PIECE_COUNTS]?.let { HeaderValues.pieceCounts(it) == null } ?: false
 
+    private fun startUnlessTooLate(request: AdmittedRequest, response: ResponseWriter): CallerListener =
+        if (context.maySend(request)) {
+            startUnlessQuarantined(request, response)
+        } else {
+            refuse(request.callerRequest, response, "the process ends soon", DRAIN_RETRY_AFTER)
+        }
+
     private fun startUnlessQuarantined(request: AdmittedRequest, response: ResponseWriter): CallerListener {
         val refusal = context.quarantine.refusalOf(request.id.value, request.sharedParts)
             ?: return start(request, response)
@@ -150,11 +147,6 @@
         const val UNAUTHORISED = 401
         const val NOT_FOUND = 404
 
-        /** A request that is not a stream usually finishes within this multiple of the objective of its route. */
-        const val OBJECTIVE_FACTOR = 3
-
-        /** Typical time of a long stream, including its preparation stages. */
-        val EXPECTED_STREAM_DURATION = 5.seconds
         val DRAIN_RETRY_AFTER = 50.milliseconds
         val STARTUP_RETRY_AFTER = 500.milliseconds
         val FAILURE_RETRY_AFTER = 100.milliseconds
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ServingContext.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ServingContext.kt
@@ -1,6 +1,7 @@
 package org.bilberryhead.forwarding.request
 
 import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.serving.DrainAdmission
 import org.bilberryhead.core.serving.EnginePlacement
 import org.bilberryhead.core.serving.RouteMatcher
 import org.bilberryhead.core.serving.SharedRetryBudget
@@ -31,4 +32,11 @@
 ) {
     /** Routes of the current configuration; null until the first configuration is known. */
     var matcher: RouteMatcher? = null
+
+    /** Decides what is still sent while the entry drains; null unless it drains. */
+    var drain: DrainAdmission? = null
+
+    /** Returns whether [request], of which the caller has received a part if [hasBegun], may be sent to an endpoint. */
+    fun maySend(request: AdmittedRequest, hasBegun: Boolean = false): Boolean =
+        drain?.maySend(request.route, request.deadline, hasBegun, thread.now()) ?: true
 }
