Hold responses that are not complete within a budget of memory

What callers saw: an endpoint that began many responses of just under 1 MiB and ended none made the entry hold them all. With a heap of 96 MB it had no memory left, and the requests of other callers had no answer.

Cause: the limit of 1 MiB applied to each response, and nothing limited their sum. The buffers of a body and of an event also grew by doubling and were copied, and the buffer of a stream was kept at the size of its largest event.

Change: MemoryBudget (core/memory) is the heap less a fixed reserve. Incomplete bodies and events of endpoints may take half of it, and responses of other entries, stage endpoints and the store half. A response beyond that ends with an unknown outcome, which counts neither as a failure of the endpoint nor as a crash; up to 64 KiB a response is never refused. Bodies are held in blocks and returned when their attempt or call ends, also when nobody waits for it any more. The bytes held are a metric by kind.

Conclusion: incomplete responses of endpoints no longer fill the heap. Bodies of requests and responses that a caller does not read are not within the budget yet.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EventSplitter.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EventSplitter.kt
@@ -1,6 +1,6 @@
 package org.bilberryhead.core.serving
 
-import java.io.ByteArrayOutputStream
+import org.bilberryhead.core.memory.BlockBuffer
 
 /**
  * One complete server-sent event.
@@ -12,23 +12,30 @@
 
 /** Splits the bytes of an event stream into complete events. */
 class EventSplitter {
-    private val pending = ByteArrayOutputStream()
+    private val pending = BlockBuffer()
     private var lineLength = 0
 
     /** Whether bytes of an incomplete event are buffered. */
     val hasPartialEvent: Boolean get() = partialEventBytes > 0
 
     /** Number of buffered bytes of an incomplete event. */
-    val partialEventBytes: Int get() = pending.size()
+    val partialEventBytes: Int get() = pending.size
+
+    /** Memory of the buffer of an incomplete event, in bytes. */
+    val allocatedBytes: Long get() = pending.allocatedBytes
 
     /** Adds the next [bytes] of the stream and returns the events that they complete. */
     fun add(bytes: ByteArray): List<StreamEvent> {
         val events = mutableListOf<StreamEvent>()
-        for (byte in bytes) {
-            pending.write(byte.toInt())
+        var start = 0
+        for ((index, byte) in bytes.withIndex()) {
             when (byte) {
                 NEW_LINE -> {
-                    if (lineLength == 0) takeEvent()?.let(events::add)
+                    if (lineLength == 0) {
+                        pending.write(bytes.copyOfRange(start, index + 1))
+                        start = index + 1
+                        takeEvent()?.let(events::add)
+                    }
                     lineLength = 0
                 }
 
@@ -36,12 +43,16 @@
                 else -> lineLength++
             }
         }
+        if (start < bytes.size) pending.write(bytes.copyOfRange(start, bytes.size))
         return events
     }
 
+    /** Removes the bytes of an incomplete event. */
+    fun clear() = pending.clear()
+
     private fun takeEvent(): StreamEvent? {
         val bytes = pending.toByteArray()
-        pending.reset()
+        pending.clear()
         val lines = bytes.decodeToString().lineSequence()
         val id = lines.firstOrNull { it.startsWith(ID_FIELD) }?.removePrefix(ID_FIELD)?.trim()?.toLongOrNull()
         return StreamEvent(bytes, id)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -6,6 +6,8 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.handler.codec.http.FullHttpRequest
 import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.memory.MemoryBudget
+import org.bilberryhead.core.memory.MemoryKind
 import org.bilberryhead.core.serving.CallerLimits
 import org.bilberryhead.core.serving.EndpointDirectory
 import org.bilberryhead.core.serving.EndpointEntry
@@ -62,7 +64,8 @@
     private val random: Random,
 ) {
     private val decisions = DecisionLog(settings.decisionLinesPerSecond, thread::now)
-    private val connector = Connector(thread, WireHeaders.REQUEST_ID)
+    private val memory = MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory())
+    private val connector = Connector(thread, WireHeaders.REQUEST_ID, memory)
     private val exchange = SingleExchange(thread, connector)
     private val storeWriter = StoreWriter(settings.store, exchange)
     private val membership = MembershipService(settings, thread, storeWriter, decisions, random)
@@ -71,7 +74,7 @@
     private val directory = EndpointDirectory()
     private val endpoints = Endpoints(thread, connector, directory, ::poolOf, membership::shareCount)
     private val connectionWaitQueue = ConnectionWaitQueue()
-    private val releaser = ResultReleaser(thread, endpoints::byAddress)
+    private val releaser = ResultReleaser(thread, memory, endpoints::byAddress)
     private val stageSchedulers = mutableMapOf<PoolName, StageScheduler>()
     private val stageClients = mutableMapOf<PoolName, StageCoordinatorClient>()
     private val servingContext = ServingContext(
@@ -85,6 +88,7 @@
         decisions = decisions,
         metrics = metrics,
         random = random,
+        memory = memory,
     )
     private val admission = RequestAdmission(servingContext)
     private val endpointListener =
@@ -160,6 +164,9 @@
         metrics.gauge("bilberry.failures.unexpected", "Exceptions that no part of the program expected") {
             thread.failureCount
         }
+        MemoryKind.entries.forEach { kind ->
+            metrics.memoryHeld(kind) { memory.held(kind) }
+        }
         thread.loop.execute(::watchStore)
         log.atInfo {
             message = "started"
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingMetrics.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingMetrics.kt
@@ -4,6 +4,7 @@
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.bilberryhead.core.memory.MemoryKind
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -55,6 +56,14 @@
         .register(registry)
         .increment()
 
+    /** Registers a gauge of the bytes that [kind] holds, which [value] returns. */
+    fun memoryHeld(kind: MemoryKind, value: () -> Long) {
+        Gauge.builder("bilberry.memory.held") { value() }
+            .description("Bytes that bodies hold, by kind")
+            .tag("kind", kind.name.lowercase())
+            .register(registry)
+    }
+
     /** Registers a gauge [name] that reports [value]. */
     fun gauge(name: String, description: String, value: () -> Number) {
         Gauge.builder(name, value).description(description).register(registry)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/Connector.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/Connector.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import jdk.net.ExtendedSocketOptions
 import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.memory.MemoryBudget
 import org.bilberryhead.forwarding.EventThread
 import java.net.ConnectException
 import java.net.InetSocketAddress
@@ -22,8 +23,16 @@
  */
 internal class ConnectFailure(val reason: String, val isRefused: Boolean)
 
-/** Opens connections to other processes. */
-internal class Connector(private val thread: EventThread, private val requestIdHeader: String) {
+/**
+ * Opens connections to other processes.
+ *
+ * @property memory the memory that responses on the connections may hold until they are complete
+ */
+internal class Connector(
+    private val thread: EventThread,
+    private val requestIdHeader: String,
+    val memory: MemoryBudget = MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory()),
+) {
     /** Opens a connection to [address]. Calls [opened] with it, or [failed] with the reason. */
     fun open(
         address: SocketAddress,
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/SingleExchange.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/SingleExchange.kt
@@ -1,8 +1,11 @@
 package org.bilberryhead.forwarding.http
 
 import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.memory.BlockBuffer
+import org.bilberryhead.core.memory.MemoryBudget
+import org.bilberryhead.core.memory.MemoryKind
 import org.bilberryhead.forwarding.EventThread
-import java.io.ByteArrayOutputStream
+import org.bilberryhead.forwarding.Timer
 import kotlin.time.Duration
 
 /** The outcome of an exchange. */
@@ -17,27 +20,47 @@
     data class Unknown(val reason: String) : ExchangeOutcome
 }
 
-/** Collects a response and reports it once it is complete or has failed. */
-internal class ResponseCollector(private val ended: (ExchangeOutcome) -> Unit) : ResponseListener {
+/**
+ * Collects a response and reports it once it is complete or has failed. It has failed when [memory] has no room for it.
+ */
+internal class ResponseCollector(memory: MemoryBudget, private val ended: (ExchangeOutcome) -> Unit) :
+    ResponseListener {
     private var head: ResponseHead? = null
-    private val body = ByteArrayOutputStream()
+    private val body = BlockBuffer()
+    private val reservation = memory.newReservation(MemoryKind.OTHER_RESPONSE)
+    private var hasEnded = false
 
     override fun headReceived(head: ResponseHead) {
         this.head = head
     }
 
     override fun bodyPartReceived(bytes: ByteArray) {
+        if (hasEnded) return
         body.write(bytes)
+        if (!reservation.tryResize(body.allocatedBytes)) end(ExchangeOutcome.Unknown("no memory for the answer"))
     }
 
     override fun responseCompleted() {
-        val head = head ?: return ended(ExchangeOutcome.Unknown("an answer without a head"))
-        ended(ExchangeOutcome.Completed(FullResponse(head, body.toByteArray())))
+        val head = head ?: return end(ExchangeOutcome.Unknown("an answer without a head"))
+        if (!hasEnded) end(ExchangeOutcome.Completed(FullResponse(head, body.toByteArray())))
+    }
+
+    /** Returns the memory of a response that nobody waits for any more; nothing is reported. */
+    fun cancel() {
+        hasEnded = true
+        reservation.release()
+        body.clear()
+    }
+
+    private fun end(outcome: ExchangeOutcome) {
+        if (hasEnded) return
+        cancel()
+        ended(outcome)
     }
 
     override fun exchangeFailed(failure: ExchangeFailure) = when (failure) {
-        is ExchangeFailure.NotSent -> ended(ExchangeOutcome.NotSent(failure.reason))
-        is ExchangeFailure.Broken -> ended(ExchangeOutcome.Unknown(failure.reason))
+        is ExchangeFailure.NotSent -> end(ExchangeOutcome.NotSent(failure.reason))
+        is ExchangeFailure.Broken -> end(ExchangeOutcome.Unknown(failure.reason))
     }
 }
 
@@ -70,22 +93,15 @@
         timeout: Duration,
         ended: (ExchangeOutcome) -> Unit,
     ) {
-        var isEnded = false
-        val endOnce = { outcome: ExchangeOutcome ->
-            if (!isEnded) {
-                isEnded = true
-                connection.close()
-                ended(outcome)
-            }
+        var timer: Timer? = null
+        val collector = ResponseCollector(connector.memory) { outcome ->
+            timer?.cancel()
+            connection.close()
+            ended(outcome)
         }
-        val timer = thread.after(timeout) { endOnce(ExchangeOutcome.Unknown("no answer within $timeout")) }
-        connection.send(
-            request,
-            requestId = null,
-            ResponseCollector {
-                timer.cancel()
-                endOnce(it)
-            },
-        )
+        timer = thread.after(timeout) {
+            collector.exchangeFailed(ExchangeFailure.Broken("no answer within $timeout"))
+        }
+        connection.send(request, requestId = null, collector)
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerClient.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerClient.kt
@@ -25,6 +25,9 @@
     var isCancelled = false
         private set
 
+    /** Called when the exchange is cancelled. */
+    var onCancel: () -> Unit = {}
+
     internal fun startedOn(connection: OutboundConnection) {
         this.connection = connection
     }
@@ -33,6 +36,7 @@
     fun cancel() {
         isCancelled = true
         connection?.close()
+        onCancel()
     }
 }
 
@@ -41,7 +45,7 @@
     private val record: EntryRecord,
     private val thread: EventThread,
     private val decisions: DecisionLog,
-    connector: Connector,
+    private val connector: Connector,
 ) {
     private val reachability = PeerReachability()
     private val connections = EndpointConnections(
@@ -119,7 +123,7 @@
 
     private fun checkLiveness() {
         var isDone = false
-        val listener = ResponseCollector { end ->
+        val listener = ResponseCollector(connector.memory) { end ->
             if (!isDone) {
                 isDone = true
                 if (end is ExchangeOutcome.Completed) scheduleLivenessCheck() else failAll("no sign of life: $end")
@@ -134,6 +138,7 @@
                     if (!isDone) {
                         isDone = true
                         connection.close()
+                        listener.cancel()
                         failAll("no sign of life within $HEAD_TIMEOUT")
                     }
                 }
@@ -160,7 +165,11 @@
         private var isSent = false
         var isAccepted = false
             private set
-        private val collector = ResponseCollector(::end)
+        private val collector = ResponseCollector(connector.memory, ::end)
+
+        init {
+            exchange.onCancel = collector::cancel
+        }
 
         val listener = object : ResponseListener by collector {
             override fun headReceived(head: ResponseHead) {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
@@ -1,5 +1,7 @@
 package org.bilberryhead.forwarding.request
 
+import org.bilberryhead.core.memory.BlockBuffer
+import org.bilberryhead.core.memory.MemoryKind
 import org.bilberryhead.core.serving.AttemptOutcome
 import org.bilberryhead.core.serving.EngineRequest
 import org.bilberryhead.core.serving.EventOrder
@@ -55,7 +57,8 @@
     private val startedAt: Instant = thread.now()
     private val engineRequest: EngineRequest? = request.prompt?.let { endpoint.engine?.start(it, startedAt) }
     private val eventSplitter = EventSplitter()
-    private val body = ByteArrayOutputStream()
+    private val body = BlockBuffer()
+    private val memory = context.memory.newReservation(MemoryKind.ENDPOINT_RESPONSE)
     private var head: ResponseHead? = null
     private var isStreaming = false
     private var isFinished = false
@@ -102,12 +105,22 @@
         if (!isStreaming) return bufferBody(bytes)
         if (isPaused) return heldBytes.write(bytes)
         eventSplitter.add(bytes).forEach(::handleEvent)
-        if (eventSplitter.partialEventBytes > MAXIMUM_EVENT_BYTES) failAsBroken("an event is too long")
+        if (eventSplitter.partialEventBytes > MAXIMUM_EVENT_BYTES) return failAsBroken("an event is too long")
+        reserve(eventSplitter.allocatedBytes)
     }
 
     private fun bufferBody(bytes: ByteArray) {
-        if (body.size() + bytes.size > MAXIMUM_BODY_BYTES) return failAsBroken("the body of the answer is too long")
+        if (body.size + bytes.size > MAXIMUM_BODY_BYTES) return failAsBroken("the body of the answer is too long")
         body.write(bytes)
+        reserve(body.allocatedBytes)
+    }
+
+    /** Ends the attempt when there is no memory for [bytes]. Whether the endpoint is at fault is unknown. */
+    private fun reserve(bytes: Long) {
+        if (isFinished || memory.tryResize(bytes)) return
+        closeConnection()
+        val reason = "no memory for the rest of the answer"
+        fail(ExchangeResult.ABANDONED, AttemptOutcome.Broken, reason, response = null)
     }
 
     private fun handleEvent(event: StreamEvent) {
@@ -235,7 +248,7 @@
 
     private fun fail(result: ExchangeResult, outcome: AttemptOutcome, reason: String, response: FullResponse?) {
         if (!finish(result)) return
-        if (outcome == AttemptOutcome.Broken && isBeginning()) {
+        if (outcome == AttemptOutcome.Broken && result == ExchangeResult.FAILED && isBeginning()) {
             context.quarantine.attemptBroken(endpoint, request.sharedParts)
         }
         listener.attemptFailed(this, AttemptFailure(outcome, reason), response)
@@ -245,6 +258,9 @@
     private fun finish(result: ExchangeResult): Boolean {
         if (isFinished) return false
         isFinished = true
+        memory.release()
+        body.clear()
+        eventSplitter.clear()
         val now = thread.now()
         endpoint.load.recordEnd(result, now - startedAt, now)
         engineRequest?.let {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ServingContext.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ServingContext.kt
@@ -1,6 +1,7 @@
 package org.bilberryhead.forwarding.request
 
 import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.memory.MemoryBudget
 import org.bilberryhead.core.serving.EnginePlacement
 import org.bilberryhead.core.serving.RouteMatcher
 import org.bilberryhead.core.serving.SharedRetryBudget
@@ -28,6 +29,7 @@
     val decisions: DecisionLog,
     val metrics: ForwardingMetrics,
     val random: Random,
+    val memory: MemoryBudget,
 ) {
     /** Routes of the current configuration; null until the first configuration is known. */
     var matcher: RouteMatcher? = null
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/ResultReleaser.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/ResultReleaser.kt
@@ -3,8 +3,10 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.memory.MemoryBudget
 import org.bilberryhead.core.serving.ResultHandle
 import org.bilberryhead.forwarding.EventThread
+import org.bilberryhead.forwarding.Timer
 import org.bilberryhead.forwarding.endpoint.Endpoint
 import org.bilberryhead.forwarding.http.ExchangeOutcome
 import org.bilberryhead.forwarding.http.OutboundRequest
@@ -18,6 +20,7 @@
 /** Reports results that are no longer needed to their endpoints, in batches. A failed call is not repeated. */
 internal class ResultReleaser(
     private val thread: EventThread,
+    private val memory: MemoryBudget,
     private val endpointByAddress: (SocketAddress) -> Endpoint?,
 ) {
     private class Release(val handle: ResultHandle, val onReleased: (ResultHandle) -> Unit)
@@ -43,11 +46,15 @@
             requestId = null,
             mayRepeat = true,
             opened = { connection ->
-                val timer = thread.after(RESPONSE_TIMEOUT) { connection.close() }
-                val collector = ResponseCollector { outcome ->
-                    timer.cancel()
+                var timer: Timer? = null
+                val collector = ResponseCollector(memory) { outcome ->
+                    timer?.cancel()
                     if (outcome is ExchangeOutcome.Completed) releases.forEach { it.onReleased(it.handle) }
                 }
+                timer = thread.after(RESPONSE_TIMEOUT) {
+                    connection.close()
+                    collector.cancel()
+                }
                 connection.send(request(endpoint, releases.map { it.handle }), requestId = null, collector)
             },
             // The endpoint drops the results itself when their retention time is over.
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreReader.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreReader.kt
@@ -61,6 +61,7 @@
 
     private inner class PendingCall(private val call: StoreCall, private val ended: (StoreCallResult) -> Unit) {
         private val connections = mutableListOf<OutboundConnection>()
+        private val collectors = mutableListOf<ResponseCollector>()
         private var exchanges = 0
         private var isEnded = false
         private var isHedged = false
@@ -100,7 +101,9 @@
             val sentAt = thread.now()
             val headers = DefaultHttpHeaders().add("Host", store.toString())
             val request = OutboundRequest(HttpMethod.GET, path, headers, NO_BODY)
-            connection.send(request, requestId = null, ResponseCollector { handle(it, connection, sentAt) })
+            val collector = ResponseCollector(connector.memory) { handle(it, connection, sentAt) }
+            collectors += collector
+            connection.send(request, requestId = null, collector)
         }
 
         private fun handle(outcome: ExchangeOutcome, connection: OutboundConnection, sentAt: Instant) = when (outcome) {
@@ -132,6 +135,7 @@
             hedgeTimer.cancel()
             timer.cancel()
             connections.forEach { it.close() }
+            collectors.forEach { it.cancel() }
             ended(result)
         }
     }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/UnexpectedFailureTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/UnexpectedFailureTest.kt
@@ -13,6 +13,7 @@
 import org.bilberryhead.core.common.EndpointId
 import org.bilberryhead.core.common.PoolName
 import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.memory.MemoryBudget
 import org.bilberryhead.core.serving.EndpointDirectory
 import org.bilberryhead.core.serving.EndpointEntry
 import org.bilberryhead.core.serving.EnginePlacement
@@ -120,6 +121,7 @@
         decisions = decisions,
         metrics = metrics,
         random = Random(1),
+        memory = MemoryBudget(capacity = 1_000_000),
     ).also { it.matcher = RouteMatcher(configuration) }
     private val admission = RequestAdmission(context)
 
