Decide in one table what the end of a response means

What callers saw: when an endpoint crashed, streams with neither a length nor chunks that waited for their first event ended as complete and empty, with status 200. A stream that may be resumed was not tried at another endpoint.

Cause: a connection closed in order ends a body that has no other end. Whether an event had come was asked only for a stream that had been resumed.

Change: `ResponseEnd` (core) says for each kind of response, framing, place and end of its bytes whether it is complete, broken (another endpoint may go on where the route allows it) or broken and final. The connection, the attempt and the execution ask it instead of deciding by themselves. A stream that ends with its connection and without any event is broken: status 502, or another endpoint. A resumed stream that is explicitly ended without an event stays final, as before, as does everything else that the tests before this commit say.

Conclusion: an entry takes no stream for whole of which it saw no event, unless the endpoint said explicitly that it is.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/Messages.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/Messages.kt
@@ -2,12 +2,13 @@
 
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
+import org.bilberryhead.core.serving.BodyFraming
 
 /** A request to another process, with its full body. */
 internal class OutboundRequest(val method: HttpMethod, val uri: String, val headers: HttpHeaders, val body: ByteArray)
 
-/** Status and headers of a response. */
-internal class ResponseHead(val status: Int, val headers: HttpHeaders)
+/** Status and headers of a response; [framing] states where the body of a response that was received ends. */
+internal class ResponseHead(val status: Int, val headers: HttpHeaders, val framing: BodyFraming = BodyFraming.LENGTH)
 
 /** A response with its full body. */
 internal class FullResponse(val head: ResponseHead, val body: ByteArray) {
@@ -32,7 +33,7 @@
     /** The next part of the body has arrived. */
     fun bodyPartReceived(bytes: ByteArray)
 
-    /** The response is complete. */
+    /** The response is whole, as far as its framing tells. */
     fun responseCompleted()
 
     /** The exchange failed; no complete response follows. */
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
@@ -22,6 +22,10 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import org.bilberryhead.core.serving.BodyFraming
+import org.bilberryhead.core.serving.ByteEnd
+import org.bilberryhead.core.serving.ResponseEnd
+import org.bilberryhead.core.serving.ResponsePlace
 import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -48,7 +52,7 @@
     private var remainingBodyBytes = 0L
     private var bytesWithoutProgress = 0
     private var isSkippingResponse = false
-    private var bodyEndsAtClose = false
+    private var framing = BodyFraming.LENGTH
     private var failureReason: String? = null
     private var idleTimeout: Duration = DEFAULT_IDLE_TIMEOUT
     private val carriedIdHashes = mutableSetOf<Int>()
@@ -98,7 +102,7 @@
         maximumBodyBytes: Long = MAXIMUM_BODY_BYTES,
     ) {
         if (!channel.isActive || !isReusable) {
-            listener.exchangeFailed(ExchangeFailure.NotSent("the connection was closed"))
+            listener.exchangeFailed(ExchangeFailure.NotSent(CLOSED))
             return
         }
         this.listener = listener
@@ -175,7 +179,7 @@
             else -> {
                 readConnectionHeaders(response)
                 bytesWithoutProgress = 0
-                activeListener.headReceived(ResponseHead(response.status().code(), response.headers()))
+                activeListener.headReceived(ResponseHead(response.status().code(), response.headers(), framing))
             }
         }
     }
@@ -198,14 +202,19 @@
         }
 
     private fun readConnectionHeaders(response: HttpResponse) {
-        bodyEndsAtClose = !HttpUtil.isContentLengthSet(response) &&
-            !HttpUtil.isTransferEncodingChunked(response) &&
-            response.status().code() !in STATUSES_WITHOUT_BODY
-        if (!HttpUtil.isKeepAlive(response) || bodyEndsAtClose) isReusable = false
+        framing = framingOf(response)
+        if (!HttpUtil.isKeepAlive(response) || framing == BodyFraming.END_OF_CONNECTION) isReusable = false
         val seconds = response.headers()[KEEP_ALIVE_HEADER]?.let { TIMEOUT_PARAMETER.find(it)?.groupValues?.get(1) }
         idleTimeout = seconds?.toLongOrNull()?.let { it.seconds * IDLE_TIMEOUT_FRACTION } ?: DEFAULT_IDLE_TIMEOUT
     }
 
+    private fun framingOf(response: HttpResponse): BodyFraming = when {
+        decoder.expectsNoBody || response.status().code() in STATUSES_WITHOUT_BODY -> BodyFraming.NO_BODY
+        HttpUtil.isTransferEncodingChunked(response) -> BodyFraming.CHUNKS
+        HttpUtil.isContentLengthSet(response) -> BodyFraming.LENGTH
+        else -> BodyFraming.END_OF_CONNECTION
+    }
+
     private fun readContent(content: HttpContent) {
         if (isSkippingResponse) {
             if (content is LastHttpContent) isSkippingResponse = false
@@ -224,8 +233,12 @@
     }
 
     private fun complete(activeListener: ResponseListener) {
-        val reason = failureReason
-        if (bodyEndsAtClose && reason != null) return fail(reason)
+        val end = when {
+            framing != BodyFraming.END_OF_CONNECTION -> ByteEnd.ANNOUNCED
+            failureReason == null -> ByteEnd.CLOSE
+            else -> ByteEnd.RESET
+        }
+        if (!ResponseEnd.isWhole(framing, ResponsePlace.AFTER_HEAD, end)) return fail(failureReason ?: CLOSED)
         // Bytes after the response would be read as the beginning of the next one.
         if (decoder.hasUnreadBytes) isReusable = false
         resumeReading()
@@ -246,7 +259,7 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         isReusable = false
-        fail(failureReason ?: "the connection was closed")
+        fail(failureReason ?: CLOSED)
     }
 
     private fun fail(reason: String) {
@@ -274,6 +287,7 @@
 
     private companion object {
         val INFORMATIONAL_STATUSES = 100..199
+        const val CLOSED = "the connection was closed"
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
         const val MAXIMUM_BODY_BYTES = 4L * 1024 * 1024
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
@@ -1,10 +1,16 @@
 package org.bilberryhead.forwarding.request
 
 import org.bilberryhead.core.serving.AttemptOutcome
+import org.bilberryhead.core.serving.BodyFraming
+import org.bilberryhead.core.serving.ByteEnd
 import org.bilberryhead.core.serving.EngineRequest
 import org.bilberryhead.core.serving.EventOrder
 import org.bilberryhead.core.serving.EventSplitter
 import org.bilberryhead.core.serving.ExchangeResult
+import org.bilberryhead.core.serving.ResponseEnd
+import org.bilberryhead.core.serving.ResponseKind
+import org.bilberryhead.core.serving.ResponsePlace
+import org.bilberryhead.core.serving.ResponseVerdict
 import org.bilberryhead.core.serving.StreamEvent
 import org.bilberryhead.forwarding.EventThread
 import org.bilberryhead.forwarding.endpoint.Endpoint
@@ -40,8 +46,8 @@
     fun attemptFailed(attempt: Attempt, failure: AttemptFailure, response: FullResponse?)
 }
 
-/** How and why an attempt failed. */
-internal data class AttemptFailure(val outcome: AttemptOutcome, val reason: String)
+/** How and why an attempt failed; when it [isFinal], no other endpoint is asked. */
+internal data class AttemptFailure(val outcome: AttemptOutcome, val reason: String, val isFinal: Boolean = false)
 
 /** An attempt to run a request at an endpoint: validates the response and records the result in the endpoint's load. */
 internal class Attempt(
@@ -131,15 +137,42 @@
         val head = head ?: return failAsBroken("an answer without a head")
         when {
             isFinished -> Unit
-            isStreaming && eventSplitter.hasPartialEvent -> failAsBroken("the stream ended within an event")
-            isStreaming -> if (finish(ExchangeResult.SUCCEEDED)) {
+            isStreaming -> completeStream(head)
+            else -> classify(FullResponse(head, body.toByteArray()))
+        }
+    }
+
+    private fun completeStream(head: ResponseHead) {
+        val place = streamPlace()
+        when (verdictOf(head, place)) {
+            ResponseVerdict.BROKEN -> failAsBroken("the stream ended too early: $place, ${head.framing}")
+            ResponseVerdict.BROKEN_FINAL -> if (finish(ExchangeResult.SUCCEEDED)) {
+                val reason = "the stream was resumed without an event"
+                listener.attemptFailed(this, AttemptFailure(AttemptOutcome.Broken, reason, isFinal = true), null)
+            }
+
+            ResponseVerdict.COMPLETE -> if (finish(ExchangeResult.SUCCEEDED)) {
                 if (hasReceivedEvent && hasExplicitEnd(head)) recordSound()
                 listener.streamCompleted(this, head)
             }
-            else -> classify(FullResponse(head, body.toByteArray()))
         }
     }
 
+    private fun streamPlace(): ResponsePlace = when {
+        eventSplitter.hasPartialEvent -> ResponsePlace.INSIDE_EVENT
+        hasReceivedEvent -> ResponsePlace.AFTER_EVENT
+        else -> ResponsePlace.AFTER_HEAD
+    }
+
+    private fun verdictOf(head: ResponseHead, place: ResponsePlace): ResponseVerdict {
+        val isContinued = eventOrder.lastDelivered != request.lastEventId
+        val kind = if (isContinued) ResponseKind.CONTINUED_STREAM else ResponseKind.STREAM
+        val isEndOfConnection = head.framing == BodyFraming.END_OF_CONNECTION
+        // A reset before an announced end was reported as a failure of the exchange.
+        val end = if (isEndOfConnection) ByteEnd.CLOSE else ByteEnd.ANNOUNCED
+        return ResponseEnd.verdictOf(kind, head.framing, place, end)
+    }
+
     private fun classify(response: FullResponse) {
         val status = response.head.status
         val isNotRun = response.head.headers.contains(WireHeaders.NOT_EXECUTED) || status == MISDIRECTED
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -198,8 +198,6 @@
 
     override fun streamCompleted(attempt: Attempt, head: ResponseHead) {
         if (isFinished) return
-        // Nothing says whether the caller has received the last event.
-        if (isStreaming && !attempt.hasReceivedEvent) return abort("the stream was resumed without an event")
         if (!isStreaming) responseWriter.start(head)
         responseWriter.finish()
         complete(head.status, "complete", attempt.endpoint)
@@ -216,14 +214,14 @@
     }
 
     private fun currentAttemptFailed(failed: Attempt, failure: AttemptFailure, response: FullResponse?) {
-        val (outcome, reason) = failure
+        val (outcome, reason, isFinal) = failure
         val endpoint = failed.endpoint
         silenceCheck.stop()
         if (outcome == AttemptOutcome.NotSent && failed.connection != null) retries.recordNotSent()
         attempt = null
         failedEndpoints += endpoint
         if (replacement.takeBack(reason)) return
-        val nextStep = retries.next(outcome)
+        val nextStep = if (isFinal) NextStep.ReportUnknown else retries.next(outcome)
         decisionLog.attemptFailed(endpoint, reason, nextStep.toString())
         when (nextStep) {
             NextStep.TryElsewhere -> when {
