Treat a stream without length and without an event as broken off

Callers saw: status 200 and no event, when an endpoint crashed after the head of a stream that has neither a length nor chunks. The part of the prompt that crashed it was not reported, so that it went on to crash endpoints, and the requests that waited beside it were blamed.

Cause: such a stream ends with its connection, and the end of a connection by a crash looks the same. It counted as complete also before its first event.

Change: a stream that ends with its connection before its first event has been broken off.

Evidence: CrashingStreamsWithoutLengthTest. On the code before, it failed with "Block failed after 3.001 s: 0 should be >= 1": no crash was reported. It passes with the change (one run).

Conclusion: the request that crashes an endpoint is now among the suspects of the crash, with any framing, if the crash comes before its first event.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
@@ -132,6 +132,9 @@
         when {
             isFinished -> Unit
             isStreaming && eventSplitter.hasPartialEvent -> failAsBroken("the stream ended within an event")
+            isStreaming && !hasReceivedEvent && !hasExplicitEnd(head) ->
+                failAsBroken("the stream ended without an event")
+
             isStreaming -> if (finish(ExchangeResult.SUCCEEDED)) {
                 if (hasReceivedEvent && hasExplicitEnd(head)) recordSound()
                 listener.streamCompleted(this, head)
