Count responses that end with their connection as evidence for their parts

Change: such responses are collected for a short time for each run of an endpoint. They are sound if the endpoint still listens then. If it refuses a connection, a crash may have ended them: their parts become suspects, also when whole events came before the crash, which nothing reported before.

Evidence: CrashingStreamsWithoutLengthTest; on the code before, the new cases failed with "expected:<200> but was:<503>" (sound requests refused) and "0 should be >= 1" (no crash reported after a whole event); they pass with the change (one run). QuarantinePropertyTest plays random traffic with responses in any framing, 60 plays with a part that crashes endpoints and 60 without, in one run each; it passes with the change.

Conclusion: sound traffic clears its parts in any framing. A quarantine that is wrong all the same is still left only by time or by requests that are under way.

--- a/core/src/test/kotlin/org/bilberryhead/core/quarantine/QuarantineSimulation.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/quarantine/QuarantineSimulation.kt
@@ -12,9 +12,29 @@
 
 internal val SIMULATION_START = Instant.fromEpochSeconds(1_000)
 
+/**
+ * The traffic and the trouble of a simulation.
+ *
+ * @property badShare share of the requests with the bad part, from 0 to 1
+ * @property hasCommonPart whether all prompts share their first part
+ * @property connectionEndShare share of the responses that end with their connection, from 0 to 1
+ * @property otherCrashInterval average time between crashes for other reasons
+ */
+internal data class SimulatedTraffic(
+    val badShare: Double = QuarantineSimulation.BAD_SHARE,
+    val hasCommonPart: Boolean = false,
+    val connectionEndShare: Double = 0.0,
+    val otherCrashInterval: Duration = 4.seconds,
+)
+
+/** A sound request that was sent [at]; [hasBegun] once its first attempt was answered. */
+internal class SoundRequest(val at: Instant) {
+    var hasBegun = false
+}
+
 /** A simulated endpoint; [run] counts its starts. */
 private class SimulatedEngine(val name: String) {
-    class Waiting(val entry: PartQuarantine, val parts: List<PromptPartId>)
+    class Waiting(val entry: PartQuarantine, val parts: List<PromptPartId>, val endsWithConnection: Boolean)
 
     var run = 1L
     var isUp = true
@@ -23,10 +43,15 @@
 
 /**
  * Entries that share reports with delays, in front of engines. Prompts share an instruction, one of 3, and a document,
- * chosen by Zipf's law, as [prompt] says; [BAD_SHARE] of them have the [badPart] besides. Engines crash also for other
+ * chosen by Zipf's law, as [prompt] says; some of them have the [badPart] besides, as [traffic] says. Engines crash also for other
  * reasons, and answers get lost.
  */
-internal class QuarantineSimulation(seed: Int, private val entryCount: Int = 5, engineCount: Int = 13) {
+internal class QuarantineSimulation(
+    seed: Int,
+    private val entryCount: Int = 5,
+    engineCount: Int = 13,
+    private val traffic: SimulatedTraffic = SimulatedTraffic(),
+) {
     private val random = Random(seed)
     private val timeline = Timeline()
     private val engines = List(engineCount) { SimulatedEngine("engine-$it") }
@@ -42,8 +67,13 @@
     /** Requests with the bad part that reached engines once all entries could know of the fifth crash. */
     var lateBadRequests = 0
         private set
-    var soundRequests = 0
-        private set
+
+    /** When requests with the bad part reached engines, in order. */
+    val badRequests = mutableListOf<Instant>()
+
+    /** The sound requests, in the order in which they were sent. */
+    val sentSoundRequests = mutableListOf<SoundRequest>()
+    val soundRequests: Int get() = sentSoundRequests.size
     var soundAnswers = 0
         private set
 
@@ -51,10 +81,10 @@
     fun play(duration: Duration) {
         val end = SIMULATION_START + duration
         scheduleRequest(SIMULATION_START, end)
-        var crashAt = SIMULATION_START + OTHER_CRASH_INTERVAL
+        var crashAt = SIMULATION_START + traffic.otherCrashInterval
         while (crashAt < end) {
             timeline.schedule(crashAt) { now -> crash(engines.random(random), now) }
-            crashAt += OTHER_CRASH_INTERVAL * (0.5 + random.nextDouble())
+            crashAt += traffic.otherCrashInterval * (0.5 + random.nextDouble())
         }
         timeline.run()
     }
@@ -62,15 +92,16 @@
     private fun scheduleRequest(at: Instant, end: Instant): Unit = timeline.schedule(at) { now ->
         val parts = prompt()
         val isBad = badPart in parts
-        if (!isBad) soundRequests++
-        attempt(entries.random(random), parts, isBad, attemptsLeft = 2, now)
+        val sound = if (isBad) null else SoundRequest(now).also { sentSoundRequests += it }
+        attempt(entries.random(random), parts, sound, attemptsLeft = MAXIMUM_ATTEMPTS, now)
         if (now < end) scheduleRequest(now + REQUEST_INTERVAL * (2 * random.nextDouble()), end)
     }
 
     private fun prompt(): List<PromptPartId> {
         val document = drawDocument()
         val parts = mutableListOf(PromptPartId("instruction-${document % 3}"), PromptPartId("document-$document"))
-        if (random.nextDouble() < BAD_SHARE) parts.add(random.nextInt(parts.size + 1), badPart)
+        if (traffic.hasCommonPart) parts.add(0, COMMON_PART)
+        if (random.nextDouble() < traffic.badShare) parts.add(random.nextInt(parts.size + 1), badPart)
         return parts
     }
 
@@ -85,25 +116,33 @@
     private fun attempt(
         entry: PartQuarantine,
         parts: List<PromptPartId>,
-        isBad: Boolean,
+        sound: SoundRequest?,
         attemptsLeft: Int,
         now: Instant,
     ) {
         if (entry.quarantineOf(parts) != null || attemptsLeft == 0) return
         val engine = engineFor(parts) ?: return
+        val isBad = sound == null
+        if (isBad) badRequests += now
         if (isBad && fifthCrashAt?.let { now > it + LONGEST_KNOWLEDGE_DELAY } == true) lateBadRequests++
-        val request = SimulatedEngine.Waiting(entry, parts)
+        val request = SimulatedEngine.Waiting(entry, parts, endsWithConnection())
         val run = engine.run
         engine.waiting += request
         timeline.schedule(now + (50 + random.nextInt(350)).milliseconds) { at ->
             when {
-                engine.run != run -> attempt(entry, parts, isBad, attemptsLeft - 1, at)
-                isBad -> crashByBadPart(engine, at) { attempt(entry, parts, true, attemptsLeft - 1, it) }
-                else -> answer(engine, request, at)
+                engine.run != run -> attempt(entry, parts, sound, attemptsLeft - 1, at)
+                isBad -> crashByBadPart(engine, request, at) { attempt(entry, parts, sound, attemptsLeft - 1, it) }
+                else -> {
+                    if (attemptsLeft == MAXIMUM_ATTEMPTS) sound?.hasBegun = true
+                    answer(engine, request, at)
+                }
             }
         }
     }
 
+    private fun endsWithConnection() =
+        traffic.connectionEndShare > 0 && random.nextDouble() < traffic.connectionEndShare
+
     /** Prefers the engine that has the document in its cache, as the placement does. */
     private fun engineFor(parts: List<PromptPartId>): SimulatedEngine? {
         val up = engines.filter { it.isUp }
@@ -118,12 +157,31 @@
         timeline.schedule(now + (100 + random.nextInt(2_000)).milliseconds) { at ->
             if (engine.run == run) {
                 soundAnswers++
-                if (request.entry.recordSuccess(request.parts, at)) shareReports(request.entry, at)
+                if (request.endsWithConnection) end(engine, request, at) else recordSuccess(request, at)
             }
         }
     }
 
-    private fun crashByBadPart(engine: SimulatedEngine, now: Instant, retry: (Instant) -> Unit) {
+    /** Counts a response that ended with its connection as sound unless its engine crashes shortly after. */
+    private fun end(engine: SimulatedEngine, request: SimulatedEngine.Waiting, now: Instant) {
+        val run = engine.run
+        timeline.schedule(now + PENDING_TIME) { at ->
+            if (engine.run == run) recordSuccess(request, at) else report(engine, run, request.entry, request.parts, at)
+        }
+    }
+
+    private fun recordSuccess(request: SimulatedEngine.Waiting, now: Instant) {
+        if (request.entry.recordSuccess(request.parts, now)) shareReports(request.entry, now)
+    }
+
+    private fun crashByBadPart(
+        engine: SimulatedEngine,
+        request: SimulatedEngine.Waiting,
+        now: Instant,
+        retry: (Instant) -> Unit,
+    ) {
+        // The crash ends the response as a sound end would.
+        if (request.endsWithConnection && engine.waiting.remove(request)) end(engine, request, now)
         crash(engine, now)
         if (++badCrashes == 5) fifthCrashAt = now
         timeline.schedule(now + 2.milliseconds) { retry(it) }
@@ -131,7 +189,7 @@
 
     private fun crash(engine: SimulatedEngine, now: Instant) {
         if (!engine.isUp) return
-        val id = CrashId(EndpointId(engine.name), engine.run)
+        val run = engine.run
         val suspects = engine.waiting.groupBy({ it.entry }, { it.parts })
         engine.waiting.clear()
         engine.run++
@@ -139,12 +197,22 @@
         timeline.schedule(now + 3.seconds) { engine.isUp = true }
         for ((entry, prompts) in suspects) {
             timeline.schedule(now + 50.milliseconds) { at ->
-                entry.record(CrashReport(id, prompts.flatten().toSet()), at, isOwn = true)
-                shareReports(entry, at)
+                report(engine, run, entry, prompts.flatten(), at)
             }
         }
     }
 
+    private fun report(
+        engine: SimulatedEngine,
+        run: Long,
+        entry: PartQuarantine,
+        parts: List<PromptPartId>,
+        now: Instant,
+    ) {
+        entry.record(CrashReport(CrashId(EndpointId(engine.name), run), parts.toSet()), now, isOwn = true)
+        shareReports(entry, now)
+    }
+
     private fun shareReports(entry: PartQuarantine, now: Instant) {
         for (other in entries.filter { it !== entry }) {
             val delay = if (random.nextDouble() < SLOW_SHARING) SLOW_DELAY else (100 + random.nextInt(200)).milliseconds
@@ -161,6 +229,8 @@
         private val SLOW_DELAY = 1.seconds
         private val LONGEST_KNOWLEDGE_DELAY = 50.milliseconds + SLOW_DELAY
         private val REQUEST_INTERVAL = 25.milliseconds
-        private val OTHER_CRASH_INTERVAL = 4.seconds
+        private const val MAXIMUM_ATTEMPTS = 2
+        private val COMMON_PART = PromptPartId("common")
+        private val PENDING_TIME = 250.milliseconds
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/QuarantineService.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/QuarantineService.kt
@@ -40,6 +40,7 @@
     private val limits = QuarantineLimits()
     private val quarantine = PartQuarantine(limits)
     private val detector = CrashDetector(thread, decisions, ::recordCrash)
+    private val endedResponses = EndedResponses(thread, decisions, ::succeeded, ::attemptBroken)
     private val publisher = CrashReportPublisher(ownId, writer, thread, decisions) { quarantine.ownReports }
     private val tableListener = CrashTableListener(
         ownId,
@@ -96,6 +97,14 @@
         logChanges()
     }
 
+    /**
+     * Records that a request with the shared [parts] was answered successfully by [endpoint], as far as can be told from
+     * a response that ended with its connection.
+     */
+    fun ended(endpoint: Endpoint, parts: List<PromptPartId>) {
+        if (parts.isNotEmpty()) endedResponses.add(endpoint, parts)
+    }
+
     private fun recordCrash(crash: CrashId, parts: Set<PromptPartId>) {
         decisions.write("endpoint crashed") {
             mapOf("endpoint" to crash.endpoint, "suspects" to parts.size, "parts" to parts.take(LOGGED_ITEMS))
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
@@ -136,7 +136,7 @@
                 failAsBroken("the stream ended without an event")
 
             isStreaming -> if (finish(ExchangeResult.SUCCEEDED)) {
-                if (hasReceivedEvent && hasExplicitEnd(head)) recordSound()
+                if (hasReceivedEvent) recordEnd(head)
                 listener.streamCompleted(this, head)
             }
             else -> classify(FullResponse(head, body.toByteArray()))
@@ -156,7 +156,7 @@
                 fail(ExchangeResult.FAILED, AttemptOutcome.EndpointFailure, "status $status", response)
 
             else -> if (finish(ExchangeResult.SUCCEEDED)) {
-                if (status in SUCCESSFUL && hasExplicitEnd(response.head)) recordSound()
+                if (status in SUCCESSFUL) recordEnd(response.head)
                 listener.responseReceived(this, response)
             }
         }
@@ -169,6 +169,12 @@
     private fun hasExplicitEnd(head: ResponseHead): Boolean =
         head.headers.contains("Content-Length") || head.headers.contains("Transfer-Encoding")
 
+    private fun recordEnd(head: ResponseHead) = when {
+        isProvenSound -> Unit
+        hasExplicitEnd(head) -> recordSound()
+        else -> context.quarantine.ended(endpoint, request.sharedParts)
+    }
+
     private fun recordSound() {
         if (isProvenSound) return
         isProvenSound = true
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/CrashingStreamsWithoutLengthTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/CrashingStreamsWithoutLengthTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import org.bilberryhead.core.testing.http.RawMessage
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.seconds
 
@@ -20,6 +21,7 @@
 /** Number of crashes from which on a part that never succeeds is quarantined by one entry. */
 private const val CRASHES_OF_QUARANTINE = 3
 private const val ENGINE_COUNT = 12
+private const val FIRST_EVENT = "id: 0\ndata: a\n\n"
 
 /** Longest time until an entry knows of a crash, or of the end of a response. */
 private val KNOWLEDGE_TIME = 3.seconds
@@ -29,12 +31,18 @@
 
 private fun ScriptedEndpoint.Exchange.streamWithoutLength() {
     startStreamWithoutLength()
-    write("id: 0\ndata: a\n\n")
+    write(FIRST_EVENT)
     closeConnection()
 }
 
-/** Engines whose streams end with their connections; [isCrashing] tells which requests crash them after the head. */
-private class EnginesWithoutLength(private val isCrashing: ScriptedEndpoint.Exchange.() -> Boolean) : AutoCloseable {
+/**
+ * Engines whose streams end with their connections; [isCrashing] tells which requests crash them after the head and
+ * [textBeforeCrash].
+ */
+private class EnginesWithoutLength(
+    private val textBeforeCrash: String = "",
+    private val isCrashing: ScriptedEndpoint.Exchange.() -> Boolean,
+) : AutoCloseable {
     val crashes = AtomicInteger()
     private val endpoints = List(ENGINE_COUNT) { ScriptedEndpoint { serve() } }
     val pools get() = mapOf("p" to endpoints)
@@ -43,6 +51,7 @@
         if (!isCrashing()) return streamWithoutLength()
         crashes.incrementAndGet()
         startStreamWithoutLength()
+        write(textBeforeCrash)
         crashEndpoint()
     }
 
@@ -76,5 +85,39 @@
                     }
                 }
             }
+
+            it("do not clear a part whose engines crash after a whole event: it is refused all the same") {
+                EnginesWithoutLength(textBeforeCrash = FIRST_EVENT) {
+                    "bad:" in request.header("X-Prompt-Prefix").orEmpty()
+                }.use { engines ->
+                    LoopbackDeployment(STREAM_CONFIGURATION, engines.pools).use { entry ->
+                        repeat(CRASHES_OF_QUARANTINE) { number ->
+                            entry.generate("bad-$number", "a bad c$number")
+                            entry.awaitReportsOf(engines)
+                            entry.generate("sound-$number", "a c$number").status shouldBe 200
+                        }
+                        val reached = engines.crashes.get()
+                        eventually(KNOWLEDGE_TIME) { entry.generate("last", "a bad d").status shouldBe 503 }
+                        entry.generate("sound", "a d").status shouldBe 200
+                        engines.crashes.get() shouldBe reached
+                    }
+                }
+            }
+
+            it("clear the parts of their prompts, so that crashes for other reasons stop no sound requests") {
+                val crashed = ConcurrentHashMap.newKeySet<String>()
+                EnginesWithoutLength { id.startsWith("crash") && crashed.add(id) }.use { engines ->
+                    LoopbackDeployment(STREAM_CONFIGURATION, engines.pools).use { entry ->
+                        repeat(CRASHES_OF_QUARANTINE) { number ->
+                            entry.generate("crash-$number", "a c$number")
+                            entry.awaitReportsOf(engines)
+                            eventually(KNOWLEDGE_TIME) {
+                                entry.generate("sound-$number", "a d$number").status shouldBe 200
+                            }
+                        }
+                        eventually(KNOWLEDGE_TIME) { entry.generate("after", "a e").status shouldBe 200 }
+                    }
+                }
+            }
         }
     })
