Blame a part without a success before one that all prompts share

If crashes went on while no request succeeded, all requests of a route were refused instead of those with the part that crashes endpoints.

Cause: the part with the most crashes came first, also if it had succeeded before. A part that all prompts of a route share is in all crashes of the route, so that one crash without the guilty part was enough for it to be blamed for all.

Change: parts that are not known to have succeeded explain crashes first; parts that have succeeded are blamed for what is left only.

Evidence: the new case of PartQuarantineTest, with five crashes of the guilty part and one without it, failed on the code before with expected:<["bad"]> but was:<["popular"]>. PartQuarantineTest and QuarantinePropertyTest pass with the change (one run).

Conclusion: the narrower part is blamed if the shared one is known to have succeeded. An entry that has just started knows of no successes yet.

--- a/core/src/main/kotlin/org/bilberryhead/core/quarantine/CrashCover.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/quarantine/CrashCover.kt
@@ -13,8 +13,9 @@
 
 /**
  * Decides which parts explain crashes best: a greedy set cover. The part with the most crashes that no other one
- * explains comes first. Parts that were in the same crashes explain them together; parts with equally many that share
- * only some crashes are tied, and wait for more evidence.
+ * explains comes first, and parts that are not known to have succeeded come before those that are. Parts that were in
+ * the same crashes explain them together; parts with equally many that share only some crashes are tied, and wait for
+ * more evidence.
  *
  * @param hasSucceeded whether a request with the part is known to have been answered successfully before
  */
@@ -55,9 +56,10 @@
             .groupBy({ it.first }, { it.second })
             .mapValues { it.value.toSet() }
             .filter { isSufficient(it.key, it.value) }
-        val most = sufficient.values.maxOfOrNull { it.size } ?: return emptyMap()
-        val best = sufficient.filterValues { it.size == most }
-        return best.filterKeys { !hasSucceeded(it) }.ifEmpty { best }
+        // A part that all prompts of a route share is in all of their crashes, also in those that it did not cause.
+        val candidates = sufficient.filterKeys { !hasSucceeded(it) }.ifEmpty { sufficient }
+        val most = candidates.values.maxOfOrNull { it.size } ?: return emptyMap()
+        return candidates.filterValues { it.size == most }
     }
 
     private fun isSufficient(part: PromptPartId, crashes: Set<SuspectedCrash>): Boolean {
--- a/core/src/test/kotlin/org/bilberryhead/core/quarantine/PartQuarantineTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/quarantine/PartQuarantineTest.kt
@@ -133,6 +133,14 @@
                 quarantine.names.shouldBeEmpty()
             }
 
+            it("is not quarantined for crashes that a part without a success explains, nor for one crash more") {
+                val quarantine = PartQuarantine()
+                quarantine.recordSuccess(parts("popular"), start)
+                repeat(5) { quarantine.record(report(it, "popular bad $it"), start + (it * 2).seconds) }
+                quarantine.record(report(5, "popular"), start + 10.seconds)
+                quarantine.names shouldBe listOf("bad")
+            }
+
             it("is quarantined when it has stopped to succeed and crashes go on") {
                 val quarantine = PartQuarantine()
                 quarantine.recordSuccess(parts("popular"), start)
