--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
@@ -165,7 +165,7 @@
             }
 
             ResponseVerdict.COMPLETE -> if (finish(ExchangeResult.SUCCEEDED)) {
-                if (hasReceivedEvent && hasExplicitEnd(head)) recordSound()
+                if (hasReceivedEvent) recordEnd(head)
                 listener.streamCompleted(this, head)
             }
         }
@@ -199,7 +199,7 @@
                 fail(ExchangeResult.FAILED, AttemptOutcome.EndpointFailure, "status $status", response)
 
             else -> if (finish(ExchangeResult.SUCCEEDED)) {
-                if (status in SUCCESSFUL && hasExplicitEnd(response.head)) recordSound()
+                if (status in SUCCESSFUL) recordEnd(response.head)
                 listener.responseReceived(this, response)
             }
         }
@@ -208,9 +208,12 @@
     /** Whether the endpoint has not begun to answer, or only just. */
     private fun isBeginning(): Boolean = firstEventAt?.let { thread.now() - it < BEGINNING } ?: true
 
-    /** Returns whether the end of the response can be told from a connection that breaks off. */
-    private fun hasExplicitEnd(head: ResponseHead): Boolean =
-        head.headers.contains("Content-Length") || head.headers.contains("Transfer-Encoding")
+    /** Records the end of a successful response; a crash ends one that ends with its connection as well. */
+    private fun recordEnd(head: ResponseHead) = when {
+        isProvenSound -> Unit
+        head.framing == BodyFraming.END_OF_CONNECTION -> context.quarantine.ended(endpoint, request.sharedParts)
+        else -> recordSound()
+    }
 
     private fun recordSound() {
         if (isProvenSound) return
