Break responses off in any framing at any place in the soak, and let endpoints pause

The soak's endpoints sent streams in chunks only, broke them off within an event only, and never paused; its proxies reported an orderly end after bytes that they had dropped, which TCP does not do.

Endpoints now draw a framing (length, chunks, end of connection) for every response, and for those that break off a place (before or inside the head, after it, inside a part, between parts) and an orderly close or a reset; where a close in order looks like the end, it is a reset. Sound responses pause for up to a second. Proxies reset what they have cut.

--- a/soak/src/main/kotlin/org/bilberryhead/soak/FaultProxy.kt
+++ b/soak/src/main/kotlin/org/bilberryhead/soak/FaultProxy.kt
@@ -39,14 +39,14 @@
     }
 
     /** Resets all established connections. */
-    fun resetAll() = openSockets.forEach {
-        try {
-            it.setSoLinger(true, 0)
-            it.close()
-        } catch (_: IOException) {
-            // Another thread has already closed the socket.
-            openSockets -= it
-        }
+    fun resetAll() = openSockets.forEach(::reset)
+
+    private fun reset(socket: Socket) = try {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    } catch (_: IOException) {
+        // Another thread has already closed the socket.
+        openSockets -= socket
     }
 
     private fun acceptAll() {
@@ -74,18 +74,22 @@
 
     private fun copyBytes(from: Socket, to: Socket, towardsServer: Boolean) {
         val buffer = ByteArray(BUFFER_BYTES)
+        var isComplete = true
         try {
             var count = from.getInputStream().read(buffer)
             while (count >= 0) {
                 val isLost = state == LinkState.SILENT || (state == LinkState.ONE_WAY && towardsServer)
                 if (state == LinkState.DELAYED) Thread.sleep(DELAY_MS)
-                if (!isLost) to.getOutputStream().write(buffer, 0, count)
+                if (isLost) isComplete = false else to.getOutputStream().write(buffer, 0, count)
                 count = from.getInputStream().read(buffer)
             }
         } catch (_: IOException) {
             // One socket was closed or reset; the finally block closes both.
+            isComplete = false
         } finally {
             openSockets -= setOf(from, to)
+            // TCP never reports an orderly end after a reset or after bytes that it has lost.
+            if (!isComplete) reset(to)
             from.close()
             to.close()
         }
--- a/soak/src/main/kotlin/org/bilberryhead/soak/StandInEndpoint.kt
+++ b/soak/src/main/kotlin/org/bilberryhead/soak/StandInEndpoint.kt
@@ -14,8 +14,8 @@
 import kotlin.random.Random
 
 /**
- * An endpoint that serves any pool and injects a fault into some of its calls: a refusal, a failure, a closed
- * connection, a truncated response or surplus bytes.
+ * An endpoint that serves any pool and injects a fault into some of its calls: a refusal, a failure, a response that
+ * breaks off in any framing at any place, surplus bytes, or a pause.
  */
 internal class StandInEndpoint(val id: String, private val checker: InvariantChecker, seed: Int) : AutoCloseable {
     private val server = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
@@ -94,29 +94,37 @@
     }
 
     private fun respondPlain(request: RawMessage, socket: Socket, requestId: String): Boolean {
+        val draw = ResponsePlan.Draw(signedHead(requestId), listOf("answer to $requestId"), isStream = false)
+        if (!shouldFail()) return send(draw.complete(random), socket)
         val response = completeResponse(request, "200 OK", "answer to $requestId", signed = true)
-        if (!shouldFail()) return socket.write(response)
         return when (random.nextInt(RESPONSE_FAULT_KINDS)) {
-            0 -> false
-            1 -> socket.write(response.dropLast(TRUNCATED_BYTES)) && false
-            2 -> socket.write(completeResponse(request, "500 Failed", "failed", signed = true))
-            else -> socket.write(response + response)
+            0 -> socket.write(completeResponse(request, "500 Failed", "failed", signed = true))
+            1 -> socket.write(response + response)
+            else -> send(draw.broken(random), socket)
         }
     }
 
     private fun respondStream(request: RawMessage, socket: Socket, requestId: String): Boolean {
-        socket.write(
-            "HTTP/1.1 200 OK\r\n${WireHeaders.REQUEST_ID}: $requestId\r\n${WireHeaders.SIGNATURE}: s\r\n" +
-                "Transfer-Encoding: chunked\r\n\r\n",
-        )
         val firstEvent = (request.header(WireHeaders.LAST_EVENT_ID)?.toInt() ?: 0) + 1
-        val truncatedEvent = if (shouldFail()) random.nextInt(firstEvent, LAST_EVENT + 1) else null
-        for (number in firstEvent..LAST_EVENT) {
-            val event = "id: $number\ndata: $requestId\n\n"
-            if (number == truncatedEvent) return socket.write(chunk(event.dropLast(TRUNCATED_BYTES))) && false
-            socket.write(chunk(event))
+        val events = (firstEvent..LAST_EVENT).map { "id: $it\ndata: $requestId\n\n" }
+        // A stream that is resumed after its last event has none left to send.
+        if (events.isEmpty()) return false
+        val draw = ResponsePlan.Draw(signedHead(requestId), events, isStream = true)
+        return send(if (shouldFail()) draw.broken(random) else draw.complete(random), socket)
+    }
+
+    private fun signedHead(requestId: String) =
+        "HTTP/1.1 200 OK\r\n${WireHeaders.REQUEST_ID}: $requestId\r\n${WireHeaders.SIGNATURE}: s\r\n"
+
+    /** Sends what [plan] says, at times with a pause; returns whether the connection stays open. */
+    private fun send(plan: ResponsePlan, socket: Socket): Boolean {
+        val pausesBefore = if (shouldFail()) random.nextInt(plan.pieces.size + 1) else null
+        plan.pieces.forEachIndexed { index, piece ->
+            if (index == pausesBefore) Thread.sleep(random.nextLong(MAX_PAUSE_MS))
+            socket.write(piece)
         }
-        return socket.write("0\r\n\r\n")
+        if (plan.breakKind == BreakKind.RESET) socket.setSoLinger(true, 0)
+        return !plan.endsConnection
     }
 
     private fun checkInputs(request: RawMessage, requestId: String) {
@@ -140,8 +148,6 @@
         return "HTTP/1.1 $status\r\n$requestId$signature${extraHeaders}Content-Length: ${body.length}\r\n\r\n$body"
     }
 
-    private fun chunk(text: String) = "${text.length.toString(HEXADECIMAL_RADIX)}\r\n$text\r\n"
-
     private fun Socket.write(text: String): Boolean {
         getOutputStream().writeText(text)
         return true
@@ -157,8 +163,9 @@
         private const val MAX_SERVICE_TIME_MS = 40L
         private const val FAULT_PROBABILITY = 0.05
         private const val RESPONSE_FAULT_KINDS = 4
-        private const val TRUNCATED_BYTES = 4
-        private const val HEXADECIMAL_RADIX = 16
+
+        /** Longest time for which a sound endpoint falls silent within a response. */
+        private const val MAX_PAUSE_MS = 1_000L
         private val PIECE_ID = Regex(""""id":"([^"]+)"""")
     }
 }
