--- a/core/src/test/kotlin/org/bilberryhead/core/quarantine/QuarantineSimulation.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/quarantine/QuarantineSimulation.kt
@@ -43,8 +43,8 @@
 
 /**
  * Entries that share reports with delays, in front of engines. Prompts share an instruction, one of 3, and a document,
- * chosen by Zipf's law, as [prompt] says; some of them have the [badPart] besides, as [traffic] says. Engines crash also for other
- * reasons, and answers get lost.
+ * chosen by Zipf's law, as [prompt] says; some of them have the [badPart] besides, as [traffic] says. Engines crash
+ * also for other reasons, and answers get lost.
  */
 internal class QuarantineSimulation(
     seed: Int,
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/QuarantineService.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/QuarantineService.kt
@@ -98,8 +98,8 @@
     }
 
     /**
-     * Records that a request with the shared [parts] was answered successfully by [endpoint], as far as can be told from
-     * a response that ended with its connection.
+     * Records that a request with the shared [parts] was answered successfully by [endpoint], as far as can be told
+     * from a response that ended with its connection.
      */
     fun ended(endpoint: Endpoint, parts: List<PromptPartId>) {
         if (parts.isNotEmpty()) endedResponses.add(endpoint, parts)
