Give what is buffered of a response a class of its own

ResponseBuffer holds a body or a part of an event, its limits and its memory; the attempt asks it and ends itself. No behaviour changes.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
@@ -1,13 +1,10 @@
 package org.bilberryhead.forwarding.request
 
-import org.bilberryhead.core.memory.BlockBuffer
-import org.bilberryhead.core.memory.MemoryKind
 import org.bilberryhead.core.serving.AttemptOutcome
 import org.bilberryhead.core.serving.BodyFraming
 import org.bilberryhead.core.serving.ByteEnd
 import org.bilberryhead.core.serving.EngineRequest
 import org.bilberryhead.core.serving.EventOrder
-import org.bilberryhead.core.serving.EventSplitter
 import org.bilberryhead.core.serving.ExchangeResult
 import org.bilberryhead.core.serving.ResponseEnd
 import org.bilberryhead.core.serving.ResponseKind
@@ -62,9 +59,7 @@
     private val thread: EventThread get() = context.thread
     private val startedAt: Instant = thread.now()
     private val engineRequest: EngineRequest? = request.prompt?.let { endpoint.engine?.start(it, startedAt) }
-    private val eventSplitter = EventSplitter()
-    private val body = BlockBuffer()
-    private val memory = context.memory.newReservation(MemoryKind.ENDPOINT_RESPONSE)
+    private val buffer = ResponseBuffer(context.memory)
     private var head: ResponseHead? = null
     private var isStreaming = false
     private var isFinished = false
@@ -108,25 +103,15 @@
 
     override fun bodyPartReceived(bytes: ByteArray) {
         if (isFinished) return
-        if (!isStreaming) return bufferBody(bytes)
-        if (isPaused) return heldBytes.write(bytes)
-        eventSplitter.add(bytes).forEach(::handleEvent)
-        if (eventSplitter.partialEventBytes > MAXIMUM_EVENT_BYTES) return failAsBroken("an event is too long")
-        reserve(eventSplitter.allocatedBytes)
+        if (isStreaming && isPaused) return heldBytes.write(bytes)
+        if (isStreaming) buffer.addToStream(bytes).forEach(::handleEvent) else buffer.addToBody(bytes)
+        if (!isFinished) buffer.reserve()?.let(::bufferingFailed)
     }
 
-    private fun bufferBody(bytes: ByteArray) {
-        if (body.size + bytes.size > MAXIMUM_BODY_BYTES) return failAsBroken("the body of the answer is too long")
-        body.write(bytes)
-        reserve(body.allocatedBytes)
-    }
-
-    /** Ends the attempt when there is no memory for [bytes]. Whether the endpoint is at fault is unknown. */
-    private fun reserve(bytes: Long) {
-        if (isFinished || memory.tryResize(bytes)) return
+    private fun bufferingFailed(problem: BufferProblem) {
+        if (problem != BufferProblem.NO_MEMORY) return failAsBroken(problem.reason)
         closeConnection()
-        val reason = "no memory for the rest of the answer"
-        fail(ExchangeResult.ABANDONED, AttemptOutcome.Broken, reason, response = null)
+        fail(ExchangeResult.ABANDONED, AttemptOutcome.Broken, problem.reason, response = null)
     }
 
     private fun handleEvent(event: StreamEvent) {
@@ -151,7 +136,7 @@
         when {
             isFinished -> Unit
             isStreaming -> completeStream(head)
-            else -> classify(FullResponse(head, body.toByteArray()))
+            else -> classify(FullResponse(head, buffer.body))
         }
     }
 
@@ -172,7 +157,7 @@
     }
 
     private fun streamPlace(): ResponsePlace = when {
-        eventSplitter.hasPartialEvent -> ResponsePlace.INSIDE_EVENT
+        buffer.hasPartialEvent -> ResponsePlace.INSIDE_EVENT
         hasReceivedEvent -> ResponsePlace.AFTER_EVENT
         else -> ResponsePlace.AFTER_HEAD
     }
@@ -294,9 +279,7 @@
     private fun finish(result: ExchangeResult): Boolean {
         if (isFinished) return false
         isFinished = true
-        memory.release()
-        body.clear()
-        eventSplitter.clear()
+        buffer.clear()
         val now = thread.now()
         endpoint.load.recordEnd(result, now - startedAt, now)
         engineRequest?.let {
@@ -310,10 +293,6 @@
 
     private companion object {
         const val OK = 200
-
-        /** Every response that is not a stream is held in memory until it is complete. */
-        const val MAXIMUM_BODY_BYTES = 1024 * 1024
-        const val MAXIMUM_EVENT_BYTES = 1024 * 1024
         const val MISDIRECTED = 421
 
         /** Time from the first event in which a crash of the endpoint may be due to the request. */
