--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
@@ -141,7 +141,7 @@
     }
 
     private fun completeStream(head: ResponseHead) {
-        val place = streamPlace()
+        val place = buffer.streamPlace
         when (verdictOf(head, place)) {
             ResponseVerdict.BROKEN -> failAsBroken("the stream ended too early: $place, ${head.framing}")
             ResponseVerdict.BROKEN_FINAL -> if (finish(ExchangeResult.SUCCEEDED)) {
@@ -156,12 +156,6 @@
         }
     }
 
-    private fun streamPlace(): ResponsePlace = when {
-        buffer.hasPartialEvent -> ResponsePlace.INSIDE_EVENT
-        hasReceivedEvent -> ResponsePlace.AFTER_EVENT
-        else -> ResponsePlace.AFTER_HEAD
-    }
-
     private fun verdictOf(head: ResponseHead, place: ResponsePlace): ResponseVerdict {
         val isContinued = eventOrder.lastDelivered != request.lastEventId
         val kind = if (isContinued) ResponseKind.CONTINUED_STREAM else ResponseKind.STREAM
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ResponseBuffer.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ResponseBuffer.kt
@@ -4,6 +4,7 @@
 import org.bilberryhead.core.memory.MemoryBudget
 import org.bilberryhead.core.memory.MemoryKind
 import org.bilberryhead.core.serving.EventSplitter
+import org.bilberryhead.core.serving.ResponsePlace
 import org.bilberryhead.core.serving.StreamEvent
 
 /** Why no more of a response is buffered. */
@@ -20,18 +21,28 @@
     private val eventSplitter = EventSplitter()
     private val bodyBuffer = BlockBuffer()
     private val reservation = memory.newReservation(MemoryKind.ENDPOINT_RESPONSE)
+    private var hasEvent = false
 
     /** The body that has arrived. */
     val body: ByteArray get() = bodyBuffer.toByteArray()
 
-    /** Whether part of an event has arrived. */
-    val hasPartialEvent: Boolean get() = eventSplitter.hasPartialEvent
+    /** The place of the last byte of a stream. */
+    val streamPlace: ResponsePlace
+        get() = when {
+            eventSplitter.hasPartialEvent -> ResponsePlace.INSIDE_EVENT
+            hasEvent -> ResponsePlace.AFTER_EVENT
+            else -> ResponsePlace.AFTER_HEAD
+        }
 
     /** Appends [bytes] to the body. */
     fun addToBody(bytes: ByteArray) = bodyBuffer.write(bytes)
 
     /** Adds [bytes] of a stream, and returns the events that they complete. */
-    fun addToStream(bytes: ByteArray): List<StreamEvent> = eventSplitter.add(bytes)
+    fun addToStream(bytes: ByteArray): List<StreamEvent> {
+        val events = eventSplitter.add(bytes)
+        if (events.isNotEmpty()) hasEvent = true
+        return events
+    }
 
     /** Reserves the memory of what is held; returns why it can't be held, or null. To be called after each addition. */
     fun reserve(): BufferProblem? = when {
