Keep the end of a stream in a class of its own

Change: `StreamEnd` asks the table for a stream, and the decoder of responses says how a body is framed. No change of what is decided.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
@@ -202,19 +202,12 @@
         }
 
     private fun readConnectionHeaders(response: HttpResponse) {
-        framing = framingOf(response)
+        framing = decoder.framingOf(response)
         if (!HttpUtil.isKeepAlive(response) || framing == BodyFraming.END_OF_CONNECTION) isReusable = false
         val seconds = response.headers()[KEEP_ALIVE_HEADER]?.let { TIMEOUT_PARAMETER.find(it)?.groupValues?.get(1) }
         idleTimeout = seconds?.toLongOrNull()?.let { it.seconds * IDLE_TIMEOUT_FRACTION } ?: DEFAULT_IDLE_TIMEOUT
     }
 
-    private fun framingOf(response: HttpResponse): BodyFraming = when {
-        decoder.expectsNoBody || response.status().code() in STATUSES_WITHOUT_BODY -> BodyFraming.NO_BODY
-        HttpUtil.isTransferEncodingChunked(response) -> BodyFraming.CHUNKS
-        HttpUtil.isContentLengthSet(response) -> BodyFraming.LENGTH
-        else -> BodyFraming.END_OF_CONNECTION
-    }
-
     private fun readContent(content: HttpContent) {
         if (isSkippingResponse) {
             if (content is LastHttpContent) isSkippingResponse = false
@@ -288,7 +281,6 @@
     private companion object {
         val INFORMATIONAL_STATUSES = 100..199
         const val CLOSED = "the connection was closed"
-        val STATUSES_WITHOUT_BODY = setOf(204, 304)
         const val MAXIMUM_BODY_BYTES = 4L * 1024 * 1024
 
         /** Leaves room for interim responses and for a late response to an earlier request, which is skipped. */
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/ResponseDecoder.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/ResponseDecoder.kt
@@ -4,6 +4,8 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpUtil
+import org.bilberryhead.core.serving.BodyFraming
 
 /** Decodes the responses of one connection. */
 internal class ResponseDecoder : HttpResponseDecoder() {
@@ -17,4 +19,16 @@
         val isFinal = (message as? HttpResponse)?.status()?.codeClass() != HttpStatusClass.INFORMATIONAL
         return (expectsNoBody && isFinal) || super.isContentAlwaysEmpty(message)
     }
+
+    /** Returns how [response], the final one to the current request, states where its body ends. */
+    fun framingOf(response: HttpResponse): BodyFraming = when {
+        expectsNoBody || response.status().code() in STATUSES_WITHOUT_BODY -> BodyFraming.NO_BODY
+        HttpUtil.isTransferEncodingChunked(response) -> BodyFraming.CHUNKS
+        HttpUtil.isContentLengthSet(response) -> BodyFraming.LENGTH
+        else -> BodyFraming.END_OF_CONNECTION
+    }
+
+    private companion object {
+        val STATUSES_WITHOUT_BODY = setOf(204, 304)
+    }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
@@ -1,15 +1,10 @@
 package org.bilberryhead.forwarding.request
 
 import org.bilberryhead.core.serving.AttemptOutcome
-import org.bilberryhead.core.serving.BodyFraming
-import org.bilberryhead.core.serving.ByteEnd
 import org.bilberryhead.core.serving.EngineRequest
 import org.bilberryhead.core.serving.EventOrder
 import org.bilberryhead.core.serving.EventSplitter
 import org.bilberryhead.core.serving.ExchangeResult
-import org.bilberryhead.core.serving.ResponseEnd
-import org.bilberryhead.core.serving.ResponseKind
-import org.bilberryhead.core.serving.ResponsePlace
 import org.bilberryhead.core.serving.ResponseVerdict
 import org.bilberryhead.core.serving.StreamEvent
 import org.bilberryhead.forwarding.EventThread
@@ -143,9 +138,10 @@
     }
 
     private fun completeStream(head: ResponseHead) {
-        val place = streamPlace()
-        when (verdictOf(head, place)) {
-            ResponseVerdict.BROKEN -> failAsBroken("the stream ended too early: $place, ${head.framing}")
+        val isContinued = eventOrder.lastDelivered != request.lastEventId
+        val end = StreamEnd(head.framing, hasReceivedEvent, eventSplitter.hasPartialEvent, isContinued)
+        when (end.verdict) {
+            ResponseVerdict.BROKEN -> failAsBroken("the stream ended too early: ${end.place}, ${head.framing}")
             ResponseVerdict.BROKEN_FINAL -> if (finish(ExchangeResult.SUCCEEDED)) {
                 val reason = "the stream was resumed without an event"
                 listener.attemptFailed(this, AttemptFailure(AttemptOutcome.Broken, reason, isFinal = true), null)
@@ -158,21 +154,6 @@
         }
     }
 
-    private fun streamPlace(): ResponsePlace = when {
-        eventSplitter.hasPartialEvent -> ResponsePlace.INSIDE_EVENT
-        hasReceivedEvent -> ResponsePlace.AFTER_EVENT
-        else -> ResponsePlace.AFTER_HEAD
-    }
-
-    private fun verdictOf(head: ResponseHead, place: ResponsePlace): ResponseVerdict {
-        val isContinued = eventOrder.lastDelivered != request.lastEventId
-        val kind = if (isContinued) ResponseKind.CONTINUED_STREAM else ResponseKind.STREAM
-        val isEndOfConnection = head.framing == BodyFraming.END_OF_CONNECTION
-        // A reset before an announced end was reported as a failure of the exchange.
-        val end = if (isEndOfConnection) ByteEnd.CLOSE else ByteEnd.ANNOUNCED
-        return ResponseEnd.verdictOf(kind, head.framing, place, end)
-    }
-
     private fun classify(response: FullResponse) {
         val status = response.head.status
         val isNotRun = response.head.headers.contains(WireHeaders.NOT_EXECUTED) || status == MISDIRECTED
