Take no response for whole whose connection broke while its request was sent

What callers could see: a response with neither a length nor chunks is cut short by a reset while its request is still being sent, and is passed on as whole. No such case was seen in a deployment; it came out of a test.

Cause: when sending fails, the connection closes without an error of reading, which looked like a close in order.

Change: an error of sending counts as a reset. A close in order before the whole request was read stays one.

Conclusion: a short body of this framing passes as whole only where its connection is closed in order.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
@@ -27,6 +27,7 @@
 import org.bilberryhead.core.serving.ResponseEnd
 import org.bilberryhead.core.serving.ResponsePlace
 import java.io.IOException
+import java.nio.channels.ClosedChannelException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -124,9 +125,19 @@
         if (request.body.isNotEmpty() || request.method == HttpMethod.POST || request.method == HttpMethod.PUT) {
             HttpUtil.setContentLength(message, request.body.size.toLong())
         }
-        channel.writeAndFlush(message)
+        channel.writeAndFlush(message).addListener { it.cause()?.let(::recordFailedWrite) }
     }
 
+    /**
+     * Notes that the connection broke while the request was being sent: it may then close without an error of reading.
+     * The other process may as well close it in order before it has read the whole request.
+     */
+    private fun recordFailedWrite(cause: Throwable) {
+        if (cause !is ClosedChannelException) failureReason = failureReason ?: describe(cause)
+    }
+
+    private fun describe(cause: Throwable): String = cause.message ?: cause.javaClass.simpleName
+
     /** Reads no more of the response until [resumeReading] is called, so that the other process has to wait. */
     fun pauseReading() {
         channel.config().isAutoRead = false
@@ -245,7 +256,7 @@
     private fun bytesOf(buffer: ByteBuf): ByteArray = ByteBufUtil.getBytes(buffer)
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        failureReason = cause.message ?: cause.javaClass.simpleName
+        failureReason = describe(cause)
         if (cause !is IOException && cause !is DecoderException) onUnexpectedFailure(cause)
         context.close()
     }
