--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
@@ -27,6 +27,7 @@
 import org.bilberryhead.core.serving.ResponseEnd
 import org.bilberryhead.core.serving.ResponsePlace
 import java.io.IOException
+import java.nio.channels.ClosedChannelException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -127,9 +128,19 @@
         if (request.body.isNotEmpty() || request.method == HttpMethod.POST || request.method == HttpMethod.PUT) {
             HttpUtil.setContentLength(message, request.body.size.toLong())
         }
-        channel.writeAndFlush(message)
+        channel.writeAndFlush(message).addListener { it.cause()?.let(::recordFailedWrite) }
     }
 
+    /**
+     * Notes that the connection broke while the request was being sent: it may then close without an error of reading.
+     * The other process may as well close it in order before it has read the whole request.
+     */
+    private fun recordFailedWrite(cause: Throwable) {
+        if (cause !is ClosedChannelException) failureReason = failureReason ?: describe(cause)
+    }
+
+    private fun describe(cause: Throwable): String = cause.message ?: cause.javaClass.simpleName
+
     /** Reads no more of the response until [resumeReading] is called, so that the other process has to wait. */
     fun pauseReading() {
         channel.config().isAutoRead = false
@@ -207,19 +218,12 @@
         }
 
     private fun readConnectionHeaders(response: HttpResponse) {
-        framing = framingOf(response)
+        framing = decoder.framingOf(response)
         if (!HttpUtil.isKeepAlive(response) || framing == BodyFraming.END_OF_CONNECTION) isReusable = false
         val seconds = response.headers()[KEEP_ALIVE_HEADER]?.let { TIMEOUT_PARAMETER.find(it)?.groupValues?.get(1) }
         idleTimeout = seconds?.toLongOrNull()?.let { it.seconds * IDLE_TIMEOUT_FRACTION } ?: DEFAULT_IDLE_TIMEOUT
     }
 
-    private fun framingOf(response: HttpResponse): BodyFraming = when {
-        decoder.expectsNoBody || response.status().code() in STATUSES_WITHOUT_BODY -> BodyFraming.NO_BODY
-        HttpUtil.isTransferEncodingChunked(response) -> BodyFraming.CHUNKS
-        HttpUtil.isContentLengthSet(response) -> BodyFraming.LENGTH
-        else -> BodyFraming.END_OF_CONNECTION
-    }
-
     private fun readContent(content: HttpContent) {
         if (isSkippingResponse) {
             if (content is LastHttpContent) isSkippingResponse = false
@@ -257,7 +261,7 @@
     private fun bytesOf(buffer: ByteBuf): ByteArray = ByteBufUtil.getBytes(buffer)
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        failureReason = cause.message ?: cause.javaClass.simpleName
+        failureReason = describe(cause)
         if (cause !is IOException && cause !is DecoderException) onUnexpectedFailure(cause)
         context.close()
     }
@@ -293,7 +297,6 @@
     private companion object {
         val INFORMATIONAL_STATUSES = 100..199
         const val CLOSED = "the connection was closed"
-        val STATUSES_WITHOUT_BODY = setOf(204, 304)
         const val MAXIMUM_BODY_BYTES = 4L * 1024 * 1024
 
         /** Leaves room for interim responses and for a late response to an earlier request, which is skipped. */
