Pass the target of a request on with the bytes that it came with

What endpoints saw: a target with bytes beyond ASCII arrived as other bytes (C3 A9 as C3 83 C2 A9).

Cause: heads are decoded with one character for each byte, and the target was encoded as UTF-8 text.

Change: RequestEncoder writes each character of the target as one byte.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
@@ -15,7 +15,6 @@
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
-import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
@@ -86,7 +85,7 @@
 
     /** Adds this connection and its codec to [pipeline]. */
     fun addTo(pipeline: ChannelPipeline) {
-        pipeline.addLast(UnexpectedBytesCheck()).addLast(decoder).addLast(HttpRequestEncoder()).addLast(this)
+        pipeline.addLast(UnexpectedBytesCheck()).addLast(decoder).addLast(RequestEncoder()).addLast(this)
     }
 
     override fun handlerAdded(context: ChannelHandlerContext) {
