Tell endpoints the names of client accounts as their UTF-8 bytes

A route whose prefix has letters beyond ASCII was never matched (404).

Cause: names went into headers as text, and the encoder of headers replaces what it cannot express. Hosts, prefixes and keys of the configuration were compared as text with heads that have one character for each byte.

Change: WireText gives the wire form of a text, its UTF-8 bytes with one character each; names, keys, hosts and prefixes are used in that form. Nothing is forwarded for an account whose name no header can carry unchanged: its requests are refused as not run, and the configuration that brings it is logged with the account. The rest of the configuration is in force.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/RouteMatcher.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/RouteMatcher.kt
@@ -11,6 +11,9 @@
     /** The key belongs to [entry]. */
     data class Known(val entry: AccountEntry) : CallerIdentity
 
+    /** The key belongs to [entry], whose name endpoints cannot be told. */
+    data class NotSendable(val entry: AccountEntry) : CallerIdentity
+
     /** The key is missing or belongs to no account. */
     data object Unknown : CallerIdentity
 }
@@ -30,6 +33,7 @@
         val accounts = configuration.accounts
         val entry = key?.let { accounts?.get(it) }
         return when {
+            entry != null && !entry.isNameSendable -> CallerIdentity.NotSendable(entry)
             entry != null -> CallerIdentity.Known(entry)
             accounts == null || route.isPublic -> CallerIdentity.Anonymous
             else -> CallerIdentity.Unknown
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/ServingConfiguration.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ServingConfiguration.kt
@@ -46,6 +46,8 @@
 /**
  * A route of the configuration.
  *
+ * @property host host of the requests, in the form that it has in their heads: one character per byte
+ * @property prefix beginning of their paths, in the same form
  * @property timeout maximum time from a request to the end of its response
  * @property objective target time for the complete response; for streams, for the first event
  * @property maximumAttempts maximum number of endpoints to which one request is sent
@@ -115,8 +117,13 @@
     val idleTimeout: Duration,
 )
 
-/** A client account and its priority, which overrides that of the route unless it is null. */
-data class AccountEntry(val account: ClientAccount, val priority: Int?)
+/**
+ * A client account of the configuration.
+ *
+ * @property priority overrides the priority of the route unless it is null
+ * @property isNameSendable whether endpoints can be told the name of the account; nothing is forwarded for it otherwise
+ */
+data class AccountEntry(val account: ClientAccount, val priority: Int?, val isNameSendable: Boolean = true)
 
 /**
  * One version of the configuration of the platform.
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/OutboundRequests.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/OutboundRequests.kt
@@ -7,6 +7,7 @@
 import org.bilberryhead.forwarding.http.HopByHopHeaders
 import org.bilberryhead.forwarding.http.OutboundRequest
 import org.bilberryhead.platform.wire.WireHeaders
+import org.bilberryhead.platform.wire.WireText
 import kotlin.time.Instant
 
 /** Builds the request to an endpoint from the request of a caller. */
@@ -31,7 +32,7 @@
         headers.set(WireHeaders.EXPECTED_ENDPOINT, endpoint.value)
         val deadline = request.callerDeadline?.let { minOf(it, request.deadline) } ?: request.deadline
         headers.set(WireHeaders.DEADLINE_MS, (deadline - now).inWholeMilliseconds.coerceAtLeast(1).toString())
-        request.account?.let { headers.set(WireHeaders.CLIENT_ACCOUNT, it.value) }
+        request.account?.let { headers.set(WireHeaders.CLIENT_ACCOUNT, checkNotNull(WireText.ofHeader(it.value))) }
         if (request.prompt != null) headers.set(WireHeaders.PRIORITY, request.priority.coerceIn(PRIORITIES).toString())
         if (request.route.stages.isNotEmpty()) headers.set(WireHeaders.INPUTS, inputs.joinToString(",") { it.value })
         if (request.route.repeatRule == RepeatRule.RESUMABLE_STREAM && lastEventId != null) {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
@@ -14,6 +14,7 @@
 import org.bilberryhead.platform.wire.WireHeaders
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Determines the route and the client account of each request, and starts to serve the request or refuses it. */
 internal class RequestAdmission(private val context: ServingContext) : RequestHandler {
@@ -46,9 +47,13 @@
         if (id.isNullOrBlank()) return reject(request, response, BAD_REQUEST, "no request id")
         val route = matcher.route(request.host, request.path)
             ?: return reject(request, response, NOT_FOUND, "no route", matcher)
-        val identity = matcher.identity(route, request.headers[WireHeaders.API_KEY]?.let { ApiKey(it.trim()) })
+        // Other blanks are part of the key.
+        val identity = matcher.identity(route, request.headers[WireHeaders.API_KEY]?.let { ApiKey(it.trim(' ', '\t')) })
         if (identity is CallerIdentity.Unknown) return reject(request, response, UNAUTHORISED, "unknown key", matcher)
         return when {
+            identity is CallerIdentity.NotSendable ->
+                refuse(request, response, "the name of the client account cannot be sent", ACCOUNT_RETRY_AFTER)
+
             route.stages.isNotEmpty() && hasInvalidPieceCounts(request) ->
                 reject(request, response, BAD_REQUEST, "the numbers of pieces are not valid", matcher)
 
@@ -147,6 +152,8 @@
         const val UNAUTHORISED = 401
         const val NOT_FOUND = 404
 
+        /** The configuration has to change first. */
+        val ACCOUNT_RETRY_AFTER = 5.seconds
         val DRAIN_RETRY_AFTER = 50.milliseconds
         val STARTUP_RETRY_AFTER = 500.milliseconds
         val FAILURE_RETRY_AFTER = 100.milliseconds
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/ConfigurationListener.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/ConfigurationListener.kt
@@ -37,5 +37,10 @@
         decisions.write("configuration in force") {
             mapOf("version" to configuration.version, "before" to previous, "routes" to configuration.routes.size)
         }
+        configuration.accounts?.values.orEmpty().filterNot { it.isNameSendable }.distinct().forEach { entry ->
+            decisions.write("client account refused") {
+                mapOf("account" to entry.account, "reason" to "no header can carry its name")
+            }
+        }
     }
 }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/UnchangedBytesTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/UnchangedBytesTest.kt
@@ -1,5 +1,6 @@
 package org.bilberryhead.forwarding
 
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.nulls.shouldNotBeNull
@@ -40,6 +41,8 @@
       {"name":" a","api_keys":["k-first"]},{"name":"a ","api_keys":["k-last"]},{"name":"a\ud800","api_keys":["k-half"]}]}
 """.trimIndent()
 
+private fun String.onWire(): String = String(encodeToByteArray(), BYTES)
+
 private fun Socket.exchange(target: String, id: String, headers: String = ""): RawMessage {
     val head = "GET $target HTTP/1.1\r\nHost: h\r\nX-Request-Id: $id\r\n$headers\r\n"
     getOutputStream().apply { write(head.toByteArray(BYTES)) }.flush()
@@ -72,5 +75,51 @@
                     }
                 }
             }
+
+            it("match the prefix of a route whose UTF-8 text they are") {
+                useEntry { entry, _ ->
+                    entry.connect().use { it.exchange("/caf\u00e9/a".onWire(), "r1").status shouldBe 200 }
+                }
+            }
+        }
+
+        describe("the name of a client account") {
+            it("reaches the endpoint as its UTF-8 bytes, so that two names never arrive as one") {
+                useEntry { entry, endpoint ->
+                    val names = mapOf(
+                        "k-s" to "Ploeg \u015a",
+                        "k-z" to "Ploeg \u017d",
+                        "cl\u00e9 \u00e0" to "Ploeg \u00e9",
+                        "k-office" to "office",
+                    )
+                    names.entries.forEachIndexed { number, (key, name) ->
+                        withClue(key) {
+                            entry.connect().use {
+                                val response = it.exchange("/closed/a", "r$number", "X-Api-Key: ${key.onWire()}\r\n")
+                                response.status shouldBe 200
+                            }
+                            endpoint.awaitRequest().head.lines() shouldContain "X-Tenant: ${name.onWire()}"
+                        }
+                    }
+                }
+            }
+
+            it("that no header can carry has its requests refused as not run, also on public routes") {
+                useEntry { entry, endpoint ->
+                    for (key in listOf("k-line", "k-zero", "k-first", "k-last", "k-half")) {
+                        for (path in listOf("/closed/a", "/open/a")) {
+                            withClue("$key $path") {
+                                val response = entry.connect().use { it.exchange(path, key, "X-Api-Key: $key\r\n") }
+                                response.status shouldBe 503
+                                response.header("Retry-After").shouldNotBeNull()
+                            }
+                        }
+                    }
+                    endpoint.requests.size shouldBe 0
+                    entry.connect().use {
+                        it.exchange("/closed/a", "r1", "X-Api-Key: k-office\r\n").status shouldBe 200
+                    }
+                }
+            }
         }
     })
