Leave endpoints alone for as long as they ask for

An endpoint that refuses with 503 may name a time (Retry-After) for which it wants nothing. Entries read it only to tell the caller when the route allowed no other attempt; they went on to send requests, retries and stage calls to the endpoint.

EndpointRests (core) remembers which runs rest and until when. A resting endpoint is no candidate for requests, retries, replacements, stage calls and releases of results, also when its connection is just being opened, and is not probed after a failure. When all of a pool rest, callers are refused at once (also those that wait for a connection), with the time until the first endpoint is back, spread over the two seconds in which its load returns: from one exchange in flight to twice its slots, then any number. Stage coordinators fail pieces with the same time.

While an endpoint rests, a crash of it is not noticed, as it is not probed. A request whose last endpoint begins to rest may take a retry from the budget in vain.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/PieceEndpointChooser.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/PieceEndpointChooser.kt
@@ -37,6 +37,9 @@
                 if (preferredDataCentre == null || it.dataCentre == preferredDataCentre) 0.0 else REMOTE_PENALTY
         }
 
+    /** Calls to [endpoint] that have not ended. */
+    fun openCalls(endpoint: EndpointId): Int = openCalls[endpoint] ?: 0
+
     /** Counts a call that is sent to [endpoint] now. */
     fun recordCallStart(endpoint: EndpointId) {
         openCalls.merge(endpoint, 1, Int::plus)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -91,7 +91,14 @@
     private val admission = RequestAdmission(servingContext)
     private val endpointListener =
         EndpointListener(directory, endpoints, thread, decisions, connectionWaitQueue::dispatchAll)
-    private val announcements = EndpointAnnouncements(directory, decisions, endpointListener::apply)
+    private val announcements = EndpointAnnouncements(
+        directory,
+        endpoints,
+        thread,
+        decisions,
+        endpointListener::apply,
+        onRest = connectionWaitQueue::dispatch,
+    )
     private val configurationListener = ConfigurationListener(decisions) {
         servingContext.matcher = it
         connectionWaitQueue.dispatchAll()
@@ -125,7 +132,12 @@
             .groupBy { endpoints.poolOf(it) }
             .forEach { (pool, poolHandles) -> pool?.let(::stageClient)?.release(poolHandles) }
 
-        override fun usableEndpoints(pool: PoolName): List<EndpointEntry> = directory.usable(pool)
+        override fun usableEndpoints(pool: PoolName): List<EndpointEntry> =
+            directory.usable(pool).filterNot(endpoints::isResting)
+
+        override fun timeUntilFirstReturn(pool: PoolName): Duration? = endpoints.timeUntilFirstReturn(pool)
+
+        override fun maximumCalls(entry: EndpointEntry): Int = endpoints.maximumInFlight(entry)
 
         override fun obstacleTo(entry: EndpointEntry): String? = endpoints.obstacleTo(entry)
 
@@ -162,6 +174,9 @@
         metrics.gauge("bilberry.members", "Entries that share the limits, as this entry knows them") {
             membership.members.size
         }
+        metrics.gauge("bilberry.endpoints.resting", "Endpoints that have asked for rest and get nothing now") {
+            endpoints.rests.restingCount(thread.now())
+        }
         metrics.gauge("bilberry.quarantine.parts", "Parts of prompts that are refused because they crash endpoints") {
             quarantine.quarantinedCount
         }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingMetrics.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingMetrics.kt
@@ -41,6 +41,12 @@
         .register(registry)
         .increment()
 
+    /** Counts a request that finds all endpoints of its pool resting. */
+    fun refusedByRest() = Counter.builder("bilberry.rest.refused")
+        .description("Requests for which no endpoint was left because all of their pool have asked for rest")
+        .register(registry)
+        .increment()
+
     /** Counts a crash of an endpoint, or another report of this entry on the same crash. */
     fun endpointCrashed() = Counter.builder("bilberry.endpoint.crashes")
         .description("Reports of this entry on crashes of endpoints that were about to answer prompts")
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/Endpoints.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/Endpoints.kt
@@ -7,6 +7,7 @@
 import org.bilberryhead.core.serving.EndpointChange
 import org.bilberryhead.core.serving.EndpointDirectory
 import org.bilberryhead.core.serving.EndpointEntry
+import org.bilberryhead.core.serving.EndpointRests
 import org.bilberryhead.core.serving.ResultHandle
 import org.bilberryhead.core.serving.ServingPool
 import org.bilberryhead.forwarding.EventThread
@@ -14,6 +15,7 @@
 import org.bilberryhead.forwarding.http.ResponseHead
 import org.bilberryhead.platform.wire.StageCodec
 import kotlin.math.max
+import kotlin.time.Duration
 
 /**
  * The registry of the known endpoints, each with its load and connections.
@@ -29,6 +31,8 @@
     private val pools: (PoolName) -> ServingPool?,
     private val entryCount: () -> Int?,
 ) {
+    /** Which endpoints have asked for rest. */
+    val rests = EndpointRests()
     private val endpointsById = mutableMapOf<EndpointId, Endpoint>()
 
     /** Called when an endpoint of a pool can start another exchange. */
@@ -43,12 +47,30 @@
     /** Returns whether [endpoint] still accepts new work. */
     fun isUsable(endpoint: Endpoint): Boolean = obstacleTo(endpoint.entry) == null
 
-    /** Returns why the run of an endpoint that [entry] is about accepts no new work any more, or null. */
+    /** Returns why the run of an endpoint that [entry] is about accepts no new work now, or null. */
     fun obstacleTo(entry: EndpointEntry): String? {
         val current = directory.entry(entry.id)
-        return if (current == null || current.isDraining || current.run != entry.run) "the endpoint leaves" else null
+        return when {
+            current == null || current.isDraining || current.run != entry.run -> "the endpoint leaves"
+            isResting(entry) -> "the endpoint rests"
+            else -> null
+        }
     }
 
+    /** Returns whether the endpoint of [entry] has asked for rest and gets nothing now. */
+    fun isResting(entry: EndpointEntry): Boolean = rests.isResting(entry.run, thread.now())
+
+    /** Returns the time until the first endpoint of [pool] is back when all of them rest; null otherwise. */
+    fun timeUntilFirstReturn(pool: PoolName): Duration? =
+        rests.timeUntilFirstReturn(directory.usable(pool).map { it.run }, thread.now())
+
+    /** Returns how many exchanges may be in flight with the endpoint of [entry]: few while it returns from a rest. */
+    fun maximumInFlight(entry: EndpointEntry): Int = rests.maximumInFlight(entry.run, entry.slots, thread.now())
+
+    /** Returns whether another exchange with [endpoint] can start now. */
+    fun canSend(endpoint: Endpoint): Boolean =
+        endpoint.load.inFlight < maximumInFlight(endpoint.entry) && endpoint.connections.canAcquire()
+
     /** Returns the endpoint of [entry]; creates it when it is new or its process was restarted. */
     fun getOrCreate(entry: EndpointEntry): Endpoint {
         val previous = endpointsById[entry.id]
@@ -87,6 +109,7 @@
             maximumConnections = { connectionShare(entry.pool) },
             onAvailable = { onConnectionAvailable(entry.pool) },
             onHeadReceived = { onHeadReceived(entry, it) },
+            isResting = { isResting(entry) },
         )
         return Endpoint(entry, pools(entry.pool), connections)
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptEndpointSelector.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptEndpointSelector.kt
@@ -2,8 +2,10 @@
 
 import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.serving.EndpointEntry
+import org.bilberryhead.core.serving.EndpointRests
 import org.bilberryhead.core.serving.ResultHandle
 import org.bilberryhead.forwarding.endpoint.Endpoint
+import kotlin.time.Duration
 
 /** Selects the endpoint to which a request is sent next. */
 internal class AttemptEndpointSelector(private val context: ServingContext) {
@@ -12,6 +14,9 @@
         /** No endpoint of the pool is known. */
         data object NoneKnown : Selection
 
+        /** All endpoints of the pool rest; its caller is to come back after [retryAfter], others at other times. */
+        data class AllResting(val retryAfter: Duration) : Selection
+
         /** This entry uses all the connections that it may open to the endpoints of the pool. */
         data object AllBusy : Selection
 
@@ -27,9 +32,10 @@
      * @param excluded endpoints at which the request has failed; considered only when the pool has no other
      */
     fun select(request: AdmittedRequest, inputs: List<ResultHandle>, excluded: Set<Endpoint>): Selection {
-        val usable = context.endpoints.usable(request.pool)
+        context.endpoints.timeUntilFirstReturn(request.pool)?.let { return Selection.AllResting(it + returnDelay()) }
+        val usable = context.endpoints.usable(request.pool).filterNot { context.endpoints.isResting(it.entry) }
         val candidates = usable.filter { it !in excluded }.ifEmpty { usable }
-        val free = candidates.filter { it.connections.canAcquire() }
+        val free = candidates.filter(context.endpoints::canSend)
         return when {
             candidates.isEmpty() -> Selection.NoneKnown
             free.isEmpty() -> Selection.AllBusy
@@ -37,9 +43,12 @@
         }
     }
 
+    /** A random time, by which callers that are refused together come back while the load returns. */
+    private fun returnDelay(): Duration = EndpointRests.RETURN_PERIOD * context.random.nextDouble()
+
     /** Returns whether an endpoint of the pool that is not in [tried] can take the request now. */
     fun hasUntried(request: AdmittedRequest, tried: Set<Endpoint>): Boolean =
-        context.endpoints.usable(request.pool).any { it !in tried && it.connections.canAcquire() }
+        context.endpoints.usable(request.pool).any { it !in tried && context.endpoints.canSend(it) }
 
     private fun selectBest(request: AdmittedRequest, inputs: List<ResultHandle>, free: List<Endpoint>): Endpoint {
         val now = context.thread.now()
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -97,6 +97,11 @@
             AttemptEndpointSelector.Selection.NoneKnown ->
                 refuse("no endpoint of ${request.pool} is known", LONG_RETRY_DELAY)
 
+            is AttemptEndpointSelector.Selection.AllResting -> {
+                decisionLog.allEndpointsRest(selection.retryAfter)
+                refuse("all endpoints of ${request.pool} rest", selection.retryAfter, spread = 0.0)
+            }
+
             AttemptEndpointSelector.Selection.AllBusy -> Unit
             is AttemptEndpointSelector.Selection.Selected -> connect(selection.endpoint)
         }
@@ -145,7 +150,7 @@
         val endpoint = newAttempt.endpoint
         if (!context.endpoints.isUsable(endpoint)) {
             connection.release()
-            return newAttempt.connectFailed("the endpoint began to leave while the connection was opened")
+            return newAttempt.connectFailed("the endpoint began to leave or to rest while the connection was opened")
         }
         if (refuseIfQuarantined()) {
             newAttempt.cancel()
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestDecisionLog.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestDecisionLog.kt
@@ -42,6 +42,14 @@
         }
     }
 
+    /** No endpoint can be selected, because all of the pool rest; the caller is to come back after [retryAfter]. */
+    fun allEndpointsRest(retryAfter: Duration) {
+        context.metrics.refusedByRest()
+        context.decisions.write("all endpoints rest") {
+            commonFields() + mapOf("pool" to request.pool, "retry_after_ms" to retryAfter.inWholeMilliseconds)
+        }
+    }
+
     /** The first event of the stream has been forwarded to the caller. */
     fun firstEventForwarded() {
         timeToFirstEvent = elapsed()
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageScheduler.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageScheduler.kt
@@ -39,7 +39,10 @@
     /** The call was refused or failed. The piece may be submitted again, once released inputs are recomputed. */
     data class CallFailed(val reason: String, val inputsReleased: Boolean = false) : PieceCallOutcome
 
-    /** The call cannot start early enough to be of use. [backlog] is the time that the pieces in the queue take. */
+    /**
+     * The call cannot start early enough to be of use. [backlog] is the time that the pieces in the queue take, or the
+     * time until the first endpoint is back when all of the pool rest.
+     */
     data class DeadlineUnreachable(val backlog: Duration) : PieceCallOutcome
 }
 
@@ -61,6 +64,12 @@
     /** Returns the endpoints of [pool] that accept new work. */
     fun usableEndpoints(pool: PoolName): List<EndpointEntry>
 
+    /** Returns the time until the first endpoint of [pool] is back when all of them rest; null otherwise. */
+    fun timeUntilFirstReturn(pool: PoolName): Duration?
+
+    /** Returns how many calls may be open at the endpoint of [entry]: few while it returns from a rest. */
+    fun maximumCalls(entry: EndpointEntry): Int
+
     /** Returns why the endpoint of [entry] gets no new call, or null when it may be called. */
     fun obstacleTo(entry: EndpointEntry): String?
 
@@ -149,8 +158,14 @@
         }
     }
 
-    private fun choose(candidates: List<EndpointEntry>, now: Instant, isEligible: (EndpointId) -> Boolean) =
-        endpointChooser.choose(candidates, queue.first(now)?.preferredDataCentre, now, isEligible)
+    private fun choose(
+        candidates: List<EndpointEntry>,
+        now: Instant,
+        isEligible: (EndpointId) -> Boolean,
+    ): EndpointEntry? {
+        val free = candidates.filter { endpointChooser.openCalls(it.id) < context.maximumCalls(it) }
+        return endpointChooser.choose(free, queue.first(now)?.preferredDataCentre, now, isEligible)
+    }
 
     /** While the first request waits for memory at an endpoint, requests with very small results go before it. */
     private fun takeBatch(endpoint: EndpointEntry, fitsFirstRequest: Boolean, now: Instant): List<StagePiece> {
@@ -179,8 +194,17 @@
 
     private fun maximumBatchSize(): Int = memory.maximumBatchSize(profile, meanResultBytes.toLong())
 
-    private fun failAllWaiting() = queue.takeAll().forEach {
-        deliverOutcome(it, PieceCallOutcome.CallFailed("no endpoint is known"))
+    private fun failAllWaiting() {
+        val firstReturn = context.timeUntilFirstReturn(pool)
+        val outcome = if (firstReturn == null) {
+            PieceCallOutcome.CallFailed("no endpoint is known")
+        } else {
+            PieceCallOutcome.DeadlineUnreachable(firstReturn)
+        }
+        context.decisions.write("no endpoint for stage calls") {
+            mapOf("pool" to pool, "pieces" to queue.size, "first_return_ms" to firstReturn?.inWholeMilliseconds)
+        }
+        queue.takeAll().forEach { deliverOutcome(it, outcome) }
     }
 
     private fun call(endpoint: EndpointEntry, pieces: List<StagePiece>, now: Instant) {
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/stage/FakeStageContext.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/stage/FakeStageContext.kt
@@ -13,6 +13,7 @@
 import org.bilberryhead.forwarding.http.Connector
 import org.bilberryhead.forwarding.http.ResponseHead
 import org.bilberryhead.forwarding.http.SingleExchange
+import kotlin.time.Duration
 
 internal fun addressOf(server: ScriptedEndpoint) = SocketAddress(HOST, server.address.substringAfter(':').toInt())
 
@@ -30,6 +31,10 @@
 
     override fun releaseThroughCoordinators(handles: List<ResultHandle>) = Unit
 
+    override fun timeUntilFirstReturn(pool: PoolName): Duration? = null
+
+    override fun maximumCalls(entry: EndpointEntry): Int = Int.MAX_VALUE
+
     override fun obstacleTo(entry: EndpointEntry): String? = null
 
     override fun headReceived(entry: EndpointEntry, head: ResponseHead) = Unit
