Answer HEAD without a body, whatever the response and the connection

What callers saw: a refusal of HEAD (404, 401, 503 and every other response of the entry itself) had the text of its reason behind its head. A caller that keeps the connection reads that text as the start of its next response.

Cause: the connection built the message of a response to HEAD with the body of the response and relied on endpoints to send none. A rejection of a request that was read in part did not know the method at all.

Change: ResponseMessages builds every message from the response, the method and whether the connection closes; nothing follows a response to HEAD, 204, 205 or 304. A response to HEAD says the length that its body would have.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -9,11 +9,9 @@
 import io.netty.channel.ChannelPipeline
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
-import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.EmptyHttpHeaders
+import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
@@ -24,7 +22,6 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.bilberryhead.forwarding.http.FullResponse
-import org.bilberryhead.forwarding.http.HopByHopHeaders
 import org.bilberryhead.forwarding.http.ResponseHead
 import java.io.ByteArrayOutputStream
 import java.io.IOException
@@ -39,7 +36,7 @@
     private val body = ByteArrayOutputStream()
     private var current: ActiveResponse? = null
     private val waitingRequests = ArrayDeque<CallerRequest>()
-    private var rejection: FullResponse? = null
+    private var rejection: FullHttpResponse? = null
     private var lastProgressAt = state.now()
     private var idleTimeout = state.limits.idleTimeout
     private var unsentBytes = 0L
@@ -94,7 +91,10 @@
 
     private fun read(message: HttpObject) {
         val failure = message.decoderResult().cause()
-        if (failure != null) return reject(RequestCheck.statusOf(failure), failure.message ?: "not HTTP")
+        if (failure != null) {
+            val method = (message as? HttpRequest)?.method() ?: requestHead?.method()
+            return reject(RequestCheck.statusOf(failure), failure.message ?: "not HTTP", method)
+        }
         if (message is HttpRequest) readHead(message)
         if (message is HttpContent) readBody(message)
     }
@@ -102,7 +102,7 @@
     private fun readHead(request: HttpRequest) {
         headStartedAt = null
         val problem = RequestCheck.problemOf(request)
-        if (problem != null) return reject(BAD_REQUEST, problem)
+        if (problem != null) return reject(BAD_REQUEST, problem, request.method())
         requestHead = request
         body.reset()
         bodyBytesLimit = state.limits.bodyBytes
@@ -177,27 +177,17 @@
     }
 
     /** Responds to a request that is not read completely, after the responses to those before it. */
-    private fun reject(status: Int, reason: String) {
+    private fun reject(status: Int, reason: String, method: HttpMethod? = requestHead?.method()) {
         requestHead = null
         headStartedAt = null
         isEnding = true
         state.rejected(status, reason)
         val response = FullResponse(ResponseHead(status, EmptyHttpHeaders.INSTANCE), reason.encodeToByteArray())
-        if (isServing) rejection = response else writeFull(response, closes = true)
+        val message = ResponseMessages.full(response, method, closes = true)
+        if (isServing) rejection = message else writeFull(message, closes = true)
     }
 
-    private fun writeFull(response: FullResponse, closes: Boolean, isHeadRequest: Boolean = false) {
-        val status = HttpResponseStatus.valueOf(response.head.status)
-        val content = Unpooled.wrappedBuffer(response.body)
-        val message = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content)
-        HopByHopHeaders.copyEndToEnd(response.head.headers, message.headers())
-        val contentLength = response.head.headers[HttpHeaderNames.CONTENT_LENGTH]
-        when {
-            isHeadRequest -> contentLength?.let { message.headers().set(HttpHeaderNames.CONTENT_LENGTH, it) }
-            response.head.status !in STATUSES_WITHOUT_BODY ->
-                HttpUtil.setContentLength(message, response.body.size.toLong())
-        }
-        if (closes) message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+    private fun writeFull(message: FullHttpResponse, closes: Boolean) {
         val written = channel.writeAndFlush(message)
         if (closes) written.addListener(ChannelFutureListener.CLOSE)
     }
@@ -278,19 +268,15 @@
         override fun send(response: FullResponse) {
             if (!isOpen) return
             announceClose()
-            writeFull(response, closes, request.method == HttpMethod.HEAD)
+            writeFull(ResponseMessages.full(response, request.method, closes), closes)
             complete(closes)
         }
 
         override fun start(head: ResponseHead) {
             if (!isOpen) return
             isStarted = true
-            val message = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
-            HopByHopHeaders.copyEndToEnd(head.headers, message.headers())
-            HttpUtil.setTransferEncodingChunked(message, true)
             announceClose()
-            if (closes) message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-            channel.write(message)
+            channel.write(ResponseMessages.chunkedHead(head, closes))
         }
 
         private fun announceClose() {
@@ -353,6 +339,5 @@
         const val PROCESS_ENDS = "the process ends"
         const val UNEXPECTED_FAILURE = "unexpected failure"
         const val MAXIMUM_WAITING_REQUESTS = 4
-        val STATUSES_WITHOUT_BODY = setOf(204, 304)
     }
 }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerConnectionHarness.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerConnectionHarness.kt
@@ -71,14 +71,20 @@
     /** Whether the connection is open on this side. */
     val isOpen: Boolean get() = channel.isOpen
 
-    /** The responses so far; the last one may be incomplete. */
-    val responses: List<RawMessage>
+    /** All that the connection has sent. */
+    val sentText: String
         get() {
             generateSequence { channel.readOutbound<ByteBuf>() }.forEach {
                 it.readBytes(sentBytes, it.readableBytes())
                 it.release()
             }
-            val input = ByteArrayInputStream(sentBytes.toByteArray())
+            return sentBytes.toString(Charsets.UTF_8)
+        }
+
+    /** The responses so far; the last one may be incomplete. */
+    val responses: List<RawMessage>
+        get() {
+            val input = ByteArrayInputStream(sentText.encodeToByteArray())
             return generateSequence { input.readMessage() }.toList()
         }
 
