Say once how a crashing part of prompts comes to be refused

Two cases of CrashingStreamsWithoutLengthTest had the same steps for two kinds of crash. The steps stand once now, the cases say what crashes. Both pass, no check has changed.

--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/CrashingStreamsWithoutLengthTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/CrashingStreamsWithoutLengthTest.kt
@@ -67,40 +67,33 @@
 private suspend fun LoopbackDeployment.awaitReportsOf(engines: EnginesWithoutLength) =
     eventually(KNOWLEDGE_TIME) { crashReportCount shouldBeGreaterThanOrEqualTo engines.crashes.get() }
 
+private fun hasBadPart(exchange: ScriptedEndpoint.Exchange) =
+    "bad:" in exchange.request.header("X-Prompt-Prefix").orEmpty()
+
+/** Crashes engines by the part `bad` until it is refused, and checks that no other part is. */
+private suspend fun EnginesWithoutLength.crashUntilBadPartIsRefused() =
+    LoopbackDeployment(STREAM_CONFIGURATION, pools).use { entry ->
+        repeat(CRASHES_OF_QUARANTINE) { number ->
+            entry.generate("bad-$number", "a bad c$number")
+            entry.awaitReportsOf(this)
+            entry.generate("sound-$number", "a c$number").status shouldBe 200
+        }
+        val reached = crashes.get()
+        eventually(KNOWLEDGE_TIME) { entry.generate("last", "a bad d").status shouldBe 503 }
+        entry.generate("sound", "a d").status shouldBe 200
+        crashes.get() shouldBe reached
+    }
+
 class CrashingStreamsWithoutLengthTest :
     DescribeSpec({
         describe("streams that end with their connection") {
             it("report a part whose engines crash after the head, so that it is refused and no other part") {
-                EnginesWithoutLength { "bad:" in request.header("X-Prompt-Prefix").orEmpty() }.use { engines ->
-                    LoopbackDeployment(STREAM_CONFIGURATION, engines.pools).use { entry ->
-                        repeat(CRASHES_OF_QUARANTINE) { number ->
-                            entry.generate("bad-$number", "a bad c$number")
-                            entry.awaitReportsOf(engines)
-                            entry.generate("sound-$number", "a c$number").status shouldBe 200
-                        }
-                        val reached = engines.crashes.get()
-                        eventually(KNOWLEDGE_TIME) { entry.generate("last", "a bad d").status shouldBe 503 }
-                        entry.generate("sound", "a d").status shouldBe 200
-                        engines.crashes.get() shouldBe reached
-                    }
-                }
+                EnginesWithoutLength(isCrashing = ::hasBadPart).use { it.crashUntilBadPartIsRefused() }
             }
 
             it("do not clear a part whose engines crash after a whole event: it is refused all the same") {
-                EnginesWithoutLength(textBeforeCrash = FIRST_EVENT) {
-                    "bad:" in request.header("X-Prompt-Prefix").orEmpty()
-                }.use { engines ->
-                    LoopbackDeployment(STREAM_CONFIGURATION, engines.pools).use { entry ->
-                        repeat(CRASHES_OF_QUARANTINE) { number ->
-                            entry.generate("bad-$number", "a bad c$number")
-                            entry.awaitReportsOf(engines)
-                            entry.generate("sound-$number", "a c$number").status shouldBe 200
-                        }
-                        val reached = engines.crashes.get()
-                        eventually(KNOWLEDGE_TIME) { entry.generate("last", "a bad d").status shouldBe 503 }
-                        entry.generate("sound", "a d").status shouldBe 200
-                        engines.crashes.get() shouldBe reached
-                    }
+                EnginesWithoutLength(textBeforeCrash = FIRST_EVENT, isCrashing = ::hasBadPart).use {
+                    it.crashUntilBadPartIsRefused()
                 }
             }
 
