Let an exchange own the reads of its connection

What callers saw: a request on a kept connection got no response although its endpoint had sent one, and ended as unknown or at its deadline.

Cause: a stream whose end was read is held for a slow caller after its connection has been given back. When the caller took the next held part and was congested again, the attempt paused the connection, which carried another request by then; nobody resumed it, as the exchange that would do so had ended.

Change: OutboundConnection.send returns the exchange, whose pauseReading, resumeReading and cancel have no effect once it has ended. An attempt keeps its exchange, not the connection.

Conclusion: what an attempt does after its exchange cannot reach the next one. Peers and releases of results still close their connections themselves.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
@@ -31,6 +31,21 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
+/**
+ * One request on an [OutboundConnection], and the response to it. No call has an effect once the exchange has ended,
+ * because the connection may carry another one by then.
+ */
+internal interface OutboundExchange {
+    /** Reads no more of the response until [resumeReading] is called, so that the other process has to wait. */
+    fun pauseReading()
+
+    /** Reads on after [pauseReading]. */
+    fun resumeReading()
+
+    /** Closes the connection without notifying the listener of the exchange. */
+    fun cancel()
+}
+
 /**
  * A connection to another process that carries one exchange at a time.
  *
@@ -47,7 +62,7 @@
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
     private val decoder = ResponseDecoder()
-    private var listener: ResponseListener? = null
+    private var current: Exchange? = null
     private var expectedId: String? = null
     private var remainingBodyBytes = 0L
     private var bytesWithoutProgress = 0
@@ -93,7 +108,7 @@
     }
 
     /**
-     * Sends [request]; [listener] receives the response.
+     * Sends [request] and returns the exchange; [listener] receives the response.
      *
      * @param requestId the id that the response must have, or null when responses have none
      * @param maximumBodyBytes the exchange fails when the body of the response is longer
@@ -103,12 +118,13 @@
         requestId: String?,
         listener: ResponseListener,
         maximumBodyBytes: Long = MAXIMUM_BODY_BYTES,
-    ) {
+    ): OutboundExchange {
+        val exchange = Exchange(listener)
         if (!channel.isActive || !isReusable) {
             listener.exchangeFailed(ExchangeFailure.NotSent(CLOSED))
-            return
+            return exchange
         }
-        this.listener = listener
+        current = exchange
         expectedId = requestId
         remainingBodyBytes = maximumBodyBytes
         bytesWithoutProgress = 0
@@ -128,6 +144,7 @@
             HttpUtil.setContentLength(message, request.body.size.toLong())
         }
         channel.writeAndFlush(message).addListener { it.cause()?.let(::recordFailedWrite) }
+        return exchange
     }
 
     /**
@@ -140,22 +157,12 @@
 
     private fun describe(cause: Throwable): String = cause.message ?: cause.javaClass.simpleName
 
-    /** Reads no more of the response until [resumeReading] is called, so that the other process has to wait. */
-    fun pauseReading() {
-        channel.config().isAutoRead = false
-    }
-
-    /** Reads on after [pauseReading]. */
-    fun resumeReading() {
-        channel.config().isAutoRead = true
-    }
-
     /** Notifies the owner that the connection is available again although it carried no exchange. */
     fun release() = onStateChange()
 
     /** Closes the connection without notifying the listener of the exchange. */
     fun close() {
-        listener = null
+        current = null
         isReusable = false
         channel.close()
     }
@@ -175,7 +182,7 @@
     }
 
     private fun readHead(response: HttpResponse) {
-        val activeListener = listener
+        val activeListener = current?.listener
         if (activeListener == null) {
             close()
             return
@@ -228,19 +235,19 @@
             if (content is LastHttpContent) isSkippingResponse = false
             return
         }
-        val activeListener = listener ?: return
+        val exchange = current ?: return
         val length = content.content().readableBytes()
         remainingBodyBytes -= length
         if (remainingBodyBytes < 0) return fail("the body of the answer is too long")
         if (length > 0) {
             bytesWithoutProgress = 0
-            activeListener.bodyPartReceived(bytesOf(content.content()))
+            exchange.listener.bodyPartReceived(bytesOf(content.content()))
         }
         // The listener may have closed the connection while it handled the body.
-        if (content is LastHttpContent && listener === activeListener) complete(activeListener)
+        if (content is LastHttpContent && current === exchange) complete(exchange)
     }
 
-    private fun complete(activeListener: ResponseListener) {
+    private fun complete(exchange: Exchange) {
         val end = when {
             framing != BodyFraming.END_OF_CONNECTION -> ByteEnd.ANNOUNCED
             failureReason == null -> ByteEnd.CLOSE
@@ -249,11 +256,11 @@
         if (!ResponseEnd.isWhole(framing, ResponsePlace.AFTER_HEAD, end)) return fail(failureReason ?: CLOSED)
         // Bytes after the response would be read as the beginning of the next one.
         if (decoder.hasUnreadBytes) isReusable = false
-        resumeReading()
-        listener = null
+        exchange.resumeReading()
+        current = null
         idleSince = now()
         if (!isReusable) channel.close()
-        activeListener.responseCompleted()
+        exchange.listener.responseCompleted()
         onStateChange()
     }
 
@@ -272,24 +279,40 @@
 
     private fun fail(reason: String) {
         isReusable = false
-        val activeListener = listener
-        listener = null
+        val failedExchange = current
+        current = null
         if (channel.isOpen) channel.close()
-        activeListener?.exchangeFailed(ExchangeFailure.Broken(reason))
+        failedExchange?.listener?.exchangeFailed(ExchangeFailure.Broken(reason))
         onStateChange()
     }
 
+    private inner class Exchange(val listener: ResponseListener) : OutboundExchange {
+        private val isCurrent: Boolean get() = current === this
+
+        override fun pauseReading() {
+            if (isCurrent) channel.config().isAutoRead = false
+        }
+
+        override fun resumeReading() {
+            if (isCurrent) channel.config().isAutoRead = true
+        }
+
+        override fun cancel() {
+            if (isCurrent) close()
+        }
+    }
+
     /** Limits the bytes that the other process sends without completing a head or sending a part of the body. */
     private inner class UnexpectedBytesCheck : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
             val length = (message as? ByteBuf)?.readableBytes() ?: 0
             bytesWithoutProgress += length
-            if (listener != null && bytesWithoutProgress <= MAXIMUM_BYTES_WITHOUT_PROGRESS) {
+            if (current != null && bytesWithoutProgress <= MAXIMUM_BYTES_WITHOUT_PROGRESS) {
                 super.channelRead(context, message)
                 return
             }
             ReferenceCountUtil.release(message)
-            if (listener == null) close() else fail("the answer does not begin")
+            if (current == null) close() else fail("the answer does not begin")
         }
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
@@ -12,6 +12,8 @@
 import org.bilberryhead.forwarding.http.ExchangeFailure
 import org.bilberryhead.forwarding.http.FullResponse
 import org.bilberryhead.forwarding.http.OutboundConnection
+import org.bilberryhead.forwarding.http.OutboundExchange
+import org.bilberryhead.forwarding.http.OutboundRequest
 import org.bilberryhead.forwarding.http.ResponseHead
 import org.bilberryhead.forwarding.http.ResponseListener
 import org.bilberryhead.platform.wire.HeaderValues
@@ -64,8 +66,10 @@
     private val heldBytes = ByteArrayOutputStream()
     private var hasExchangeEnded = false
 
-    /** The connection on which the request was sent; null until then. */
-    var connection: OutboundConnection? = null
+    private var exchange: OutboundExchange? = null
+
+    /** Whether the request is sent on a connection of the endpoint, or has been; it may have run from then on. */
+    var isSent = false
 
     private var firstEventAt: Instant? = null
     private var isProvenSound = false
@@ -91,6 +95,11 @@
         endpoint.load.recordStart(startedAt)
     }
 
+    /** Sends [outbound], the form of the request for the endpoint, on [connection]. */
+    fun send(outbound: OutboundRequest, connection: OutboundConnection) {
+        exchange = connection.send(outbound, request.id.value, this, maximumBodyBytes = Long.MAX_VALUE)
+    }
+
     override fun headReceived(head: ResponseHead) {
         this.head = head
         HeaderValues.loadReport(head.headers[WireHeaders.LOAD])?.let { endpoint.recordLoad(it, thread.now()) }
@@ -107,7 +116,7 @@
 
     private fun bufferingFailed(problem: BufferProblem) {
         if (problem != BufferProblem.NO_MEMORY) return failAsBroken(problem.reason)
-        closeConnection()
+        exchange?.cancel()
         fail(ExchangeResult.ABANDONED, AttemptOutcome.Broken, problem.reason, response = null)
     }
 
@@ -203,7 +212,7 @@
     /** Stops reading from the endpoint until [resume] is called. */
     fun pause() {
         isPaused = true
-        connection?.pauseReading()
+        exchange?.pauseReading()
     }
 
     /** Reads on after [pause]. */
@@ -217,7 +226,7 @@
         when {
             isPaused -> Unit
             hasExchangeEnded -> complete()
-            else -> connection?.resumeReading()
+            else -> exchange?.resumeReading()
         }
     }
 
@@ -231,22 +240,17 @@
 
     /** Ends the attempt because the endpoint took too long, and counts it as a failure of the endpoint. */
     fun timeOut() {
-        if (finish(ExchangeResult.FAILED)) closeConnection()
+        if (finish(ExchangeResult.FAILED)) exchange?.cancel()
     }
 
     /** Ends the attempt for a reason that the endpoint did not cause, and counts no failure. */
     fun cancel() {
-        if (finish(ExchangeResult.ABANDONED)) closeConnection()
-    }
-
-    /** Closes the connection unless the exchange has ended: it may carry another one by now. */
-    private fun closeConnection() {
-        if (!hasExchangeEnded) connection?.close()
+        if (finish(ExchangeResult.ABANDONED)) exchange?.cancel()
     }
 
     private fun failAsBroken(reason: String) {
         if (isFinished) return
-        closeConnection()
+        exchange?.cancel()
         fail(ExchangeResult.FAILED, AttemptOutcome.Broken, reason, response = null)
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -112,7 +112,7 @@
      * endpoints; returns whether it did.
      */
     fun refuseIfBarred(): Boolean {
-        if (attempt?.connection != null) return false
+        if (attempt?.isSent == true) return false
         if (!context.maySend(request, isStreaming)) {
             refuse("the process ends soon", RETRY_DELAY)
             return true
@@ -165,11 +165,11 @@
             return connection.release()
         }
         retries.recordSent()
-        newAttempt.connection = connection
+        newAttempt.isSent = true
         decisionLog.attemptSent(endpoint, retries.attemptCount)
         val outbound =
             OutboundRequests.create(request, endpoint.entry.id, inputs, eventOrder.lastDelivered, context.thread.now())
-        connection.send(outbound, request.id.value, newAttempt, maximumBodyBytes = Long.MAX_VALUE)
+        newAttempt.send(outbound, connection)
         // The attempt may have failed already.
         if (route.repeatRule.mayRepeat && attempt === newAttempt) silenceCheck.start(newAttempt)
     }
@@ -230,7 +230,7 @@
         val (outcome, reason, isFinal) = failure
         val endpoint = failed.endpoint
         silenceCheck.stop()
-        if (outcome == AttemptOutcome.NotSent && failed.connection != null) retries.recordNotSent()
+        if (outcome == AttemptOutcome.NotSent && failed.isSent) retries.recordNotSent()
         attempt = null
         failedEndpoints += endpoint
         if (replacement.takeBack(reason)) return
@@ -269,7 +269,7 @@
 
     private fun onDeadline() {
         if (isFinished) return
-        val wasSent = attempt?.connection != null || retries.mayHaveRun
+        val wasSent = attempt?.isSent == true || retries.mayHaveRun
         val endpoint = attempt?.endpoint
         replacement.end()
         attempt?.timeOut()
@@ -284,7 +284,7 @@
 
     /** Refuses the request unless it has been sent to an endpoint, so that its caller can retry at another entry. */
     fun refuseIfUnsent() {
-        if (attempt?.connection == null &&
+        if (attempt?.isSent != true &&
             !isStreaming &&
             !retries.mayHaveRun
         ) {
@@ -307,7 +307,7 @@
 
     override fun callerDisconnected() {
         if (isFinished) return
-        if (route.repeatRule == RepeatRule.AT_MOST_ONCE && attempt?.connection != null) {
+        if (route.repeatRule == RepeatRule.AT_MOST_ONCE && attempt?.isSent == true) {
             decisionLog.requestEnded(status = null, "the caller has left; the request goes on", attempt?.endpoint)
             return
         }
--- /dev/null
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/AdmissionWithEndpoint.kt
@@ -0,0 +1,137 @@
+package org.bilberryhead.forwarding.request
+
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import org.bilberryhead.core.common.DaemonId
+import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.common.EndpointId
+import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.memory.MemoryBudget
+import org.bilberryhead.core.serving.EndpointDirectory
+import org.bilberryhead.core.serving.EndpointEntry
+import org.bilberryhead.core.serving.EnginePlacement
+import org.bilberryhead.core.serving.RetryLimits
+import org.bilberryhead.core.serving.RouteMatcher
+import org.bilberryhead.core.serving.SharedRetryBudget
+import org.bilberryhead.daemon.MonotonicClock
+import org.bilberryhead.daemon.newMeterRegistry
+import org.bilberryhead.forwarding.DecisionLog
+import org.bilberryhead.forwarding.EventThread
+import org.bilberryhead.forwarding.ForwardingMetrics
+import org.bilberryhead.forwarding.LoopbackDeployment
+import org.bilberryhead.forwarding.ScriptedEndpoint
+import org.bilberryhead.forwarding.caller.CallerListener
+import org.bilberryhead.forwarding.caller.CallerRequest
+import org.bilberryhead.forwarding.caller.ResponseWriter
+import org.bilberryhead.forwarding.endpoint.Endpoints
+import org.bilberryhead.forwarding.http.Connector
+import org.bilberryhead.forwarding.http.SingleExchange
+import org.bilberryhead.forwarding.quarantine.QuarantineService
+import org.bilberryhead.forwarding.store.StoreWriter
+import org.bilberryhead.platform.wire.ConfigurationDecoder
+import org.bilberryhead.platform.wire.WireHeaders
+import java.util.concurrent.Callable
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** A clock that throws once when [fails] is set. */
+internal class FailingClock : Clock {
+    private val clock = MonotonicClock()
+
+    @Volatile
+    var fails = false
+
+    override fun now(): Instant {
+        if (fails) {
+            fails = false
+            error("unexpected")
+        }
+        return clock.now()
+    }
+}
+
+/** The admission of an entry that knows one endpoint of pool `p`. */
+internal class AdmissionWithEndpoint(endpoint: ScriptedEndpoint) : AutoCloseable {
+    val clock = FailingClock()
+    private val thread = EventThread(
+        MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next() as EventLoop,
+        clock,
+    )
+    private val directory = EndpointDirectory()
+    private val configuration = checkNotNull(ConfigurationDecoder.decode(LoopbackDeployment.CONFIGURATION))
+    private val endpoints = Endpoints(
+        thread,
+        Connector(thread, WireHeaders.REQUEST_ID),
+        directory,
+        configuration.pools::get,
+        entryCount = { 1 },
+    )
+    private val connector = Connector(thread, WireHeaders.REQUEST_ID)
+    private val decisions = DecisionLog(linesPerSecond = 10, thread::now)
+    private val metrics = ForwardingMetrics(newMeterRegistry())
+    private val storeWriter = StoreWriter(SocketAddress("127.0.0.1", 1), SingleExchange(thread, connector))
+    private val context = ServingContext(
+        thread = thread,
+        endpoints = endpoints,
+        retryBudget = SharedRetryBudget(RetryLimits(ratio = 0.2, slack = 50.0, window = 10.seconds)) { 1 },
+        placement = EnginePlacement(DataCentre("x")),
+        stageClient = { null },
+        connectionWaitQueue = ConnectionWaitQueue(),
+        quarantine = QuarantineService(DaemonId("entry"), thread, storeWriter, decisions, metrics, Random(1)),
+        decisions = decisions,
+        metrics = metrics,
+        random = Random(1),
+        memory = MemoryBudget(capacity = 1_000_000),
+    ).also { it.matcher = RouteMatcher(configuration) }
+    private val admission = RequestAdmission(context)
+
+    init {
+        val (host, port) = endpoint.address.split(':')
+        val entry = EndpointEntry(
+            id = EndpointId("p-0"),
+            pool = PoolName("p"),
+            address = SocketAddress(host, port.toInt()),
+            dataCentre = DataCentre("x"),
+            slots = 4,
+            isDraining = false,
+            startedAt = 1,
+        )
+        onThread { directory.update(listOf(entry), emptyList(), thread.now()) }
+    }
+
+    /** Serves a request of [writer]; the clock fails at the next reading after [failsBefore] or [failsAfter]. */
+    fun serve(
+        writer: ResponseWriter,
+        path: String = "/order/a",
+        id: String = "r",
+        failsBefore: Boolean = false,
+        failsAfter: Boolean = false,
+    ): CallerListener? = onThread {
+        val request = CallerRequest(
+            method = HttpMethod.GET,
+            uri = path,
+            headers = DefaultHttpHeaders().add("Host", "h").add("X-Api-Key", "k").add("X-Request-Id", id),
+            body = ByteArray(0),
+            keepsConnection = true,
+            receivedAt = thread.now(),
+        )
+        clock.fails = failsBefore
+        val listener = runCatching { admission.serve(request, writer) }.getOrNull()
+        clock.fails = failsAfter
+        listener
+    }
+
+    /** Runs [block] on the thread of the entry. */
+    fun <T> onThread(block: () -> T): T = thread.loop.submit(Callable { block() }).get()
+
+    override fun close() {
+        thread.loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS)
+    }
+}
