Say at the start that an entry started with SIGHUP ignored cannot reload

What was seen: ReloadAtStartTest failed in whole runs with neither "reloaded" nor "reload refused" 30 s after its SIGHUP, and passed alone.

Cause: the failing runs were started by nohup, which sets SIGHUP to ignored; every child inherits that. The JVM installs no handler for a SIGHUP that was ignored at its start: Signal.handle returns SIG_IGN and the handler is never called. An entry that is started so keeps its settings, and said nothing about it. With the signal ignored, the other test of that class passed without testing anything.

Change: ReloadSignal installs itself and notes the answer of the JVM; the entry then warns at its start that settings are not reloaded on SIGHUP. The program cannot undo it from within the JVM. No check is relaxed; the reload test also wants no such warning.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/Main.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/Main.kt
@@ -10,7 +10,6 @@
 import org.bilberryhead.daemon.MonotonicClock
 import org.bilberryhead.daemon.TerminationSignal
 import org.bilberryhead.daemon.newMeterRegistry
-import sun.misc.Signal
 import kotlin.concurrent.thread
 import kotlin.io.path.createTempFile
 import kotlin.io.path.writeText
@@ -52,7 +51,7 @@
 fun main(arguments: Array<String>) {
     // Comes before everything else: until then, a SIGHUP ends the process.
     val reloadSignal = ReloadSignal()
-    Signal.handle(Signal(ReloadSignal.NAME), reloadSignal)
+    reloadSignal.install()
     if (TRAINING_OPTION in arguments) {
         val succeeded = TrainingRun(::newEventThread) { startCommand(it, reloadSignal) }.run()
         exitProcess(if (succeeded > 0) 0 else 1)
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EntryProcess.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EntryProcess.kt
@@ -31,9 +31,13 @@
  * The program as a process of its own. Signals go only to this process, by its process ID.
  *
  * @param jvmOptions further options of the JVM
+ * @param isHangUpIgnored whether it starts with SIGHUP ignored, as `nohup` does; if not, it starts with the default
  */
-internal class EntryProcess(private val settings: ForwardingSettings, jvmOptions: List<String> = emptyList()) :
-    AutoCloseable {
+internal class EntryProcess(
+    private val settings: ForwardingSettings,
+    jvmOptions: List<String> = emptyList(),
+    isHangUpIgnored: Boolean = false,
+) : AutoCloseable {
     private val settingsFile = createTempFile("entry", ".json")
     private val outputFile = createTempFile("entry", ".log")
     private val process: Process
@@ -41,6 +45,8 @@
     init {
         writeSettings(settings)
         val command = listOf(
+            "env",
+            if (isHangUpIgnored) "--ignore-signal=HUP" else "--default-signal=HUP",
             "${System.getProperty("java.home")}/bin/java",
             "-Xmx96m",
             "-Xss256k",
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ReloadAtStartTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ReloadAtStartTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldNotContain
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -13,11 +14,11 @@
  * An entry that starts. The JVM reports each class when it is initialised, so that a test knows how far the program is
  * without help from the program.
  */
-private class StartingEntry : AutoCloseable {
+private class StartingEntry(isHangUpIgnored: Boolean = false) : AutoCloseable {
     private val endpoint = ScriptedEndpoint { respond(body = "found") }
     private val store = LoopbackStore(LoopbackDeployment.CONFIGURATION, mapOf("p" to listOf(endpoint)))
     val settings = settingsOfProcess(store.address)
-    val process = EntryProcess(settings, listOf("-Xlog:class+init=info"))
+    val process = EntryProcess(settings, listOf("-Xlog:class+init=info"), isHangUpIgnored)
 
     /** Waits until the program creates its first object of the class [name]. */
     fun awaitInitialised(name: String) = await(NEXT_LOOK) { "Initializing 'org/bilberryhead/forwarding/$name'" in it }
@@ -65,6 +66,8 @@
     }
 }
 
+private const val IGNORED = "settings are not reloaded on SIGHUP"
+
 class ReloadAtStartTest :
     DescribeSpec({
         describe("an entry whose settings file changes while it starts") {
@@ -84,7 +87,14 @@
                     entry.process.signal("HUP")
                     entry.awaitLine("\"reloaded\"", "\"retry_slack\":\"77.0\"")
                     entry.process.awaitReady()
+                    entry.process.output shouldNotContain IGNORED
                 }
             }
         }
+
+        describe("an entry that was started with SIGHUP ignored, as nohup does") {
+            it("says that it keeps its settings, as no signal can tell it that they changed") {
+                StartingEntry(isHangUpIgnored = true).use { it.awaitLine("\"WARN\"", IGNORED) }
+            }
+        }
     })
