Let a draining coordinator finish or hand over the pieces of other entries

What callers saw: an entry that coordinates the stages of a pool ended its drain while it still had pieces of other entries called or queued. Their senders read a lost connection, which counts as possibly started: each piece took a retry from the budget, or failed the request.

Cause: the server of peers did not count as busy in the drain and was not stopped at its end; accepted pieces had no end of their own.

Change: CoordinatorDrain decides, without I/O, what becomes of a piece of another entry: before its call it is handed over at once, during its call it is awaited, and at the end of the drain it is reported as a failed call. The server of peers counts as busy and is stopped together with that of the callers, so that a message read in part is refused with 503. The sender submits what is handed over to the next coordinator without a retry. On the wire this is a flag of a failed call; an entry that does not know it reads a failed call, as before. New pieces are refused during the drain, as before.

Open: the outcomes of one message are sent together, so that a piece that is handed over waits for the called pieces of the same message. A sender whose message is under way while an idle connection is closed at the end of the drain still reads a loss that may have started.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/PieceQueue.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/PieceQueue.kt
@@ -60,6 +60,9 @@
     /** Number of pieces in the queue. */
     val size: Int get() = waiting.size
 
+    /** Whether [piece] waits. */
+    operator fun contains(piece: StagePiece): Boolean = waiting.any { it.piece == piece }
+
     /** Adds [pieces] of one request. */
     fun add(pieces: List<StagePiece>, now: Instant) {
         pieces.forEach { waiting += Waiting(it, now) }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -9,6 +9,7 @@
 import org.bilberryhead.core.memory.MemoryBudget
 import org.bilberryhead.core.memory.MemoryKind
 import org.bilberryhead.core.serving.CallerLimits
+import org.bilberryhead.core.serving.CoordinatorDrain
 import org.bilberryhead.core.serving.DrainAdmission
 import org.bilberryhead.core.serving.EndpointDirectory
 import org.bilberryhead.core.serving.EndpointEntry
@@ -122,6 +123,8 @@
         )
     private val callerServerState = DaemonCallerState()
     private val callers = CallerServer(thread, callerServerState, admission)
+    private val peerHandler = PeerHandler(thread, ::stageScheduler, ::snapshot) { drainingSince != null }
+    private val peerServer = CallerServer(thread, callerServerState, peerHandler)
     private var drainingSince: Instant? = null
 
     private val stageContext = object : StageContext {
@@ -166,11 +169,7 @@
         endpoints.onHeadReceived = announcements::headReceived
         callers.listen(settings.callers)
         SimpleHttpServer(thread, ::respondToReadinessCheck).listen(settings.readiness)
-        CallerServer(
-            thread,
-            callerServerState,
-            PeerHandler(thread, ::stageScheduler, ::snapshot) { drainingSince != null },
-        ).listen(settings.peers)
+        peerServer.listen(settings.peers)
         SimpleHttpServer(thread) { SimpleHttpResponse(OK, metrics.scrape()) }.listen(settings.metrics)
         metrics.gauge("bilberry.requests.running", "Requests that are being served") { admission.runningCount }
         metrics.gauge("bilberry.pieces.waiting", "Pieces that wait for a call of this coordinator") {
@@ -231,8 +230,8 @@
     private fun endpointsAge(): Duration? = endpointWatch.lastResponseAt?.let { thread.now() - it }
 
     /**
-     * Starts a graceful shutdown: registers this entry as leaving, finishes the requests that are being served within
-     * the drain limit, then calls [ended].
+     * Starts a graceful shutdown: registers this entry as leaving, finishes its requests and calls for other entries
+     * within the drain limit, then calls [ended].
      */
     fun drain(ended: () -> Unit) = thread.loop.execute {
         val now = thread.now()
@@ -248,12 +247,13 @@
 
     private fun awaitDrained(since: Instant, ended: () -> Unit) {
         val elapsed = thread.now() - since
-        val isIdle = admission.runningCount == 0 && !callers.isBusy
+        peerHandler.drain(CoordinatorDrain(endsAt = since + settings.drainLimit - DRAIN_RESERVE))
+        val isIdle = admission.runningCount == 0 && !callers.isBusy && !peerServer.isBusy
         if (elapsed >= settings.drainLimit - DRAIN_RESERVE || (isIdle && elapsed >= BALANCER_REMOVAL_TIME)) {
             val unfinished = admission.runningCount
             admission.terminateAll()
             // A request that is read between now and the end of the process would get no response.
-            callers.stop {
+            stopServers {
                 log.atInfo {
                     message = "stopped"
                     payload = mapOf("requests_left" to unfinished, "after_ms" to elapsed.inWholeMilliseconds)
@@ -268,6 +268,16 @@
         thread.after(DRAIN_CHECK_INTERVAL) { awaitDrained(since, ended) }
     }
 
+    private fun stopServers(stopped: () -> Unit) {
+        val running = mutableSetOf(callers, peerServer)
+        running.toList().forEach { server ->
+            server.stop {
+                running -= server
+                if (running.isEmpty()) stopped()
+            }
+        }
+    }
+
     /** Applies the reloaded settings in [result]; those that cannot change at run time need a restart. */
     fun reload(result: Result<ForwardingSettings, List<SettingsError>>) = thread.loop.execute {
         result.onSuccess(::applySettings).onFailure { errors ->
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerHandler.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerHandler.kt
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.EmptyHttpHeaders
 import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.serving.CoordinatorDrain
 import org.bilberryhead.core.serving.ResultHandle
 import org.bilberryhead.core.serving.StagePiece
 import org.bilberryhead.forwarding.EventThread
@@ -22,12 +23,17 @@
     private val snapshot: () -> SnapshotMessage,
     private val isDraining: () -> Boolean,
 ) : RequestHandler {
+    private val submissions = mutableSetOf<Submission>()
+
+    /** Hands over or ends those pieces of other entries with which this entry does not go on in [drain]. */
+    fun drain(drain: CoordinatorDrain) = submissions.toList().forEach { it.scheduler.drain(it.pieces.toSet(), drain) }
+
     override fun serve(request: CallerRequest, response: ResponseWriter): CallerListener {
         when (request.path) {
             PeerPaths.ALIVE -> response.send(empty(OK))
             PeerPaths.SNAPSHOT -> response.send(cbor(PeerCodec.encode(SnapshotMessage.serializer(), snapshot())))
             PeerPaths.RELEASE -> release(request, response)
-            // Pieces that were accepted before draining are still produced; new ones go to the next coordinator.
+            // New pieces go to the next coordinator, as do those that wait when the drain starts.
             PeerPaths.PIECES -> if (isDraining()) response.send(empty(DRAINING)) else return produce(request, response)
             else -> response.send(empty(NOT_FOUND))
         }
@@ -51,23 +57,33 @@
         // Flushes the response head, which informs the sender that the pieces are accepted.
         response.write(ByteArray(0))
         val pieces = message.pieces.map { it.toPiece(thread.now()) }
-        val outcomes = mutableListOf<PieceOutcomeMessage>()
-        stageScheduler.submit(pieces) { piece, outcome -> collect(piece, outcome, outcomes, pieces.size, response) }
-        // The request may have other pieces here, of another submission or sent by another entry.
-        return CallerListener { stageScheduler.cancel(pieces.toSet()) }
+        val submission = Submission(pieces, stageScheduler, response)
+        submissions += submission
+        stageScheduler.submit(pieces, submission::collect)
+        return CallerListener(submission::cancel)
     }
 
-    private fun collect(
-        piece: StagePiece,
-        outcome: PieceCallOutcome,
-        outcomes: MutableList<PieceOutcomeMessage>,
-        count: Int,
-        response: ResponseWriter,
+    /** Pieces that another entry sent in one message, and the response that takes their outcomes. */
+    private inner class Submission(
+        val pieces: List<StagePiece>,
+        val scheduler: StageScheduler,
+        private val response: ResponseWriter,
     ) {
-        outcomes += PieceOutcomeMessage.of(piece, outcome)
-        if (outcomes.size < count) return
-        response.write(PeerCodec.encode(PieceOutcomesMessage.serializer(), PieceOutcomesMessage(outcomes)))
-        response.finish()
+        private val outcomes = mutableListOf<PieceOutcomeMessage>()
+
+        fun collect(piece: StagePiece, outcome: PieceCallOutcome) {
+            outcomes += PieceOutcomeMessage.of(piece, outcome)
+            if (outcomes.size < pieces.size) return
+            submissions -= this
+            response.write(PeerCodec.encode(PieceOutcomesMessage.serializer(), PieceOutcomesMessage(outcomes)))
+            response.finish()
+        }
+
+        fun cancel() {
+            submissions -= this
+            // The request may have other pieces here, of another submission or sent by another entry.
+            scheduler.cancel(pieces.toSet())
+        }
     }
 
     private fun empty(status: Int) = FullResponse(ResponseHead(status, EmptyHttpHeaders.INSTANCE), ByteArray(0))
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerMessages.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerMessages.kt
@@ -98,6 +98,8 @@
  *
  * @property backlogMs time that the queue needs, when the deadline cannot be met
  * @property inputsReleased whether the results that the piece reads were released
+ * @property isHandedOver whether a draining coordinator leaves the piece, which it has not called, to the next one;
+ *   entries that do not know this read a failed call
  */
 @Serializable
 internal data class PieceOutcomeMessage(
@@ -108,6 +110,7 @@
     val reason: String? = null,
     val backlogMs: Long = 0,
     val inputsReleased: Boolean = false,
+    val isHandedOver: Boolean = false,
 ) {
     fun toCallOutcome(): PieceCallOutcome = when (outcome) {
         PieceOutcome.MADE -> resultReturned(handle?.let(PieceResult::Made) ?: PieceResult.Failed)
@@ -115,10 +118,12 @@
         PieceOutcome.INPUTS_GONE -> resultReturned(PieceResult.InputsMissing)
         PieceOutcome.NO_ROOM -> resultReturned(PieceResult.NoMemory)
         PieceOutcome.FAILED -> resultReturned(PieceResult.Failed)
-        PieceOutcome.CALL_FAILED -> PieceCallOutcome.CallFailed(reason ?: "the call failed", inputsReleased)
+        PieceOutcome.CALL_FAILED -> callFailed()
         PieceOutcome.HOPELESS -> PieceCallOutcome.DeadlineUnreachable(backlogMs.milliseconds)
     }
 
+    private fun callFailed() = PieceCallOutcome.CallFailed(reason ?: "the call failed", inputsReleased, isHandedOver)
+
     private fun resultReturned(result: PieceResult) = PieceCallOutcome.ResultReturned(result, inputsReleased)
 
     companion object {
@@ -132,6 +137,7 @@
                     outcome = PieceOutcome.CALL_FAILED,
                     reason = callOutcome.reason,
                     inputsReleased = callOutcome.inputsReleased,
+                    isHandedOver = callOutcome.isHandedOver,
                 )
 
                 is PieceCallOutcome.ResultReturned -> message.copy(
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageCoordinatorClient.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageCoordinatorClient.kt
@@ -157,14 +157,21 @@
                 ?.let { PeerCodec.decode(PieceOutcomesMessage.serializer(), it.body) }
 
         private fun deliver(message: PieceOutcomesMessage) {
-            val outcomes = message.ends.associateBy { it.stage to it.index }
-            for (piece in pieces) {
-                onOutcome(
-                    piece,
-                    outcomes[piece.stage to piece.index]?.toCallOutcome()
-                        ?: PieceCallOutcome.CallFailed("the coordinator left it out"),
-                )
+            val ends = message.ends.associateBy { it.stage to it.index }
+            val outcomes = pieces.associateWith {
+                ends[it.stage to it.index]?.toCallOutcome()
+                    ?: PieceCallOutcome.CallFailed("the coordinator left it out")
             }
+            val handedOver = outcomes.filterValues { it is PieceCallOutcome.CallFailed && it.isHandedOver }.keys
+            // Comes first, so that an outcome that ends the request cancels these pieces too.
+            if (handedOver.isNotEmpty()) submitElsewhere(handedOver.toList())
+            outcomes.filterKeys { it !in handedOver }.forEach { (piece, outcome) -> onOutcome(piece, outcome) }
+        }
+
+        /** A draining coordinator has not called [handedOver], so that they take no retry. */
+        private fun submitElsewhere(handedOver: List<StagePiece>) {
+            peer.markUnavailable()
+            submit(handedOver, excluded + peer, onOutcome)
         }
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageScheduler.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageScheduler.kt
@@ -5,6 +5,8 @@
 import org.bilberryhead.core.common.EndpointId
 import org.bilberryhead.core.common.PoolName
 import org.bilberryhead.core.common.RequestId
+import org.bilberryhead.core.serving.CoordinatorDrain
+import org.bilberryhead.core.serving.DrainingPieceAction
 import org.bilberryhead.core.serving.EarlyInputRelease
 import org.bilberryhead.core.serving.EndpointEntry
 import org.bilberryhead.core.serving.PieceEndpointChooser
@@ -36,8 +38,12 @@
     /** The endpoint returned a result; [inputsReleased] says whether the inputs were released during the call. */
     data class ResultReturned(val result: PieceResult, val inputsReleased: Boolean = false) : PieceCallOutcome
 
-    /** The call was refused or failed. The piece may be submitted again, once released inputs are recomputed. */
-    data class CallFailed(val reason: String, val inputsReleased: Boolean = false) : PieceCallOutcome
+    /**
+     * The call was refused or failed. The piece may be submitted again, once released inputs are recomputed. A piece
+     * that [isHandedOver] was never called: its coordinator drains and leaves it to the next one.
+     */
+    data class CallFailed(val reason: String, val inputsReleased: Boolean = false, val isHandedOver: Boolean = false) :
+        PieceCallOutcome
 
     /**
      * The call cannot start early enough to be of use. [backlog] is the time that the pieces in the queue take, or the
@@ -125,6 +131,22 @@
         listeners.keys.removeAll { it.request == request }
     }
 
+    /** Ends those of [pieces], all of other entries, with which this entry does not go on in [drain]. */
+    fun drain(pieces: Set<StagePiece>, drain: CoordinatorDrain) {
+        val now = context.thread.now()
+        for (piece in pieces.filter { it in listeners }) {
+            when (drain.actionFor(isCalled = piece !in queue, now)) {
+                DrainingPieceAction.HAND_OVER -> {
+                    queue.drop(setOf(piece))
+                    deliverOutcome(piece, PieceCallOutcome.CallFailed(DRAINS, isHandedOver = true))
+                }
+
+                DrainingPieceAction.AWAIT -> Unit
+                DrainingPieceAction.REPORT_FAILED -> deliverOutcome(piece, PieceCallOutcome.CallFailed(DRAINS))
+            }
+        }
+    }
+
     /** Releases results that are no longer needed. Their memory counts as free once their endpoints confirm it. */
     fun release(handles: List<ResultHandle>) = context.release(handles) { handle ->
         memory.recordRelease(handle, context.thread.now())
@@ -353,6 +375,7 @@
 
     private companion object {
         const val OK = 200
+        const val DRAINS = "the coordinator ends"
         const val TIMEOUT_FACTOR = 4
         val TIMEOUT_SLACK = 500.milliseconds
         val QUEUEING_SLACK = 100.milliseconds
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/stage/SilentCoordinatorTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/stage/SilentCoordinatorTest.kt
@@ -1,6 +1,7 @@
 package org.bilberryhead.forwarding.stage
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.collections.shouldContainOnly
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
@@ -48,9 +49,13 @@
 }
 
 /** Responds as the coordinator of a submission with [pieces] pieces, all of which are computed. */
-private fun ScriptedEndpoint.Exchange.respondAsCoordinator(pieces: Int) {
+private fun ScriptedEndpoint.Exchange.respondAsCoordinator(pieces: Int) =
+    respondAsCoordinator(List(pieces, ::madeMessage))
+
+private fun madeMessage(index: Int) = PieceOutcomeMessage(0, index, PieceOutcome.MADE, "127.0.0.1:9/coordinated")
+
+private fun ScriptedEndpoint.Exchange.respondAsCoordinator(ends: List<PieceOutcomeMessage>) {
     if (PeerPaths.ALIVE in request.head) return respond(body = "", headers = "")
-    val ends = List(pieces) { PieceOutcomeMessage(0, it, PieceOutcome.MADE, "127.0.0.1:9/coordinated") }
     val body = PeerCodec.encode(PieceOutcomesMessage.serializer(), PieceOutcomesMessage(ends))
     write("HTTP/1.1 200 OK\r\nContent-Length: ${body.size}\r\n\r\n")
     write(body)
@@ -169,6 +174,17 @@
                 }
             }
 
+            it("are sent by this entry without a retry when the coordinator drains and hands them over") {
+                withCoordinator(retries = 0, {
+                    val handedOver = PieceOutcomeMessage(0, 1, PieceOutcome.CALL_FAILED, isHandedOver = true)
+                    respondAsCoordinator(listOf(madeMessage(index = 0), handedOver))
+                }) {
+                    submit("r", pieces = 2)
+                    awaitOutcomes(2) shouldContainExactlyInAnyOrder listOf(madeAt("coordinated"), madeAt("own"))
+                    ownPieceCount shouldBe 1
+                }
+            }
+
             it("are sent by this entry without a retry when the coordinator refuses them") {
                 withCoordinator(retries = 0, { respond("503 Service Unavailable", body = "", headers = "") }) {
                     submit("r", pieces = 2)
