Count a configuration as known only when it is in force

What callers would see: 404 and 401 for routes and keys of a version that the entry believes to have.

Cause: a version was noted as the current one before its routes could be matched. When that failed, the version was not tried again, the older one stayed in force until the next change, and other entries were given the newer text.

Change: the version is noted after it has been put in force.

Evidence: by reading; ConfigurationListenerTest failed on the code before (the text of the failed version was offered to other entries) and passes now.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/ConfigurationListener.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/ConfigurationListener.kt
@@ -31,9 +31,10 @@
         }
         val previous = current?.version
         if (previous != null && configuration.version <= previous) return
+        activate(RouteMatcher(configuration))
+        // Only now: a version that could not be put in force is tried again.
         current = configuration
         newestText = text
-        activate(RouteMatcher(configuration))
         decisions.write("configuration in force") {
             mapOf("version" to configuration.version, "before" to previous, "routes" to configuration.routes.size)
         }
