Give callers time to read their last responses when the process ends

What callers saw: the response of a request that was ended by the end of the process was cut if the caller had not read it within 10 ms, although 200 ms were left; a failure while one request was ended left all others without a response.

Cause: the stop waited for rejected callers only, not for responses that had yet to be sent; the requests were ended in one action.

Change: the stop waits, for 0.2 s at most, while any connection is busy. Each request is ended under a guard of its own. After an unexpected failure of a connection its refusal lingers like any other.

The guard of each request was read, not played.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -210,7 +210,7 @@
         state.recordFailure(cause)
         if (isReading) reject(NOT_RUN, UNEXPECTED_FAILURE)
         isEnding = true
-        if (!isBusy) context.close()
+        if (!isBusy && !isLingering) context.close()
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerServer.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerServer.kt
@@ -50,20 +50,20 @@
 
     /**
      * Accepts no further connections, and no further requests on open ones. Calls [stopped] once the operating system
-     * has closed the port, and callers whose requests were rejected have had time to read that.
+     * has closed the port, and callers have had time to read their last responses.
      */
     fun stop(stopped: () -> Unit) {
         listener?.close()
         connections.toList().forEach { it.stopReading() }
         closeIdle()
-        awaitLingering(until = thread.now() + LONGEST_LINGERING, stopped)
+        awaitLastResponses(until = thread.now() + LONGEST_WAIT, stopped)
     }
 
-    private fun awaitLingering(until: Instant, stopped: () -> Unit) {
+    private fun awaitLastResponses(until: Instant, stopped: () -> Unit) {
         // A selector closes the socket of a cancelled key only in its next selection.
         thread.after(SELECTION_DELAY) {
-            val isAnyLingering = connections.any { it.isLingering }
-            if (isAnyLingering && thread.now() < until) awaitLingering(until, stopped) else stopped()
+            val isAnyBusy = connections.any { it.isBusy || it.isLingering }
+            if (isAnyBusy && thread.now() < until) awaitLastResponses(until, stopped) else stopped()
         }
     }
 
@@ -80,6 +80,6 @@
         val SELECTION_DELAY = 10.milliseconds
 
         /** Shorter than what is left of the drain limit when the server is stopped. */
-        val LONGEST_LINGERING = 200.milliseconds
+        val LONGEST_WAIT = 200.milliseconds
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
@@ -24,13 +24,17 @@
     val runningCount: Int get() = executions.size
 
     /** Refuses every request that waits to be sent and may not be sent any more. */
-    fun refuseBarred() = executions.toList().forEach { it.refuseIfBarred() }
+    fun refuseBarred() = forEachExecution { it.refuseIfBarred() }
 
     /** Refuses every request that has not been sent to an endpoint. */
-    fun refuseUnsent() = executions.toList().forEach { it.refuseIfUnsent() }
+    fun refuseUnsent() = forEachExecution { it.refuseIfUnsent() }
 
     /** Ends every request immediately; the responses report whether the requests may have run. */
-    fun terminateAll() = executions.toList().forEach { it.terminate() }
+    fun terminateAll() = forEachExecution { it.terminate() }
+
+    /** A failure for one request is none for the others. */
+    private fun forEachExecution(action: (ForwardedRequestExecution) -> Unit) =
+        executions.toList().forEach { context.thread.runGuarded("drain") { action(it) } }
 
     override fun serve(request: CallerRequest, response: ResponseWriter): CallerListener {
         var listener = IGNORE_DISCONNECT
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerServerStopTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerServerStopTest.kt
@@ -2,13 +2,18 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.longs.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.shouldBe
+import io.netty.handler.codec.http.EmptyHttpHeaders
 import org.bilberryhead.core.serving.CallerLimits
 import org.bilberryhead.core.testing.http.readMessage
 import org.bilberryhead.core.testing.http.writeText
+import org.bilberryhead.forwarding.EventThread
 import org.bilberryhead.forwarding.HOST
 import org.bilberryhead.forwarding.caller.CallerConnectionHarness.Companion.bodyRequest
 import org.bilberryhead.forwarding.freeAddress
+import org.bilberryhead.forwarding.http.FullResponse
+import org.bilberryhead.forwarding.http.ResponseHead
 import org.bilberryhead.forwarding.newEventThread
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
@@ -16,27 +21,32 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
+import kotlin.time.TimeSource
 
-/** A server that is stopped while callers are connected that have sent [texts], one each. */
-private class StoppedServer(texts: List<String>) : AutoCloseable {
-    private val thread = newEventThread()
-    private val state = object : CallerServerState {
-        override fun now(): Instant = thread.now()
-        override val limits = CallerLimits(5_000, 50_000, headerTimeout = 3.seconds, idleTimeout = 15.seconds)
-        override val isDraining = true
-
-        override fun recordFailure(failure: Throwable) {
-            failures += failure
-        }
+private class StoppingState(private val thread: EventThread) : CallerServerState {
+    val failures = CopyOnWriteArrayList<Throwable>()
 
-        override fun runGuarded(block: () -> Unit): Boolean = runCatching(block).onFailure(::recordFailure).isSuccess
+    override fun now(): Instant = thread.now()
+    override val limits = CallerLimits(5_000, 50_000, headerTimeout = 3.seconds, idleTimeout = 15.seconds)
+    override val isDraining = true
 
-        override fun rejected(status: Int, reason: String) = Unit
+    override fun recordFailure(failure: Throwable) {
+        failures += failure
     }
+
+    override fun runGuarded(block: () -> Unit): Boolean = runCatching(block).onFailure(::recordFailure).isSuccess
+
+    override fun rejected(status: Int, reason: String) = Unit
+}
+
+/** A server that is stopped while callers are connected that have sent [texts], one each. */
+private class StoppedServer(texts: List<String>) : AutoCloseable {
+    private val thread = newEventThread()
+    private val state = StoppingState(thread)
     private val server = CallerServer(thread, state) { _, _ -> CallerListener { } }
     private val address = freeAddress()
     private val stopped = CountDownLatch(1)
-    val failures = CopyOnWriteArrayList<Throwable>()
+    val failures get() = state.failures
     private val sockets: List<Socket>
 
     init {
@@ -83,4 +93,28 @@
                 }
             }
         }
+
+        describe("a server that is stopped while a caller has yet to read its response") {
+            it("gives the caller time to read it") {
+                val thread = newEventThread()
+                val address = freeAddress()
+                val stopped = CountDownLatch(1)
+                val served = CountDownLatch(1)
+                val server = CallerServer(thread, StoppingState(thread)) { _, response ->
+                    response.send(FullResponse(ResponseHead(200, EmptyHttpHeaders.INSTANCE), ByteArray(64_000_000)))
+                    served.countDown()
+                    CallerListener { }
+                }
+                server.listen(address)
+                Socket(HOST, address.port).use {
+                    it.getOutputStream().writeText("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+                    served.await(5, TimeUnit.SECONDS) shouldBe true
+                    val start = TimeSource.Monotonic.markNow()
+                    thread.loop.execute { server.stop { stopped.countDown() } }
+                    stopped.await(5, TimeUnit.SECONDS) shouldBe true
+                    start.elapsedNow().inWholeMilliseconds shouldBeGreaterThanOrEqual 200
+                }
+                thread.loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS)
+            }
+        }
     })
