Keep the limits for callers from the messages of other entries

What callers would see: stages that fail or take retries after a change of the limits for callers. With a largest body of 1,000 bytes a message of 20 pieces of another entry got 413; a lowered idle timeout closed the connections of other entries under their calls.

Cause: the server of peers took its limits from the configuration, as the server of callers does.

Change: the server of peers has fixed limits.

Evidence: DrainingCoordinatorTest, a message of 60 pieces: 413 on the code before, accepted now. One of its cases, pieces that arrive during the drain, failed once in a clone of the code before (200 in place of 503): the message could be read before the drain that was asked for had started. The case now waits for the drain, and wants the same.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -121,10 +121,9 @@
             WatchTimings.forEndpoints(settings.drainNotice),
             endpointListener,
         )
-    private val callerServerState = DaemonCallerState()
-    private val callers = CallerServer(thread, callerServerState, admission)
+    private val callers = CallerServer(thread, CallerState { configuredLimits ?: DEFAULT_LIMITS }, admission)
     private val peerHandler = PeerHandler(thread, ::stageScheduler, ::snapshot) { drainingSince != null }
-    private val peerServer = CallerServer(thread, callerServerState, peerHandler)
+    private val peerServer = CallerServer(thread, CallerState { DEFAULT_LIMITS }, peerHandler)
     private var drainingSince: Instant? = null
 
     private val stageContext = object : StageContext {
@@ -327,10 +326,13 @@
         return if (request.uri() == WirePaths.READY && isReady) SimpleHttpResponse(OK) else SimpleHttpResponse(UNREADY)
     }
 
-    private inner class DaemonCallerState : CallerServerState {
+    private val configuredLimits: CallerLimits? get() = servingContext.matcher?.configuration?.limits
+
+    /** What the connections of a server depend on; other entries are not bound by the limits for callers. */
+    private inner class CallerState(private val currentLimits: () -> CallerLimits) : CallerServerState {
         override fun now(): Instant = thread.now()
 
-        override val limits: CallerLimits get() = servingContext.matcher?.configuration?.limits ?: DEFAULT_LIMITS
+        override val limits: CallerLimits get() = currentLimits()
 
         override val isDraining: Boolean get() = drainingSince != null
 
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/DrainingCoordinatorTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/DrainingCoordinatorTest.kt
@@ -144,9 +144,18 @@
                     SentPieces(settings.peers, "r", count = 1, EXPECTED_HEADERS).use { sent ->
                         sent.awaitStatus() shouldBe 100
                         drain()
+                        awaitDraining()
                         sent.sendBody().awaitStatus() shouldBe 503
                     }
                 }
             }
         }
+
+        describe("a message of another entry that is longer than the body that callers may send") {
+            it("is accepted, so that a change of the limits for callers keeps no pieces from their coordinator") {
+                withEntry(drainLimit = 1_000) { _, _ ->
+                    SentPieces(settings.peers, "r", count = 60).use { it.sendBody().awaitAccepted() }
+                }
+            }
+        }
     })
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -118,6 +118,9 @@
     /** Starts to drain the entry; the returned latch opens when it has stopped. */
     fun drain(): CountDownLatch = CountDownLatch(1).also { ended -> daemon.drain { ended.countDown() } }
 
+    /** Waits until the entry is no longer ready, which it is before the drain that [drain] has asked for starts. */
+    fun awaitDraining() = check(generateSequence { isReady() }.take(MAXIMUM_READINESS_CHECKS).any { !it }) { "still ready" }
+
     private fun writeTables(shared: FakeRowStore, pools: Map<String, List<ScriptedEndpoint>>) {
         configuration?.let { shared.put(RowKey(WireTables.OPERATOR, WireTables.CONFIGURATION_KEY), it) }
         endpointRows(pools).forEach { (key, value) -> shared.put(RowKey(WireTables.ENDPOINTS, key), value) }
