Wait for the first endpoint that is back when a request has begun

What callers saw: a resumable stream that broke off while all endpoints of its pool rested was cut at once, also when the first one was back 0.4 s later; so was one that broke off while no endpoint was known for a moment. A repeatable request that may have run ended as unknown (502).

Cause: a selection without an endpoint was refused, which suits only a request that has not run.

Change: such a request waits in the queue for connections until the first return, if that comes before its caller leaves and before its deadline; a stream also waits for an endpoint to become known. EndpointWait holds the wait. A request that has not run is refused at once as before.

Conclusion: open is a stream whose last endpoint is listed but cannot be reached while the others rest: it is tried there and then cut.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptEndpointSelector.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptEndpointSelector.kt
@@ -14,8 +14,11 @@
         /** No endpoint of the pool is known. */
         data object NoneKnown : Selection
 
-        /** All endpoints of the pool rest; its caller is to come back after [retryAfter], others at other times. */
-        data class AllResting(val retryAfter: Duration) : Selection
+        /**
+         * All endpoints of the pool rest, the first one for [firstReturn] from now; the caller of a request that is
+         * refused is to come back after [retryAfter], others at other times.
+         */
+        data class AllResting(val firstReturn: Duration, val retryAfter: Duration) : Selection
 
         /** This entry uses all the connections that it may open to the endpoints of the pool. */
         data object AllBusy : Selection
@@ -32,7 +35,9 @@
      * @param excluded endpoints at which the request has failed; considered only when the pool has no other
      */
     fun select(request: AdmittedRequest, inputs: List<ResultHandle>, excluded: Set<Endpoint>): Selection {
-        context.endpoints.timeUntilFirstReturn(request.pool)?.let { return Selection.AllResting(it + returnDelay()) }
+        context.endpoints.timeUntilFirstReturn(request.pool)?.let {
+            return Selection.AllResting(firstReturn = it, retryAfter = it + returnDelay())
+        }
         val usable = context.endpoints.usable(request.pool).filterNot { context.endpoints.isResting(it.entry) }
         val candidates = usable.filter { it !in excluded }.ifEmpty { usable }
         val free = candidates.filter(context.endpoints::canSend)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -49,7 +49,7 @@
     private val callerTimeoutAt: Instant
         get() = CallerTimeout.endsAt(route, request.callerRequest.receivedAt, lastEventAt)
     private var isFinished = false
-    private var waiter: ConnectionWaitQueue.Waiter? = null
+    private val wait = EndpointWait(request, context) { guarded(::dispatch) }
     private var deadlineTimer: Timer? = null
 
     private val retries = RequestRetries(request, context)
@@ -90,9 +90,11 @@
     private fun dispatch() {
         if (isFinished || refuseIfBarred()) return
         val selection = AttemptEndpointSelector(context).select(request, inputs, failedEndpoints)
-        if (selection == AttemptEndpointSelector.Selection.AllBusy) return waitForConnection()
-        waiter?.let(context.connectionWaitQueue::remove)
-        waiter = null
+        if (isWorthWaiting(selection)) {
+            val firstReturn = (selection as? AttemptEndpointSelector.Selection.AllResting)?.firstReturn
+            return wait.start(isSelective = isStreaming || failedEndpoints.isNotEmpty(), firstReturn)
+        }
+        wait.end()
         when (selection) {
             AttemptEndpointSelector.Selection.NoneKnown ->
                 refuse("no endpoint of ${request.pool} is known", LONG_RETRY_DELAY)
@@ -122,12 +124,18 @@
         return true
     }
 
-    private fun waitForConnection() {
-        if (waiter != null) return
-        val isSelective = failedEndpoints.isNotEmpty()
-        val newWaiter = ConnectionWaitQueue.Waiter(request.pool, request.priority, isSelective) { guarded(::dispatch) }
-        waiter = newWaiter
-        context.connectionWaitQueue.add(newWaiter)
+    /**
+     * Returns whether the request waits until an endpoint can take it. One that has not run is rather sent again by its
+     * caller than kept until an endpoint is back or known.
+     */
+    private fun isWorthWaiting(selection: AttemptEndpointSelector.Selection): Boolean = when (selection) {
+        AttemptEndpointSelector.Selection.AllBusy -> true
+        AttemptEndpointSelector.Selection.NoneKnown -> isStreaming
+        is AttemptEndpointSelector.Selection.AllResting ->
+            (isStreaming || retries.mayHaveRun) &&
+                context.thread.now() + selection.firstReturn < minOf(callerTimeoutAt, request.deadline)
+
+        is AttemptEndpointSelector.Selection.Selected -> false
     }
 
     private fun newAttempt(endpoint: Endpoint): Attempt {
@@ -329,7 +337,7 @@
     private fun complete(status: Int?, reason: String, endpoint: Endpoint?) {
         if (isFinished) return
         isFinished = true
-        waiter?.let(context.connectionWaitQueue::remove)
+        wait.end()
         deadlineTimer?.cancel()
         silenceCheck.stop()
         replacement.end()
