Count no failure for an endpoint that begins to rest while connecting

What was seen: an endpoint that began to rest or to leave while a connection to it was opened counted as failed, with a failure rate of 0.2 in its load, and the request used up one of its four tries of endpoints that cannot be reached.

Cause: the attempt ended as one that could not connect.

Change: the attempt is given up without a result, and the request selects an endpoint again; the resting or leaving one is not among them.

Evidence: RestWhileConnectingTest failed before (rate 0.20 instead of 0; one run) and passes now, with WaitingStreamTest, RestingEndpointTest, LeavingEndpointTest and UnexpectedFailureTest (one run). The number of tries was read, not shown, and so was the case of an endpoint that leaves.

Conclusion: only what an endpoint did counts against it.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -165,8 +165,11 @@
     private fun sendAttempt(newAttempt: Attempt, connection: OutboundConnection) {
         val endpoint = newAttempt.endpoint
         if (!context.endpoints.isUsable(endpoint)) {
+            // It began to leave or to rest while the connection was opened, which is no failure.
+            newAttempt.cancel()
+            attempt = null
             connection.release()
-            return newAttempt.connectFailed("the endpoint began to leave or to rest while the connection was opened")
+            return dispatch()
         }
         if (refuseIfBarred()) {
             newAttempt.cancel()
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/AdmissionWithEndpoint.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/AdmissionWithEndpoint.kt
@@ -38,6 +38,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 import kotlin.time.Clock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -92,9 +93,8 @@
     ).also { it.matcher = RouteMatcher(configuration) }
     private val admission = RequestAdmission(context)
 
-    init {
-        val (host, port) = endpoint.address.split(':')
-        val entry = EndpointEntry(
+    private val endpointEntry = endpoint.address.split(':').let { (host, port) ->
+        EndpointEntry(
             id = EndpointId("p-0"),
             pool = PoolName("p"),
             address = SocketAddress(host, port.toInt()),
@@ -103,9 +103,19 @@
             isDraining = false,
             startedAt = 1,
         )
-        onThread { directory.update(listOf(entry), emptyList(), thread.now()) }
     }
 
+    /** Share of recent exchanges of the endpoint that failed. */
+    val failureRate: Double
+        get() = onThread { endpoints.getOrCreate(endpointEntry).load.currentFailureRate(thread.now()) }
+
+    init {
+        onThread { directory.update(listOf(endpointEntry), emptyList(), thread.now()) }
+    }
+
+    /** The endpoint rests for [period] from now on. */
+    fun rest(period: Duration) = onThread { endpoints.rests.record(endpointEntry.run, period, thread.now()) }
+
     /** Serves a request of [writer]; the clock fails at the next reading after [failsBefore] or [failsAfter]. */
     fun serve(
         writer: ResponseWriter,
@@ -129,7 +139,8 @@
     }
 
     /** Runs [block] on the thread of the entry. */
-    fun <T> onThread(block: () -> T): T = thread.loop.submit(Callable { block() }).get()
+    fun <T> onThread(block: () -> T): T =
+        if (thread.loop.inEventLoop()) block() else thread.loop.submit(Callable { block() }).get()
 
     override fun close() {
         thread.loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS)
