Hold the body of a request once, and not longer than the request

What callers saw: with many large bodies at once the entry ran out of memory early. Each body was held in a buffer that doubles, was copied when it was complete and once more for the call of a buffer, and a kept connection kept the buffer of its largest body.

A body is now collected in blocks of at most 16 KiB and stays in them: each attempt sends the same blocks as one composite buffer, and the connection gives them up with the request.

--- a/core/src/main/kotlin/org/bilberryhead/core/memory/BlockBuffer.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/memory/BlockBuffer.kt
@@ -1,5 +1,7 @@
 package org.bilberryhead.core.memory
 
+import java.nio.ByteBuffer
+
 /** Collects bytes in blocks, so that no byte is copied when the buffer grows. */
 class BlockBuffer {
     private val blocks = mutableListOf<ByteArray>()
@@ -13,17 +15,32 @@
     var allocatedBytes = 0L
         private set
 
+    /** The content in the blocks that hold it; the buffer must not be changed while they are in use. */
+    val parts: List<ByteBuffer>
+        get() = blocks.mapIndexed { index, block ->
+            ByteBuffer.wrap(block, 0, if (index == blocks.lastIndex) lastBlockLength else block.size)
+        }
+
     /** Appends [bytes]. */
     fun write(bytes: ByteArray) {
         var offset = 0
-        while (offset < bytes.size) {
-            val block = blockWithRoom(bytes.size - offset)
-            val length = minOf(block.size - lastBlockLength, bytes.size - offset)
-            bytes.copyInto(block, lastBlockLength, offset, offset + length)
-            lastBlockLength += length
+        write(bytes.size) { block, start, length ->
+            bytes.copyInto(block, start, offset, offset + length)
             offset += length
         }
-        size += bytes.size
+    }
+
+    /** Appends [count] bytes; [read] puts the next ones into an array, from a start and up to a length. */
+    fun write(count: Int, read: (block: ByteArray, start: Int, length: Int) -> Unit) {
+        var remaining = count
+        while (remaining > 0) {
+            val block = blockWithRoom(remaining)
+            val length = minOf(block.size - lastBlockLength, remaining)
+            read(block, lastBlockLength, length)
+            lastBlockLength += length
+            size += length
+            remaining -= length
+        }
     }
 
     private fun blockWithRoom(wanted: Int): ByteArray {
--- a/core/src/test/kotlin/org/bilberryhead/core/memory/MemoryBudgetTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/memory/MemoryBudgetTest.kt
@@ -52,6 +52,10 @@
                     parts.forEach(buffer::write)
                     val expected = parts.fold(ByteArray(0)) { whole, part -> whole + part }
                     buffer.toByteArray().contentEquals(expected) shouldBe true
+                    val content = buffer.parts.fold(ByteArray(0)) { whole, part ->
+                        whole + ByteArray(part.remaining()).also(part::get)
+                    }
+                    content.contentEquals(expected) shouldBe true
                     buffer.size shouldBe expected.size
                     buffer.allocatedBytes shouldBeLessThanOrEqual expected.size + 16L * 1024
                     buffer.clear()
@@ -60,6 +64,13 @@
                 }
             }
 
+            it("shares its blocks with what is sent instead of copying them") {
+                val buffer = BlockBuffer()
+                buffer.write(ByteArray(40_000))
+                buffer.parts.sumOf { it.array().size.toLong() } shouldBe buffer.allocatedBytes
+                buffer.parts.zip(buffer.parts).all { (first, second) -> first.array() === second.array() } shouldBe true
+            }
+
             it("allocates little for many parts of a byte") {
                 val buffer = BlockBuffer()
                 repeat(100_000) { buffer.write(byteArrayOf(1)) }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -1,6 +1,5 @@
 package org.bilberryhead.forwarding.caller
 
-import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
@@ -21,9 +20,10 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import org.bilberryhead.core.memory.BlockBuffer
 import org.bilberryhead.forwarding.http.FullResponse
+import org.bilberryhead.forwarding.http.RequestBody
 import org.bilberryhead.forwarding.http.ResponseHead
-import java.io.ByteArrayOutputStream
 import java.io.IOException
 import kotlin.time.Instant
 
@@ -33,7 +33,7 @@
     private lateinit var channel: Channel
     private var decoder = newDecoder()
     private var requestHead: HttpRequest? = null
-    private val body = ByteArrayOutputStream()
+    private var body = BlockBuffer()
     private var current: ActiveResponse? = null
     private val waitingRequests = ArrayDeque<CallerRequest>()
     private var rejection: FullHttpResponse? = null
@@ -105,7 +105,6 @@
         val problem = RequestCheck.problemOf(request)
         if (problem != null) return reject(BAD_REQUEST, problem, request.method())
         requestHead = request
-        body.reset()
         bodyBytesLimit = state.limits.bodyBytes
         isContinueDue = HttpUtil.is100ContinueExpected(request)
         if (!isServing) sendDueContinue()
@@ -121,10 +120,10 @@
 
     private fun readBody(content: HttpContent) {
         val request = requestHead ?: return
-        if (body.size() + content.content().readableBytes() > maxOf(bodyBytesLimit, state.limits.bodyBytes)) {
+        if (body.size + content.content().readableBytes() > maxOf(bodyBytesLimit, state.limits.bodyBytes)) {
             return reject(BODY_TOO_LARGE, "body too large")
         }
-        body.write(ByteBufUtil.getBytes(content.content()))
+        body.write(content.content().readableBytes(), content.content()::readBytes)
         if (content !is LastHttpContent) return
         requestHead = null
         isContinueDue = false
@@ -132,10 +131,12 @@
             method = request.method(),
             uri = request.uri(),
             headers = request.headers(),
-            body = body.toByteArray(),
+            body = RequestBody.of(body),
             keepsConnection = HttpUtil.isKeepAlive(request),
             receivedAt = state.now(),
         )
+        // The connection would keep the memory of its largest body.
+        body = BlockBuffer()
         if (!completeRequest.keepsConnection) isEnding = true
         enqueue(completeRequest)
     }
@@ -181,6 +182,7 @@
     private fun reject(status: Int, reason: String, method: HttpMethod? = requestHead?.method()) {
         requestHead = null
         headStartedAt = null
+        body = BlockBuffer()
         isEnding = true
         state.rejected(status, reason)
         val response = FullResponse(ResponseHead(status, EmptyHttpHeaders.INSTANCE), reason.encodeToByteArray())
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerRequest.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerRequest.kt
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import org.bilberryhead.forwarding.http.FullResponse
+import org.bilberryhead.forwarding.http.RequestBody
 import org.bilberryhead.forwarding.http.ResponseHead
 import kotlin.time.Instant
 
@@ -11,7 +12,7 @@
     val method: HttpMethod,
     val uri: String,
     val headers: HttpHeaders,
-    val body: ByteArray,
+    val body: RequestBody,
     val keepsConnection: Boolean,
     val receivedAt: Instant,
 ) {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/Messages.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/Messages.kt
@@ -5,7 +5,15 @@
 import org.bilberryhead.core.serving.BodyFraming
 
 /** A request to another process, with its full body. */
-internal class OutboundRequest(val method: HttpMethod, val uri: String, val headers: HttpHeaders, val body: ByteArray)
+internal class OutboundRequest(
+    val method: HttpMethod,
+    val uri: String,
+    val headers: HttpHeaders,
+    val body: RequestBody,
+) {
+    constructor(method: HttpMethod, uri: String, headers: HttpHeaders, body: ByteArray) :
+        this(method, uri, headers, RequestBody.of(body))
+}
 
 /** Status and headers of a response; [framing] states where the body of a response that was received ends. */
 internal class ResponseHead(val status: Int, val headers: HttpHeaders, val framing: BodyFraming = BodyFraming.LENGTH)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
-import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -120,11 +119,11 @@
             HttpVersion.HTTP_1_1,
             request.method,
             request.uri,
-            Unpooled.wrappedBuffer(request.body),
+            request.body.toSend(),
             request.headers,
             EmptyHttpHeaders.INSTANCE,
         )
-        if (request.body.isNotEmpty() || request.method == HttpMethod.POST || request.method == HttpMethod.PUT) {
+        if (request.body.size > 0 || request.method == HttpMethod.POST || request.method == HttpMethod.PUT) {
             HttpUtil.setContentLength(message, request.body.size.toLong())
         }
         channel.writeAndFlush(message).addListener { it.cause()?.let(::recordFailedWrite) }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerHandler.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerHandler.kt
@@ -35,13 +35,13 @@
     }
 
     private fun release(request: CallerRequest, response: ResponseWriter) {
-        val message = PeerCodec.decode(ReleaseMessage.serializer(), request.body)
+        val message = PeerCodec.decode(ReleaseMessage.serializer(), request.body.toByteArray())
         message?.let { schedulerOf(it.pool)?.release(it.handles.map(::ResultHandle)) }
         response.send(empty(if (message == null) BAD_REQUEST else OK))
     }
 
     private fun produce(request: CallerRequest, response: ResponseWriter): CallerListener {
-        val message = PeerCodec.decode(PiecesMessage.serializer(), request.body)
+        val message = PeerCodec.decode(PiecesMessage.serializer(), request.body.toByteArray())
         val stageScheduler = message?.let { schedulerOf(it.pool) }
         if (message == null || stageScheduler == null || message.pieces.isEmpty()) {
             response.send(empty(if (message == null) BAD_REQUEST else NOT_FOUND))
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/UnexpectedFailureTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/UnexpectedFailureTest.kt
@@ -32,6 +32,7 @@
 import org.bilberryhead.forwarding.endpoint.Endpoints
 import org.bilberryhead.forwarding.http.Connector
 import org.bilberryhead.forwarding.http.FullResponse
+import org.bilberryhead.forwarding.http.RequestBody
 import org.bilberryhead.forwarding.http.ResponseHead
 import org.bilberryhead.forwarding.http.SingleExchange
 import org.bilberryhead.forwarding.quarantine.QuarantineService
@@ -147,7 +148,7 @@
                 method = HttpMethod.GET,
                 uri = "/order/a",
                 headers = DefaultHttpHeaders().add("Host", "h").add("X-Api-Key", "k").add("X-Request-Id", "r"),
-                body = ByteArray(0),
+                body = RequestBody.of(ByteArray(0)),
                 keepsConnection = true,
                 receivedAt = thread.now(),
             )
