Bound the memory for bodies of requests, and refuse those without room

What callers saw: while 41 callers sent bodies of max_body_bytes at once, an entry with a heap of 96 MB spent its time on full collections and ran out of memory. Callers got 503 "unexpected failure" without a time to try again, and small requests and the readiness check had to wait with them.

Cause: nothing limited the sum of the bodies that are read, wait or are served.

A body of known length now gets its memory as a whole before it is read, in the order of arrival. Without room, it waits with reading turned off for at most 2 s, as long as the bodies that wait would fit together; other requests are refused with 503 and Retry-After before their body is read. A body whose length is not known is refused when it has no room to grow. Small bodies always have room. Bodies of other entries have a share of their own. Every 503 for a request that was not read now says when to try again.

--- a/core/src/main/kotlin/org/bilberryhead/core/memory/MemoryBudget.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/memory/MemoryBudget.kt
@@ -2,9 +2,12 @@
 
 /** What memory is held for. A kind may hold at most [share] of the whole budget, so that none displaces the others. */
 enum class MemoryKind(internal val share: Double) {
-    /** Bodies of requests that are being read, wait, or are being served. */
+    /** Bodies of requests of callers that are being read, wait, or are being served. */
     REQUEST_BODY(share = 0.75),
 
+    /** Bodies of requests of other entries. */
+    PEER_REQUEST_BODY(share = 0.25),
+
     /** Responses of endpoints that are not complete yet. */
     ENDPOINT_RESPONSE(share = 0.5),
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -6,6 +6,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.handler.codec.http.FullHttpRequest
 import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.memory.BodyAdmission
 import org.bilberryhead.core.memory.MemoryBudget
 import org.bilberryhead.core.memory.MemoryKind
 import org.bilberryhead.core.serving.CallerLimits
@@ -121,7 +122,7 @@
             endpointListener,
         )
     private val callerServerState = DaemonCallerState()
-    private val callers = CallerServer(thread, callerServerState, admission)
+    private val callers = CallerServer(thread, callerServerState, BodyAdmission(memory), admission)
     private var drainingSince: Instant? = null
 
     private val stageContext = object : StageContext {
@@ -169,6 +170,7 @@
         CallerServer(
             thread,
             callerServerState,
+            BodyAdmission(memory, MemoryKind.PEER_REQUEST_BODY),
             PeerHandler(thread, ::stageScheduler, ::snapshot) { drainingSince != null },
         ).listen(settings.peers)
         SimpleHttpServer(thread) { SimpleHttpResponse(OK, metrics.scrape()) }.listen(settings.metrics)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -20,20 +20,27 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
-import org.bilberryhead.core.memory.BlockBuffer
+import org.bilberryhead.core.memory.BodyAdmission
+import org.bilberryhead.core.memory.BodyDecision
+import org.bilberryhead.core.memory.MemoryBudget
 import org.bilberryhead.forwarding.http.FullResponse
-import org.bilberryhead.forwarding.http.RequestBody
 import org.bilberryhead.forwarding.http.ResponseHead
+import org.bilberryhead.forwarding.request.LocalResponses
+import org.bilberryhead.platform.wire.WireHeaders
 import java.io.IOException
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /** Reads complete requests from one caller's connection, serves them in order, and writes the responses. */
-internal class CallerConnection(private val state: CallerServerState, private val handler: RequestHandler) :
-    ChannelInboundHandlerAdapter() {
+internal class CallerConnection(
+    private val state: CallerServerState,
+    bodies: BodyAdmission = BodyAdmission(MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory())),
+    private val handler: RequestHandler,
+) : ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
     private var decoder = newDecoder()
     private var requestHead: HttpRequest? = null
-    private var body = BlockBuffer()
+    private val body = IncomingBody(bodies, ::readBodyThatWaited)
     private var current: ActiveResponse? = null
     private val waitingRequests = ArrayDeque<CallerRequest>()
     private var rejection: FullHttpResponse? = null
@@ -107,11 +114,20 @@
         requestHead = request
         bodyBytesLimit = state.limits.bodyBytes
         isContinueDue = HttpUtil.is100ContinueExpected(request)
+        when (body.begin(request, bodyBytesLimit, state.now())) {
+            BodyDecision.READ -> if (!isServing) sendDueContinue()
+            BodyDecision.WAIT -> channel.config().isAutoRead = false
+            BodyDecision.REFUSE -> reject(NOT_RUN, NO_MEMORY)
+        }
+    }
+
+    private fun readBodyThatWaited() {
         if (!isServing) sendDueContinue()
+        resumeReading()
     }
 
     private fun sendDueContinue() {
-        if (!isContinueDue) return
+        if (!isContinueDue || body.isWaiting) return
         isContinueDue = false
         channel.writeAndFlush(
             DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
@@ -123,20 +139,20 @@
         if (body.size + content.content().readableBytes() > maxOf(bodyBytesLimit, state.limits.bodyBytes)) {
             return reject(BODY_TOO_LARGE, "body too large")
         }
-        body.write(content.content().readableBytes(), content.content()::readBytes)
+        if (!body.add(content.content())) return reject(NOT_RUN, NO_MEMORY)
         if (content !is LastHttpContent) return
         requestHead = null
         isContinueDue = false
+        val held = body.take()
         val completeRequest = CallerRequest(
             method = request.method(),
             uri = request.uri(),
             headers = request.headers(),
-            body = RequestBody.of(body),
+            body = held.body,
             keepsConnection = HttpUtil.isKeepAlive(request),
             receivedAt = state.now(),
+            bodyClaim = held.claim,
         )
-        // The connection would keep the memory of its largest body.
-        body = BlockBuffer()
         if (!completeRequest.keepsConnection) isEnding = true
         enqueue(completeRequest)
     }
@@ -166,7 +182,7 @@
     }
 
     private fun resumeReading() {
-        if (isReadingStopped || channel.config().isAutoRead) return
+        if (isReadingStopped || body.isWaiting || channel.config().isAutoRead) return
         // What the connection itself did not read was not late.
         recordProgress()
         headStartedAt = headStartedAt?.let { lastProgressAt }
@@ -180,26 +196,28 @@
 
     /** Responds to a request that is not read completely, after the responses to those before it. */
     private fun reject(status: Int, reason: String, method: HttpMethod? = requestHead?.method()) {
+        val response = if (status == NOT_RUN) {
+            LocalResponses.notRun(requestHead?.headers()?.get(WireHeaders.REQUEST_ID), reason, RETRY_AFTER)
+        } else {
+            FullResponse(ResponseHead(status, EmptyHttpHeaders.INSTANCE), reason.encodeToByteArray())
+        }
         requestHead = null
         headStartedAt = null
-        body = BlockBuffer()
+        body.drop()
         isEnding = true
         state.rejected(status, reason)
-        val response = FullResponse(ResponseHead(status, EmptyHttpHeaders.INSTANCE), reason.encodeToByteArray())
         val message = ResponseMessages.full(response, method, closes = true)
         if (isServing) rejection = message else lingeringClose.closeAfter(message)
     }
 
-    private fun writeFull(message: FullHttpResponse, closes: Boolean) {
-        val written = channel.writeAndFlush(message)
-        if (closes) written.addListener(ChannelFutureListener.CLOSE)
-    }
-
     override fun channelInactive(context: ChannelHandlerContext) {
+        body.drop()
+        waitingRequests.forEach { it.release() }
         waitingRequests.clear()
         current?.let {
             current = null
             it.listener?.callerDisconnected()
+            it.request.release()
         }
     }
 
@@ -225,6 +243,7 @@
      */
     fun checkTimeouts(now: Instant) {
         lingeringClose.closeIfOver(now)
+        if (body.isWaitOver(now)) return reject(NOT_RUN, NO_MEMORY)
         if (!channel.config().isAutoRead) return
         recordSentBytes()
         val limits = state.limits
@@ -261,7 +280,7 @@
         channel.config().isAutoRead = isLingering
     }
 
-    private inner class ActiveResponse(private val request: CallerRequest) : ResponseWriter {
+    private inner class ActiveResponse(val request: CallerRequest) : ResponseWriter {
         var listener: CallerListener? = null
         private var isStarted = false
 
@@ -275,7 +294,8 @@
         override fun send(response: FullResponse) {
             if (!isOpen) return
             announceClose()
-            writeFull(ResponseMessages.full(response, request.method, closes), closes)
+            val written = channel.writeAndFlush(ResponseMessages.full(response, request.method, closes))
+            if (closes) written.addListener(ChannelFutureListener.CLOSE)
             complete(closes)
         }
 
@@ -306,6 +326,7 @@
         override fun abort() {
             if (!isOpen) return
             current = null
+            request.release()
             channel.close()
         }
 
@@ -317,6 +338,7 @@
 
         private fun complete(closing: Boolean) {
             current = null
+            request.release()
             recordProgress()
             if (closing) return
             if (waitingRequests.isNotEmpty()) return channel.eventLoop().execute(::serveNext)
@@ -344,6 +366,10 @@
         const val UNKNOWN = 502
         const val NOT_RUN = 503
         const val PROCESS_ENDS = "the process ends"
+        const val NO_MEMORY = "no memory for the body"
+
+        /** Time in which other requests end and return their memory. */
+        val RETRY_AFTER = 1.seconds
         const val UNEXPECTED_FAILURE = "unexpected failure"
         const val MAXIMUM_WAITING_REQUESTS = 4
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerRequest.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerRequest.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
+import org.bilberryhead.core.memory.BodyClaim
 import org.bilberryhead.forwarding.http.FullResponse
 import org.bilberryhead.forwarding.http.RequestBody
 import org.bilberryhead.forwarding.http.ResponseHead
@@ -15,7 +16,11 @@
     val body: RequestBody,
     val keepsConnection: Boolean,
     val receivedAt: Instant,
+    private val bodyClaim: BodyClaim? = null,
 ) {
+    /** Returns the memory that is reserved for [body]; to be called when the request has ended. */
+    fun release() = bodyClaim?.release()
+
     /** The path of [uri] without the query. */
     val path: String get() = uri.substringBefore('?')
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerServer.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerServer.kt
@@ -6,15 +6,22 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import org.bilberryhead.core.common.SocketAddress
+import org.bilberryhead.core.memory.BodyAdmission
+import org.bilberryhead.core.memory.MemoryBudget
 import org.bilberryhead.forwarding.EventThread
 import java.net.InetSocketAddress
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
-/** Accepts connections of callers. */
+/**
+ * Accepts connections of callers.
+ *
+ * @param bodies decides which bodies of requests are read
+ */
 internal class CallerServer(
     private val thread: EventThread,
     private val state: CallerServerState,
+    private val bodies: BodyAdmission = BodyAdmission(MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory())),
     private val handler: RequestHandler,
 ) {
     private val connections = mutableSetOf<CallerConnection>()
@@ -40,6 +47,7 @@
             .sync()
             .channel()
         thread.every(CHECK_INTERVAL) {
+            bodies.admitWaiting()
             val now = thread.now()
             connections.toList().forEach { it.checkTimeouts(now) }
         }
@@ -68,7 +76,7 @@
     }
 
     private fun initialize(channel: Channel) {
-        val connection = CallerConnection(state, handler)
+        val connection = CallerConnection(state, bodies, handler)
         connections += connection
         channel.closeFuture().addListener { connections -= connection }
         connection.addTo(channel.pipeline())
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerConnectionHarness.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/CallerConnectionHarness.kt
@@ -4,6 +4,8 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.handler.codec.http.DefaultHttpHeaders
+import org.bilberryhead.core.memory.BodyAdmission
+import org.bilberryhead.core.memory.MemoryBudget
 import org.bilberryhead.core.serving.CallerLimits
 import org.bilberryhead.core.testing.http.RawMessage
 import org.bilberryhead.core.testing.http.readMessage
@@ -35,7 +37,10 @@
 }
 
 /** One caller's connection without a socket: what the connection does not read stays in [unread]. */
-internal class CallerConnectionHarness(onServe: (ServedRequest) -> Unit = {}) {
+internal class CallerConnectionHarness(
+    bodies: BodyAdmission = BodyAdmission(MemoryBudget(1_000_000)),
+    onServe: (ServedRequest) -> Unit = {},
+) {
     private var now = Instant.fromEpochMilliseconds(0)
     private val sentBytes = ByteArrayOutputStream()
     private val unread = StringBuilder()
@@ -60,7 +65,7 @@
 
         override fun rejected(status: Int, reason: String) = Unit
     }
-    val connection = CallerConnection(state) { request, writer ->
+    val connection = CallerConnection(state, bodies) { request, writer ->
         val serving = ServedRequest(request.headers["X-Request-Id"].orEmpty(), writer)
         served += serving
         onServe(serving)
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/stage/PieceSubmissionTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/stage/PieceSubmissionTest.kt
@@ -60,8 +60,8 @@
 
             override fun rejected(status: Int, reason: String) = Unit
         }
-        CallerServer(eventThread, state, PeerHandler(eventThread, { scheduler }, { error("none") }, { false }))
-            .listen(address)
+        val handler = PeerHandler(eventThread, { scheduler }, { error("none") }, { false })
+        CallerServer(eventThread, state, handler = handler).listen(address)
     }
 
     fun client(coordinator: SocketAddress, budget: SharedRetryBudget): StageCoordinatorClient {
