Wait for the rest of a body from a caller that sends slowly

What callers saw: a caller whose request was rejected while it sent a large body at 0.5 MB/s, and which reads only afterwards, got a broken pipe instead of the rejection.

Cause: the connection was closed 2 s after the rejection, whoever the caller.

What arrives after a rejection is now counted. A caller that has sent more than the longest body is disconnected after 2 s as before; any other one has 12 s, in which the rest of a body of 4 MiB arrives at 0.5 MB/s.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -92,6 +92,7 @@
         try {
             recordProgress()
             if (message is HttpObject && !isEnding) read(message)
+            if (message is HttpContent) lingeringClose.countDropped(message.content().readableBytes())
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -242,7 +243,7 @@
      * the time began and those of now, the longer ones apply.
      */
     fun checkTimeouts(now: Instant) {
-        lingeringClose.closeIfOver(now)
+        lingeringClose.closeIfOver(now, state.limits.bodyBytes)
         if (body.isWaitOver(now)) return reject(NOT_RUN, NO_MEMORY)
         if (!channel.config().isAutoRead) return
         recordSentBytes()
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/LingeringClose.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/LingeringClose.kt
@@ -12,10 +12,11 @@
  * is dropped until the caller closes.
  */
 internal class LingeringClose(private val channel: () -> Channel, private val now: () -> Instant) {
-    private var endsAt: Instant? = null
+    private var startedAt: Instant? = null
+    private var droppedBytes = 0L
 
     /** Whether the connection waits for the caller to close it. */
-    val isInProgress: Boolean get() = endsAt != null && channel().isOpen
+    val isInProgress: Boolean get() = startedAt != null && channel().isOpen
 
     /** Sends [response], the last one on the connection, and ends the connection once it is sent. */
     fun closeAfter(response: FullHttpResponse) {
@@ -28,18 +29,32 @@
             channel().close()
             return
         }
-        endsAt = now() + LONGEST_WAIT
+        startedAt = now()
         duplexChannel.shutdownOutput()
         duplexChannel.config().isAutoRead = true
     }
 
-    /** Closes the connection at [at] if the caller has not done so in time. To be called at intervals. */
-    fun closeIfOver(at: Instant) {
-        if (endsAt?.let { at >= it } == true) channel().close()
+    /** Counts [bytes] of a body that were dropped. */
+    fun countDropped(bytes: Int) {
+        if (startedAt != null) droppedBytes += bytes
+    }
+
+    /**
+     * Closes the connection at [at] if the caller has not done so in time. To be called at intervals.
+     *
+     * @param longestBody a caller that has sent more is not about to end a body that was allowed
+     */
+    fun closeIfOver(at: Instant, longestBody: Int) {
+        val elapsed = at - (startedAt ?: return)
+        val longestWait = if (droppedBytes > longestBody) LONGEST_WAIT else LONGEST_WAIT_OF_SLOW_CALLER
+        if (elapsed >= longestWait) channel().close()
     }
 
     private companion object {
         /** Time for the rest of a large body to arrive. */
         val LONGEST_WAIT = 2.seconds
+
+        /** Time for the rest of a body of 4 MiB to arrive at 0.5 MB/s, from a caller that reads only after it. */
+        val LONGEST_WAIT_OF_SLOW_CALLER = 12.seconds
     }
 }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/RejectedWhileSendingTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/caller/RejectedWhileSendingTest.kt
@@ -23,6 +23,11 @@
 /** Far more than the buffers of both ends of a connection hold. */
 private const val SENT_BYTES = 16 * 1024 * 1024
 
+/** The parts of a body that takes longer to send than a caller that sends fast is waited for. */
+private const val SLOW_PARTS = 40
+private const val SLOW_PART_BYTES = 500
+private const val SLOW_BODY_BYTES = LONGEST_BODY_BYTES + 1_000 + SLOW_PARTS * SLOW_PART_BYTES
+
 /** A server of callers, none of whose requests ends by itself. */
 private class RejectingServer : AutoCloseable {
     private val thread = newEventThread()
@@ -81,6 +86,22 @@
                 }
             }
 
+            it("receives the rejection although it sends the rest slowly, and reads only then") {
+                RejectingServer().use { server ->
+                    server.connect().use { caller ->
+                        caller.getOutputStream().writeText(head(SLOW_BODY_BYTES))
+                        caller.getOutputStream().write(ByteArray(LONGEST_BODY_BYTES + 1_000))
+                        server.awaitRejection()
+                        repeat(SLOW_PARTS) {
+                            caller.getOutputStream().write(ByteArray(SLOW_PART_BYTES))
+                            TimeUnit.MILLISECONDS.sleep(100)
+                        }
+                        caller.getInputStream().readMessage()?.status shouldBe 413
+                    }
+                    server.failures.shouldBeEmpty()
+                }
+            }
+
             it("is disconnected when it goes on to send") {
                 RejectingServer().use { server ->
                     server.connect().use { caller ->
