--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -6,6 +6,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.handler.codec.http.FullHttpRequest
 import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.memory.BodyAdmission
 import org.bilberryhead.core.memory.MemoryBudget
 import org.bilberryhead.core.memory.MemoryKind
 import org.bilberryhead.core.serving.CallerLimits
@@ -121,9 +122,11 @@
             WatchTimings.forEndpoints(settings.drainNotice),
             endpointListener,
         )
-    private val callers = CallerServer(thread, CallerState { configuredLimits ?: DEFAULT_LIMITS }, admission)
+    private val callers =
+        CallerServer(thread, CallerState { configuredLimits ?: DEFAULT_LIMITS }, BodyAdmission(memory), admission)
     private val peerHandler = PeerHandler(thread, ::stageScheduler, ::snapshot) { drainingSince != null }
-    private val peerServer = CallerServer(thread, CallerState { DEFAULT_LIMITS }, peerHandler)
+    private val peerBodies = BodyAdmission(memory, MemoryKind.PEER_REQUEST_BODY)
+    private val peerServer = CallerServer(thread, CallerState { DEFAULT_LIMITS }, peerBodies, peerHandler)
     private var drainingSince: Instant? = null
 
     private val stageContext = object : StageContext {
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/AdmissionWithEndpoint.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/AdmissionWithEndpoint.kt
@@ -29,6 +29,7 @@
 import org.bilberryhead.forwarding.caller.ResponseWriter
 import org.bilberryhead.forwarding.endpoint.Endpoints
 import org.bilberryhead.forwarding.http.Connector
+import org.bilberryhead.forwarding.http.RequestBody
 import org.bilberryhead.forwarding.http.SingleExchange
 import org.bilberryhead.forwarding.quarantine.QuarantineService
 import org.bilberryhead.forwarding.store.StoreWriter
@@ -128,7 +129,7 @@
             method = HttpMethod.GET,
             uri = path,
             headers = DefaultHttpHeaders().add("Host", "h").add("X-Api-Key", "k").add("X-Request-Id", id),
-            body = ByteArray(0),
+            body = RequestBody.of(ByteArray(0)),
             keepsConnection = true,
             receivedAt = thread.now(),
         )
