Test what the soak's check of planned runs allows at the end of a drain

The case on streams that a drain cuts held only what must not happen. It now moves the time of sending back and also holds that a stream sent 2 s after SIGTERM and cut 4 s later is allowed, and that one sent 3.5 s after it is not; a new case holds that a kept connection closed a second after sending is a violation.

--- a/soak/src/test/kotlin/org/bilberryhead/soak/PlannedResponseCheckTest.kt
+++ b/soak/src/test/kotlin/org/bilberryhead/soak/PlannedResponseCheckTest.kt
@@ -4,6 +4,9 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
 import org.bilberryhead.platform.wire.WireHeaders
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 class PlannedResponseCheckTest :
     DescribeSpec({
@@ -61,14 +64,23 @@
             }
 
             it("may be cut as a stream that was sent early in a drain, at its end only") {
-                fun cut(sentAfterMs: Long, kind: RequestKind) = violationsOf(
-                    request(kind).apply { sinceTerminationMs = sentAfterMs },
+                fun cut(sentAfterMs: Long, kind: RequestKind, waited: Duration) = violationsOf(
+                    request(kind).apply {
+                        sinceTerminationMs = sentAfterMs
+                        sentAt = TimeSource.Monotonic.markNow() - waited
+                    },
                     chunkedHead + events.first(),
                     isExecuted = true,
                 )
-                cut(sentAfterMs = 2_000, RequestKind.RESUMABLE_STREAM) shouldHaveSize 1
-                cut(sentAfterMs = 5_500, RequestKind.RESUMABLE_STREAM) shouldHaveSize 1
-                cut(sentAfterMs = 2_000, RequestKind.ORDER) shouldHaveSize 1
+                cut(sentAfterMs = 2_000, RequestKind.RESUMABLE_STREAM, waited = 4.seconds).shouldBeEmpty()
+                cut(sentAfterMs = 2_000, RequestKind.RESUMABLE_STREAM, waited = 1.seconds) shouldHaveSize 1
+                cut(sentAfterMs = 3_500, RequestKind.RESUMABLE_STREAM, waited = 4.seconds) shouldHaveSize 1
+                cut(sentAfterMs = 2_000, RequestKind.ORDER, waited = 4.seconds) shouldHaveSize 1
+            }
+
+            it("must not lose its kept connection long after it was sent") {
+                val late = request().apply { sentAt = TimeSource.Monotonic.markNow() - 1.seconds }
+                violationsOf(late, "") shouldHaveSize 1
             }
 
             it("must not be followed by a second response or a body to HEAD") {
