Count a caller of the soak that ends early as a violation

An exception that no caller of a planned run expects, such as a connection that is reset while the caller looks for surplus bytes, ended the caller's thread with a line on the error output only, and its request was not checked. It is a violation now. No test covers the handler itself.

--- a/soak/src/main/kotlin/org/bilberryhead/soak/PlannedCallers.kt
+++ b/soak/src/main/kotlin/org/bilberryhead/soak/PlannedCallers.kt
@@ -52,7 +52,15 @@
     /** Starts one thread per caller. */
     fun start() = repeat(CALLER_COUNT) { number ->
         val random = Random(seed * MAX_CALLERS_PER_SEED + number)
-        threads += thread(isDaemon = true) { while (!isStopped.get()) useConnection(number, random) }
+        val caller = thread(isDaemon = true, start = false) {
+            while (!isStopped.get()) useConnection(number, random)
+        }
+        // A caller that ends early would leave its requests unchecked.
+        caller.setUncaughtExceptionHandler { _, failure ->
+            checker.recordViolation("caller $number ended early: $failure")
+        }
+        caller.start()
+        threads += caller
     }
 
     /** Stops the callers and waits for the requests in flight. */
