--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -119,7 +119,10 @@
     fun drain(): CountDownLatch = CountDownLatch(1).also { ended -> daemon.drain { ended.countDown() } }
 
     /** Waits until the entry is no longer ready, which it is before the drain that [drain] has asked for starts. */
-    fun awaitDraining() = check(generateSequence { isReady() }.take(MAXIMUM_READINESS_CHECKS).any { !it }) { "still ready" }
+    fun awaitDraining() {
+        val isDraining = generateSequence { isReady() }.take(MAXIMUM_READINESS_CHECKS).any { !it }
+        check(isDraining) { "still ready" }
+    }
 
     private fun writeTables(shared: FakeRowStore, pools: Map<String, List<ScriptedEndpoint>>) {
         configuration?.let { shared.put(RowKey(WireTables.OPERATOR, WireTables.CONFIGURATION_KEY), it) }
