Let a call of another entry close its connection only while it lasts

What callers would see: stages that end late or fail, as a call to another entry never ended: the connection was closed without word to the exchange that it carried.

Cause: the cancellation of a call closed the connection on which it was sent, also when the call had ended and the connection carried the next one. A call that ended for lack of memory for its response, on the other hand, left its connection open.

Change: a call keeps its exchange, whose cancel has no effect once it has ended, and cancels it when it ends without a response.

Evidence: PeersTest, new case: the second call did not end within 10 s on the code before; it completes now. That such a cancellation comes after the end in practice was not seen. The response without memory was read, not played.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerClient.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerClient.kt
@@ -11,6 +11,7 @@
 import org.bilberryhead.forwarding.http.Connector
 import org.bilberryhead.forwarding.http.ExchangeOutcome
 import org.bilberryhead.forwarding.http.OutboundConnection
+import org.bilberryhead.forwarding.http.OutboundExchange
 import org.bilberryhead.forwarding.http.OutboundRequest
 import org.bilberryhead.forwarding.http.ResponseCollector
 import org.bilberryhead.forwarding.http.ResponseHead
@@ -19,7 +20,7 @@
 
 /** An exchange with a peer that can be cancelled. */
 internal class PeerExchange {
-    private var connection: OutboundConnection? = null
+    private var outbound: OutboundExchange? = null
 
     /** Whether [cancel] was called. */
     var isCancelled = false
@@ -28,14 +29,17 @@
     /** Called when the exchange is cancelled. */
     var onCancel: () -> Unit = {}
 
-    internal fun startedOn(connection: OutboundConnection) {
-        this.connection = connection
+    internal fun startedAs(outbound: OutboundExchange) {
+        this.outbound = outbound
     }
 
+    /** Closes the connection if the exchange has yet to end on it. */
+    internal fun closeConnection() = outbound?.cancel()
+
     /** Cancels the exchange by closing its connection, which the peer notices. */
     fun cancel() {
         isCancelled = true
-        connection?.close()
+        closeConnection()
         onCancel()
     }
 }
@@ -100,8 +104,7 @@
             pendingCalls -= pending
             return connection.release()
         }
-        pending.sentOn(connection)
-        connection.send(request(path, body), requestId = null, pending.listener)
+        pending.sendOn(connection, request(path, body))
         thread.after(HEAD_TIMEOUT) { if (!pending.isAccepted) pending.silent("no sign of life within $HEAD_TIMEOUT") }
     }
 
@@ -179,12 +182,14 @@
             }
         }
 
-        fun sentOn(connection: OutboundConnection) {
+        fun sendOn(connection: OutboundConnection, request: OutboundRequest) {
             isSent = true
-            exchange.startedOn(connection)
+            exchange.startedAs(connection.send(request, requestId = null, listener))
         }
 
         fun end(outcome: ExchangeOutcome) {
+            // The rest of a response without memory would keep the connection.
+            if (outcome !is ExchangeOutcome.Completed) exchange.closeConnection()
             if (!pendingCalls.remove(this) || exchange.isCancelled) return
             if (outcome !is ExchangeOutcome.Completed) reportUnreachable(outcome.toString())
             ended(outcome)
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/PeersTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/PeersTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
 import io.kotest.matchers.types.shouldBeSameInstanceAs
 import org.bilberryhead.core.common.DaemonId
 import org.bilberryhead.core.common.DataCentre
@@ -9,8 +10,12 @@
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.core.serving.EntryRecord
 import org.bilberryhead.forwarding.http.Connector
+import org.bilberryhead.forwarding.http.ExchangeOutcome
 import org.bilberryhead.forwarding.peer.PeerClient
 import org.bilberryhead.forwarding.peer.Peers
+import java.util.concurrent.Callable
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 
 class PeersTest :
@@ -43,4 +48,32 @@
                 client().isUsable shouldBe true
             }
         }
+
+        describe("the cancellation of a call that has ended") {
+            it("does not end the call that its connection carries by then") {
+                val finishing = CountDownLatch(1)
+                ScriptedEndpoint {
+                    write("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n")
+                    if ("/second" in request.head) finishing.await(10, TimeUnit.SECONDS)
+                    write("answer")
+                }.use { peer ->
+                    val (host, port) = peer.address.split(':')
+                    val address = SocketAddress(host, port.toInt())
+                    val client = PeerClient(record("other").copy(peerAddress = address), thread, decisions, connector)
+                    val outcomes = LinkedBlockingQueue<ExchangeOutcome>()
+
+                    fun call(path: String) = thread.loop.submit(
+                        Callable { client.call(path, ByteArray(0)) { outcomes += it } },
+                    ).get()
+
+                    val first = call("/first")
+                    outcomes.poll(10, TimeUnit.SECONDS).shouldBeInstanceOf<ExchangeOutcome.Completed>()
+                    call("/second")
+                    generateSequence { peer.awaitRequest() }.first { "/second" in it.head }
+                    thread.loop.submit { first.cancel() }.get()
+                    finishing.countDown()
+                    outcomes.poll(10, TimeUnit.SECONDS).shouldBeInstanceOf<ExchangeOutcome.Completed>()
+                }
+            }
+        }
     })
