Count results as released only when their endpoint says so

What callers saw: stage calls refused for lack of room. Results counted as released after any complete response, also after 500 and 503, so that the coordinator sent pieces to endpoints whose memory was still taken.

Change: only a response with status 200 counts. A response for which there is no memory closes its connection.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/ResultReleaser.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/ResultReleaser.kt
@@ -10,6 +10,7 @@
 import org.bilberryhead.forwarding.endpoint.Endpoint
 import org.bilberryhead.forwarding.http.ExchangeOutcome
 import org.bilberryhead.forwarding.http.OutboundConnection
+import org.bilberryhead.forwarding.http.OutboundExchange
 import org.bilberryhead.forwarding.http.OutboundRequest
 import org.bilberryhead.forwarding.http.ResponseCollector
 import org.bilberryhead.platform.wire.StageCodec
@@ -60,17 +61,23 @@
 
     private fun send(endpoint: Endpoint, releases: List<Release>, connection: OutboundConnection) {
         var timer: Timer? = null
+        var exchange: OutboundExchange? = null
         val collector = ResponseCollector(memory) { outcome ->
             timer?.cancel()
-            if (outcome is ExchangeOutcome.Completed) releases.forEach { it.onReleased(it.handle) }
+            // The rest of a response without memory would keep the connection.
+            if (outcome !is ExchangeOutcome.Completed) exchange?.cancel()
+            if (isReleased(outcome)) releases.forEach { it.onReleased(it.handle) }
         }
         timer = thread.after(RESPONSE_TIMEOUT) {
-            connection.close()
+            exchange?.cancel()
             collector.cancel()
         }
-        connection.send(request(endpoint, releases.map { it.handle }), requestId = null, collector)
+        exchange = connection.send(request(endpoint, releases.map { it.handle }), requestId = null, collector)
     }
 
+    private fun isReleased(outcome: ExchangeOutcome) =
+        outcome is ExchangeOutcome.Completed && outcome.response.head.status == OK
+
     private fun request(endpoint: Endpoint, handles: List<ResultHandle>): OutboundRequest {
         val headers = DefaultHttpHeaders()
             .add("Host", endpoint.entry.address.toString())
@@ -81,6 +88,7 @@
     }
 
     private companion object {
+        const val OK = 200
         val BATCH_DELAY = 5.milliseconds
         val RESPONSE_TIMEOUT = 2.seconds
     }
