End a drain in time whatever fails in it

What callers would see: neither an answer nor a refusal at the end of a drain. One failure while requests were being refused ended the chain of checks, so that nothing ended what was left; and the check that ends it came up to 0.1 s late, of the 0.3 s that are kept for it.

Change: the steps of a drain run under a guard, and the last check comes when it is due.

Evidence: by reading (a review of the end of the process); no test plays the failure. DrainOrderTest, LateInDrainTest and DrainingCoordinatorTest pass.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -248,26 +248,34 @@
     }
 
     private fun awaitDrained(since: Instant, ended: () -> Unit) {
-        val elapsed = thread.now() - since
-        peerHandler.drain(CoordinatorDrain(endsAt = since + settings.drainLimit - DRAIN_RESERVE))
+        val now = thread.now()
+        val elapsed = now - since
+        val endsAt = since + settings.drainLimit - DRAIN_RESERVE
+        // A failure must not keep the entry from ending its requests in time.
+        thread.runGuarded("drain") { continueDrain(elapsed, endsAt) }
         val isIdle = admission.runningCount == 0 && !callers.isBusy && !peerServer.isBusy
-        if (elapsed >= settings.drainLimit - DRAIN_RESERVE || (isIdle && elapsed >= BALANCER_REMOVAL_TIME)) {
-            val unfinished = admission.runningCount
-            admission.terminateAll()
-            // A request that is read between now and the end of the process would get no response.
-            stopServers {
-                log.atInfo {
-                    message = "stopped"
-                    payload = mapOf("requests_left" to unfinished, "after_ms" to elapsed.inWholeMilliseconds)
-                }
-                ended()
-            }
-            return
-        }
+        if (now >= endsAt || (isIdle && elapsed >= BALANCER_REMOVAL_TIME)) return endDrain(elapsed, ended)
+        thread.after(minOf(DRAIN_CHECK_INTERVAL, endsAt - now)) { awaitDrained(since, ended) }
+    }
+
+    private fun continueDrain(elapsed: Duration, endsAt: Instant) {
+        peerHandler.drain(CoordinatorDrain(endsAt))
         if (elapsed >= BALANCER_REMOVAL_TIME) callers.closeIdle()
         admission.refuseBarred()
         if (elapsed >= settings.drainLimit / 2) admission.refuseUnsent()
-        thread.after(DRAIN_CHECK_INTERVAL) { awaitDrained(since, ended) }
+    }
+
+    private fun endDrain(elapsed: Duration, ended: () -> Unit) {
+        val unfinished = admission.runningCount
+        admission.terminateAll()
+        // A request that is read between now and the end of the process would get no response.
+        stopServers {
+            log.atInfo {
+                message = "stopped"
+                payload = mapOf("requests_left" to unfinished, "after_ms" to elapsed.inWholeMilliseconds)
+            }
+            ended()
+        }
     }
 
     private fun stopServers(stopped: () -> Unit) {
