Keep responses of the entry beside the connections that send them

The connection of a caller uses them since refusals of bodies say when to come back, and package request uses package caller already. No behaviour changes. Two expressions of the soak are written out.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -25,7 +25,6 @@
 import org.bilberryhead.core.memory.MemoryBudget
 import org.bilberryhead.forwarding.http.FullResponse
 import org.bilberryhead.forwarding.http.ResponseHead
-import org.bilberryhead.forwarding.request.LocalResponses
 import org.bilberryhead.platform.wire.WireHeaders
 import java.io.IOException
 import kotlin.time.Duration.Companion.seconds
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/LocalResponses.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/LocalResponses.kt
@@ -1,4 +1,4 @@
-package org.bilberryhead.forwarding.request
+package org.bilberryhead.forwarding.caller
 
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import org.bilberryhead.forwarding.http.FullResponse
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -9,6 +9,7 @@
 import org.bilberryhead.core.serving.StreamEvent
 import org.bilberryhead.forwarding.Timer
 import org.bilberryhead.forwarding.caller.CallerListener
+import org.bilberryhead.forwarding.caller.LocalResponses
 import org.bilberryhead.forwarding.caller.ResponseWriter
 import org.bilberryhead.forwarding.endpoint.Endpoint
 import org.bilberryhead.forwarding.http.FullResponse
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
@@ -8,6 +8,7 @@
 import org.bilberryhead.core.serving.ServingRoute
 import org.bilberryhead.forwarding.caller.CallerListener
 import org.bilberryhead.forwarding.caller.CallerRequest
+import org.bilberryhead.forwarding.caller.LocalResponses
 import org.bilberryhead.forwarding.caller.RequestHandler
 import org.bilberryhead.forwarding.caller.ResponseWriter
 import org.bilberryhead.platform.wire.HeaderValues
--- a/soak/src/main/kotlin/org/bilberryhead/soak/PlannedCallers.kt
+++ b/soak/src/main/kotlin/org/bilberryhead/soak/PlannedCallers.kt
@@ -101,14 +101,9 @@
     }
 
     private fun idle(random: Random) {
-        val longest = if (random.nextInt(LONG_IDLE_ODDS) ==
-            0
-        ) {
-            (operator.idleTimeoutMs * IDLE_FRACTION).toLong()
-        } else {
-            MAX_DELAY_MS
-        }
-        Thread.sleep(random.nextLong(longest))
+        val isLong = random.nextInt(LONG_IDLE_ODDS) == 0
+        val longestMs = if (isLong) (operator.idleTimeoutMs * IDLE_FRACTION).toLong() else MAX_DELAY_MS
+        Thread.sleep(random.nextLong(longestMs))
     }
 
     /** Sends one request and checks its response; returns whether the connection can be reused. */
--- a/soak/src/main/kotlin/org/bilberryhead/soak/PlannedResponseCheck.kt
+++ b/soak/src/main/kotlin/org/bilberryhead/soak/PlannedResponseCheck.kt
@@ -70,10 +70,8 @@
     private fun violated(request: PlannedRequest, what: String, response: ReceivedResponse) {
         val execution = if (checker.wasExecuted(request.id)) "executed" else "not executed"
         val head = response.head?.replace("\r\n", " | ")
-        val body = "${response.body.length} bytes of body: ${response.body.replace(
-            "\n",
-            "\\n",
-        ).takeLast(SHOWN_CHARACTERS)}"
+        val lastText = response.body.replace("\n", "\\n").takeLast(SHOWN_CHARACTERS)
+        val body = "${response.body.length} bytes of body: $lastText"
         checker.recordViolation("$request $what, $execution, end: ${response.end}, head: $head, $body")
     }
 
