Send nothing to the endpoints of an evacuated data centre

Entries now follow these rows on the watch that brings the configuration, and the endpoints of an evacuated data centre are not usable until the row is removed. Entries that cannot read the store take the knowledge of a peer if it is younger.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointDirectory.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointDirectory.kt
@@ -55,6 +55,8 @@
  * Entries may expire during an outage of the store. The endpoints register again within [reregistrationPeriod] after
  * the outage, so a removal that is read in that time takes effect only when the time is over.
  *
+ * Endpoints of an evacuated data centre stay in the directory and are not usable.
+ *
  * @param reregistrationPeriod 2 s less the 200 ms between two calls of [dropExpired], so that a removal takes effect at
  *   most 2 s after the outage
  */
@@ -65,6 +67,16 @@
     private var reregistrationEnd: Instant? = null
     private var usable: Map<PoolName, List<EndpointEntry>> = emptyMap()
 
+    /** The data centres whose endpoints get no new work, whatever their entries say. */
+    var evacuated: Set<DataCentre> = emptySet()
+        set(value) {
+            field = value
+            updateUsable()
+        }
+
+    /** Number of endpoints in the evacuated data centres. */
+    val evacuatedCount: Int get() = entries.values.count(::isEvacuated)
+
     /** Endpoints of [pool] that may get new work, sorted by id. */
     fun usable(pool: PoolName): List<EndpointEntry> = usable[pool].orEmpty()
 
@@ -78,6 +90,9 @@
     fun othersAtAddressOf(entry: EndpointEntry): List<EndpointRun> =
         entries.values.filter { it.address == entry.address && it.id != entry.id }.map { it.run }
 
+    /** Returns whether the endpoint of [entry] is in an evacuated data centre. */
+    fun isEvacuated(entry: EndpointEntry): Boolean = entry.dataCentre in evacuated
+
     /** Whether no endpoint is known. */
     val isEmpty: Boolean get() = entries.isEmpty()
 
@@ -140,7 +155,11 @@
     }
 
     private fun updateUsable(changes: List<EndpointChange>): List<EndpointChange> {
-        usable = entries.values.filter { !it.isDraining }.sortedBy { it.id }.groupBy { it.pool }
+        updateUsable()
         return changes
     }
+
+    private fun updateUsable() {
+        usable = entries.values.filter { !it.isDraining && !isEvacuated(it) }.sortedBy { it.id }.groupBy { it.pool }
+    }
 }
--- a/core/src/test/kotlin/org/bilberryhead/core/serving/EndpointDirectoryTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/EndpointDirectoryTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
+import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.core.common.EndpointId
 import org.bilberryhead.core.common.PoolName
 import kotlin.time.Duration.Companion.seconds
@@ -43,6 +44,29 @@
             }
         }
 
+        describe("endpoints in an evacuated data centre") {
+            val north = DataCentre("north")
+            val entries = listOf(endpointEntry("a", dataCentre = "north"), endpointEntry("b", dataCentre = "south"))
+
+            it("are not usable until the evacuation is withdrawn, and stay registered") {
+                val directory = EndpointDirectory().apply { replaceAll(entries, start) }
+                directory.evacuated = setOf(north)
+                directory.usableIds() shouldContainExactly listOf("b")
+                directory.entry(EndpointId("a")) shouldBe entries.first()
+                directory.evacuatedCount shouldBe 1
+                directory.evacuated = emptySet()
+                directory.usableIds() shouldContainExactly listOf("a", "b")
+            }
+
+            it("are not usable when they register or restart during the evacuation") {
+                val directory = EndpointDirectory()
+                directory.evacuated = setOf(north)
+                directory.replaceAll(entries, start)
+                directory.update(listOf(entries.first().copy(startedAt = 2)), emptyList(), start)
+                directory.usableIds() shouldContainExactly listOf("b")
+            }
+        }
+
         describe("after an outage of the store") {
             fun afterOutage() = EndpointDirectory().apply {
                 replaceAll(listOf(endpointEntry("a"), endpointEntry("b", isDraining = true)), start)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -34,8 +34,6 @@
 import org.bilberryhead.forwarding.peer.PeerClient
 import org.bilberryhead.forwarding.peer.PeerHandler
 import org.bilberryhead.forwarding.peer.Peers
-import org.bilberryhead.forwarding.peer.SnapshotMessage
-import org.bilberryhead.forwarding.peer.StoreReplica
 import org.bilberryhead.forwarding.quarantine.QuarantineService
 import org.bilberryhead.forwarding.request.ConnectionWaitQueue
 import org.bilberryhead.forwarding.request.RequestAdmission
@@ -46,9 +44,12 @@
 import org.bilberryhead.forwarding.stage.StageScheduler
 import org.bilberryhead.forwarding.store.ConfigurationListener
 import org.bilberryhead.forwarding.store.EndpointListener
+import org.bilberryhead.forwarding.store.EvacuationListener
+import org.bilberryhead.forwarding.store.StoreCopy
 import org.bilberryhead.forwarding.store.StoreTableWatch
 import org.bilberryhead.forwarding.store.StoreWriter
 import org.bilberryhead.forwarding.store.TableListener
+import org.bilberryhead.forwarding.store.TableListeners
 import org.bilberryhead.forwarding.store.WatchTimings
 import org.bilberryhead.platform.wire.WireHeaders
 import org.bilberryhead.platform.wire.WirePaths
@@ -110,11 +111,16 @@
         servingContext.matcher = it
         connectionWaitQueue.dispatchAll()
     }
-    private val operatorWatch =
+    private val evacuationListener = EvacuationListener(decisions, { operatorWatch.lastResponseAt }) {
+        directory.evacuated = it
+        connectionWaitQueue.dispatchAll()
+    }
+    private val operatorWatch: StoreTableWatch =
         watch(
             WireTables.OPERATOR,
             WatchTimings.forConfiguration(settings.configurationDelay),
-            configurationListener,
+            // Evacuations first, so that nothing is sent by a new configuration to an evacuated data centre.
+            TableListeners(evacuationListener, configurationListener),
         )
     private val endpointWatch =
         watch(
@@ -122,9 +128,18 @@
             WatchTimings.forEndpoints(settings.drainNotice),
             endpointListener,
         )
+    private val storeCopy = StoreCopy(
+        thread,
+        operatorWatch,
+        endpointWatch,
+        configurationListener,
+        evacuationListener,
+        endpointListener,
+        membership,
+    )
     private val callers =
         CallerServer(thread, CallerState { configuredLimits ?: DEFAULT_LIMITS }, BodyAdmission(memory), admission)
-    private val peerHandler = PeerHandler(thread, ::stageScheduler, ::snapshot) { drainingSince != null }
+    private val peerHandler = PeerHandler(thread, ::stageScheduler, storeCopy::snapshot) { drainingSince != null }
     private val peerBodies = BodyAdmission(memory, MemoryKind.PEER_REQUEST_BODY)
     private val peerServer = CallerServer(thread, CallerState { DEFAULT_LIMITS }, peerBodies, peerHandler)
     private var drainingSince: Instant? = null
@@ -154,17 +169,6 @@
         override fun headReceived(entry: EndpointEntry, head: ResponseHead) = announcements.headReceived(entry, head)
     }
 
-    private val replica = object : StoreReplica {
-        override val isStoreReachable: Boolean get() = operatorWatch.isStoreReachable && endpointWatch.isStoreReachable
-        override val age: Duration? get() = endpointsAge()
-
-        override fun update(snapshot: SnapshotMessage, withEndpoints: Boolean) {
-            snapshot.configuration?.let(configurationListener::activateIfNewer)
-            snapshot.members?.let(membership::recordPeerCount)
-            if (withEndpoints) endpointListener.replaceFromPeer(snapshot.endpoints)
-        }
-    }
-
     /** Opens the listeners and starts to watch the store. Throws `IOException` when an address cannot be bound. */
     fun start() {
         endpoints.onConnectionAvailable = connectionWaitQueue::dispatch
@@ -183,6 +187,9 @@
         metrics.gauge("bilberry.endpoints.resting", "Endpoints that have asked for rest and get nothing now") {
             endpoints.rests.restingCount(thread.now())
         }
+        metrics.gauge("bilberry.endpoints.evacuated", "Endpoints that get nothing because of an evacuation") {
+            directory.evacuatedCount
+        }
         metrics.gauge("bilberry.quarantine.parts", "Parts of prompts that are refused because they crash endpoints") {
             quarantine.quarantinedCount
         }
@@ -206,7 +213,7 @@
         watch(WireTables.LEASES, WatchTimings.forLeases(membership.renewalInterval), membership.leases).start()
         watch(WireTables.CRASHES, WatchTimings.forCrashReports, quarantine.reports).start()
         quarantine.start(membership::isRemover)
-        PeerCatchUp(thread, exchange, replica, decisions, ::peerAddresses).start()
+        PeerCatchUp(thread, exchange, storeCopy, decisions, ::peerAddresses).start()
         membership.start { endpointWatch.lastResponseAt }
         thread.every(EXPIRY_CHECK_INTERVAL) {
             endpointListener.removeExpired()
@@ -222,15 +229,6 @@
     private fun peerAddresses() =
         (settings.seeds + membership.members.map { it.peerAddress }).distinct().filter { it != settings.peers }
 
-    private fun snapshot() = SnapshotMessage(
-        configuration = configurationListener.newestText,
-        endpoints = endpointListener.newestTexts,
-        ageMs = endpointsAge()?.inWholeMilliseconds,
-        members = membership.shareCount,
-    )
-
-    private fun endpointsAge(): Duration? = endpointWatch.lastResponseAt?.let { thread.now() - it }
-
     /**
      * Starts a graceful shutdown: registers this entry as leaving, finishes its requests and calls for other entries
      * within the drain limit, then calls [ended].
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/EndpointConnections.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/EndpointConnections.kt
@@ -14,7 +14,7 @@
  *
  * @param maximumConnections maximum number of connections: this entry's share of those that the endpoint accepts
  * @param onAvailable called when another exchange may be able to start
- * @param isResting returns whether the endpoint rests; it is not probed then
+ * @param mayProbe returns whether the endpoint may be probed; not while it rests or its data centre is evacuated
  * @param onHeadReceived called with the head of each response of the endpoint
  */
 internal class EndpointConnections(
@@ -24,7 +24,7 @@
     private val maximumConnections: () -> Int,
     private val onAvailable: () -> Unit,
     private val onHeadReceived: (ResponseHead) -> Unit = {},
-    private val isResting: () -> Boolean = { false },
+    private val mayProbe: () -> Boolean = { true },
 ) {
     private val idle = ArrayDeque<OutboundConnection>()
     private val open = mutableSetOf<OutboundConnection>()
@@ -67,8 +67,8 @@
      * Passes the result to [ended]: null when it listens, or why the connection could not be opened.
      */
     fun probe(ended: (ConnectFailure?) -> Unit) {
-        // It has answered a short time ago, and is to be left alone.
-        if (isResting()) return ended(null)
+        // It gets no new work either, so nothing depends on whether it listens.
+        if (!mayProbe()) return ended(null)
         // Connections that outlive a failure on another one show it as well when no more may be opened.
         if (open.isNotEmpty() && open.size + openingCount >= maximumConnections()) return ended(null)
         open(
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/Endpoints.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/Endpoints.kt
@@ -53,6 +53,7 @@
         return when {
             current == null || current.isDraining || current.run != entry.run -> "the endpoint leaves"
             isResting(entry) -> "the endpoint rests"
+            directory.isEvacuated(current) -> "its data centre is evacuated"
             else -> null
         }
     }
@@ -109,7 +110,7 @@
             maximumConnections = { connectionShare(entry.pool) },
             onAvailable = { onConnectionAvailable(entry.pool) },
             onHeadReceived = { onHeadReceived(entry, it) },
-            isResting = { isResting(entry) },
+            mayProbe = { !isResting(entry) && !directory.isEvacuated(entry) },
         )
         return Endpoint(entry, pools(entry.pool), connections)
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerMessages.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerMessages.kt
@@ -169,6 +169,8 @@
  * @property endpoints the texts that endpoints wrote about themselves, by endpoint id
  * @property ageMs time since the endpoints were last read from the store, or null when they never were
  * @property members number of entries that share the limits, or null when the entry does not know it
+ * @property evacuated the evacuated data centres, or null when the entry does not know them
+ * @property evacuatedAgeMs time since [evacuated] was in the store
  */
 @Serializable
 internal data class SnapshotMessage(
@@ -176,6 +178,8 @@
     val endpoints: Map<String, String>,
     val ageMs: Long?,
     val members: Int? = null,
+    val evacuated: Set<DataCentre>? = null,
+    val evacuatedAgeMs: Long? = null,
 )
 
 /** Results of a pool that are no longer needed. */
