Limit what all entries together send to a cold endpoint

An endpoint tolerates only a few requests per second for some seconds after its start, and entries sent it its usual share at once. Entries now decode how long an endpoint stays cold and what it tolerates, and each sends a cold endpoint only its part: an equal one, or one request per second for the members that rank first for the run. What counts is when a request or stage call is sent; a request without a permit goes to another endpoint or waits. Endpoints whose evacuation was withdrawn count as cold for the period of their pool. Results at cold endpoints are not released, since a release is a request as well.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointDirectory.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointDirectory.kt
@@ -14,6 +14,7 @@
  *
  * @property startedAt when this run of the endpoint started, in milliseconds since 1970; differs after a restart
  * @property isDraining whether the endpoint has announced that it is shutting down
+ * @property coldTimeLeft how much longer the endpoint was cold when it wrote the entry; zero when it was warm
  */
 data class EndpointEntry(
     val id: EndpointId,
@@ -23,6 +24,7 @@
     val slots: Int,
     val isDraining: Boolean,
     val startedAt: Long,
+    val coldTimeLeft: Duration = Duration.ZERO,
 ) {
     /** The run of the endpoint that this entry is about. */
     val run: EndpointRun get() = EndpointRun(id, startedAt)
@@ -90,6 +92,10 @@
     fun othersAtAddressOf(entry: EndpointEntry): List<EndpointRun> =
         entries.values.filter { it.address == entry.address && it.id != entry.id }.map { it.run }
 
+    /** The entries of the endpoints in [dataCentres]. */
+    fun entriesIn(dataCentres: Set<DataCentre>): List<EndpointEntry> =
+        if (dataCentres.isEmpty()) emptyList() else entries.values.filter { it.dataCentre in dataCentres }
+
     /** Returns whether the endpoint of [entry] is in an evacuated data centre. */
     fun isEvacuated(entry: EndpointEntry): Boolean = entry.dataCentre in evacuated
 
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/ServingConfiguration.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ServingConfiguration.kt
@@ -101,12 +101,14 @@
  * @property maximumConnections connections that one endpoint accepts in total
  * @property engine capacity of its model engines, or null when the pool runs no models
  * @property pieceProcessing how its endpoints process pieces, or null when the pool serves no preparation stage
+ * @property coldStart what its endpoints tolerate while they are cold, or null when they are never cold
  */
 data class ServingPool(
     val name: PoolName,
     val maximumConnections: Int,
     val engine: EngineCapacity? = null,
     val pieceProcessing: PieceProcessingProfile? = null,
+    val coldStart: ColdStart? = null,
 )
 
 /** Limits on the size and duration of the requests of callers. */
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -10,6 +10,7 @@
 import org.bilberryhead.core.memory.MemoryBudget
 import org.bilberryhead.core.memory.MemoryKind
 import org.bilberryhead.core.serving.CallerLimits
+import org.bilberryhead.core.serving.ColdStartLimit
 import org.bilberryhead.core.serving.CoordinatorDrain
 import org.bilberryhead.core.serving.DrainAdmission
 import org.bilberryhead.core.serving.EndpointDirectory
@@ -22,6 +23,7 @@
 import org.bilberryhead.daemon.SettingsError
 import org.bilberryhead.forwarding.caller.CallerServer
 import org.bilberryhead.forwarding.caller.CallerServerState
+import org.bilberryhead.forwarding.endpoint.ColdEndpoints
 import org.bilberryhead.forwarding.endpoint.EndpointAnnouncements
 import org.bilberryhead.forwarding.endpoint.Endpoints
 import org.bilberryhead.forwarding.http.Connector
@@ -78,9 +80,11 @@
     private val quarantine = QuarantineService(settings.id, thread, storeWriter, decisions, metrics, random)
     private val peers = Peers(settings.id, membership::members) { PeerClient(it, thread, decisions, connector) }
     private val directory = EndpointDirectory()
-    private val endpoints = Endpoints(thread, connector, directory, ::poolOf, membership::shareCount)
+    private val coldStartLimit = ColdStartLimit(settings.id, membership::knownIds)
+    private val cold = ColdEndpoints(thread, directory, ::poolOf, decisions, coldStartLimit)
+    private val endpoints = Endpoints(thread, connector, directory, ::poolOf, membership::shareCount, cold)
     private val connectionWaitQueue = ConnectionWaitQueue()
-    private val releaser = ResultReleaser(thread, memory, endpoints::byAddress, endpoints::isUsable)
+    private val releaser = ResultReleaser(thread, memory, endpoints::byAddress, endpoints::mayRelease)
     private val stageSchedulers = mutableMapOf<PoolName, StageScheduler>()
     private val stageClients = mutableMapOf<PoolName, StageCoordinatorClient>()
     private val servingContext = ServingContext(
@@ -112,6 +116,7 @@
         connectionWaitQueue.dispatchAll()
     }
     private val evacuationListener = EvacuationListener(decisions, { operatorWatch.lastResponseAt }) {
+        cold.evacuationsChanged(it)
         directory.evacuated = it
         connectionWaitQueue.dispatchAll()
     }
@@ -162,7 +167,9 @@
 
         override fun timeUntilFirstReturn(pool: PoolName): Duration? = endpoints.timeUntilFirstReturn(pool)
 
-        override fun maximumCalls(entry: EndpointEntry): Int = endpoints.maximumInFlight(entry)
+        override fun maximumCalls(entry: EndpointEntry): Int = endpoints.maximumCalls(entry)
+
+        override fun callSent(entry: EndpointEntry) = cold.recordSent(entry)
 
         override fun obstacleTo(entry: EndpointEntry): String? = endpoints.obstacleTo(entry)
 
@@ -190,6 +197,7 @@
         metrics.gauge("bilberry.endpoints.evacuated", "Endpoints that get nothing because of an evacuation") {
             directory.evacuatedCount
         }
+        metrics.gauge("bilberry.endpoints.cold", "Endpoints that are cold and get few requests") { cold.count }
         metrics.gauge("bilberry.quarantine.parts", "Parts of prompts that are refused because they crash endpoints") {
             quarantine.quarantinedCount
         }
@@ -217,6 +225,7 @@
         membership.start { endpointWatch.lastResponseAt }
         thread.every(EXPIRY_CHECK_INTERVAL) {
             endpointListener.removeExpired()
+            cold.observeMembers()
             // This entry's share of the connections may have grown.
             connectionWaitQueue.dispatchAll()
         }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/Endpoints.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/Endpoints.kt
@@ -21,6 +21,7 @@
  * The registry of the known endpoints, each with its load and connections.
  *
  * @param pools the configuration of a pool, or null for an unknown pool
+ * @property cold which endpoints are cold, and what may be sent to them
  * @param entryCount number of entries that share the connections that an endpoint accepts; null when this entry may
  *   open one only
  */
@@ -30,6 +31,7 @@
     private val directory: EndpointDirectory,
     private val pools: (PoolName) -> ServingPool?,
     private val entryCount: () -> Int?,
+    val cold: ColdEndpoints,
 ) {
     /** Which endpoints have asked for rest. */
     val rests = EndpointRests()
@@ -44,16 +46,20 @@
     /** Returns the endpoints of [pool] that accept new work. */
     fun usable(pool: PoolName): List<Endpoint> = directory.usable(pool).map(::getOrCreate)
 
-    /** Returns whether [endpoint] still accepts new work. */
+    /** Returns whether [endpoint] still accepts new work from this entry. */
     fun isUsable(endpoint: Endpoint): Boolean = obstacleTo(endpoint.entry) == null
 
-    /** Returns why the run of an endpoint that [entry] is about accepts no new work now, or null. */
+    /** Returns whether results at [endpoint] may be released; a cold one drops them itself after their retention. */
+    fun mayRelease(endpoint: Endpoint): Boolean = isUsable(endpoint) && !cold.isCold(endpoint.entry)
+
+    /** Returns why the run of an endpoint that [entry] is about accepts no new work from this entry now, or null. */
     fun obstacleTo(entry: EndpointEntry): String? {
         val current = directory.entry(entry.id)
         return when {
             current == null || current.isDraining || current.run != entry.run -> "the endpoint leaves"
             isResting(entry) -> "the endpoint rests"
             directory.isEvacuated(current) -> "its data centre is evacuated"
+            !cold.maySend(entry) -> "the endpoint is cold"
             else -> null
         }
     }
@@ -69,8 +75,19 @@
     fun maximumInFlight(entry: EndpointEntry): Int = rests.maximumInFlight(entry.run, entry.slots, thread.now())
 
     /** Returns whether another exchange with [endpoint] can start now. */
-    fun canSend(endpoint: Endpoint): Boolean =
-        endpoint.load.inFlight < maximumInFlight(endpoint.entry) && endpoint.connections.canAcquire()
+    fun canSend(endpoint: Endpoint): Boolean = endpoint.load.inFlight < maximumInFlight(endpoint.entry) &&
+        cold.maySend(endpoint.entry) &&
+        endpoint.connections.canAcquire()
+
+    /**
+     * Returns how many stage calls may be open at the endpoint of [entry]. At a cold one they follow one another, so
+     * that no call is prepared whose permit another one takes.
+     */
+    fun maximumCalls(entry: EndpointEntry): Int = when {
+        !cold.maySend(entry) -> 0
+        cold.isCold(entry) -> minOf(1, maximumInFlight(entry))
+        else -> maximumInFlight(entry)
+    }
 
     /** Returns the endpoint of [entry]; creates it when it is new or its process was restarted. */
     fun getOrCreate(entry: EndpointEntry): Endpoint {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/membership/MembershipService.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/membership/MembershipService.kt
@@ -48,6 +48,9 @@
     /** The members, including this entry. */
     val members: List<EntryRecord> get() = membership.members
 
+    /** The ids of the members, including this entry; null when this entry does not know who shares the limits. */
+    val knownIds: List<DaemonId>? get() = members.takeIf { it.size == shareCount }?.map { it.id }
+
     /** Whether this entry is the one that removes rows of entries that are gone. */
     val isRemover: Boolean get() = membership.isRemover
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptReplacement.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptReplacement.kt
@@ -88,7 +88,7 @@
 
     /** Takes the retry for [replacement] and returns null, or why it cannot be sent. */
     private fun obstacleTo(replacement: Attempt): String? = when {
-        !context.endpoints.isUsable(replacement.endpoint) -> "the other endpoint began to leave or to rest"
+        !context.endpoints.isUsable(replacement.endpoint) -> "the other endpoint accepts no new work"
         execution.isTooLate -> "the process ends soon"
         // Once the attempt has broken off, the retry has been taken.
         execution.attempt != null && !retries.take() -> "no retry is left"
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -166,7 +166,7 @@
     private fun sendAttempt(newAttempt: Attempt, connection: OutboundConnection) {
         val endpoint = newAttempt.endpoint
         if (!context.endpoints.isUsable(endpoint)) {
-            // It began to leave or to rest while the connection was opened, which is no failure.
+            // It began to leave or to rest while the connection was opened, or its last permit was used. No failure.
             newAttempt.cancel()
             attempt = null
             connection.release()
@@ -177,6 +177,7 @@
             return connection.release()
         }
         retries.recordSent()
+        context.endpoints.cold.recordSent(endpoint.entry)
         newAttempt.isSent = true
         decisionLog.attemptSent(endpoint, retries.attemptCount)
         val outbound =
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageScheduler.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/stage/StageScheduler.kt
@@ -15,13 +15,9 @@
 import org.bilberryhead.core.serving.ResultHandle
 import org.bilberryhead.core.serving.ResultMemory
 import org.bilberryhead.core.serving.StagePiece
-import org.bilberryhead.forwarding.DecisionLog
-import org.bilberryhead.forwarding.EventThread
 import org.bilberryhead.forwarding.Timer
 import org.bilberryhead.forwarding.http.ExchangeOutcome
 import org.bilberryhead.forwarding.http.OutboundRequest
-import org.bilberryhead.forwarding.http.ResponseHead
-import org.bilberryhead.forwarding.http.SingleExchange
 import org.bilberryhead.platform.wire.HeaderValues
 import org.bilberryhead.platform.wire.StageCodec
 import org.bilberryhead.platform.wire.StageCodec.PieceResult
@@ -52,37 +48,6 @@
     data class DeadlineUnreachable(val backlog: Duration) : PieceCallOutcome
 }
 
-/** Services and state of the process that a [StageScheduler] uses. */
-internal interface StageContext {
-    val thread: EventThread
-    val exchange: SingleExchange
-    val decisions: DecisionLog
-
-    /** Requests the endpoints to drop the results at [handles]; [onReleased] is called for each that was dropped. */
-    fun release(handles: List<ResultHandle>, onReleased: (ResultHandle) -> Unit)
-
-    /** Releases results of any pools through the coordinators of those pools. */
-    fun releaseThroughCoordinators(handles: List<ResultHandle>)
-
-    /** Whether this entry is draining. */
-    val isDraining: Boolean
-
-    /** Returns the endpoints of [pool] that accept new work. */
-    fun usableEndpoints(pool: PoolName): List<EndpointEntry>
-
-    /** Returns the time until the first endpoint of [pool] is back when all of them rest; null otherwise. */
-    fun timeUntilFirstReturn(pool: PoolName): Duration?
-
-    /** Returns how many calls may be open at the endpoint of [entry]: few while it returns from a rest. */
-    fun maximumCalls(entry: EndpointEntry): Int
-
-    /** Returns why the endpoint of [entry] gets no new call, or null when it may be called. */
-    fun obstacleTo(entry: EndpointEntry): String?
-
-    /** Reads what the endpoint of [entry] says about itself in [head], the head of its response. */
-    fun headReceived(entry: EndpointEntry, head: ResponseHead)
-}
-
 /**
  * Schedules the pieces of one pool: queues them, batches them into calls, selects an endpoint for each call, and
  * delivers the outcomes.
@@ -241,7 +206,10 @@
             endpoint.address,
             request(endpoint, pieces, now),
             timeout,
-            sent = inputs::callSent,
+            sent = {
+                context.callSent(endpoint)
+                inputs.callSent()
+            },
             obstacle = { context.obstacleTo(endpoint) },
             headReceived = { context.headReceived(endpoint, it) },
         ) { outcome ->
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EndpointListener.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EndpointListener.kt
@@ -22,14 +22,23 @@
     private val decisions: DecisionLog,
     private val onChange: () -> Unit,
 ) : TableListener {
-    private val texts = mutableMapOf<EndpointId, String>()
+    /** What this entry last read about an endpoint; the version is unknown for a row that came from a peer. */
+    private data class ReadRow(val text: String, val version: Long?)
+
+    private val rows = mutableMapOf<EndpointId, ReadRow>()
 
     /** Texts of the known endpoints' rows by endpoint id, for entries that cannot read the store. */
-    val newestTexts: Map<String, String> get() = texts.entries.associate { (id, text) -> id.value to text }
+    val newestTexts: Map<String, String> get() = rows.entries.associate { (id, row) -> id.value to row.text }
 
     /** Replaces what this entry last read from the store by the rows that a peer knows. */
-    fun replaceFromPeer(peerTexts: Map<String, String>) =
-        apply(directory.replaceAll(peerTexts.mapNotNull { (id, text) -> decode(id, text) }, thread.now()))
+    fun replaceFromPeer(peerTexts: Map<String, String>) = apply(
+        directory.replaceAll(
+            peerTexts.mapNotNull { (id, text) ->
+                decode(id, text, version = null)
+            },
+            thread.now(),
+        ),
+    )
 
     override fun onTableRead(rows: List<StoreRow>, afterOutage: Boolean) {
         val now = thread.now()
@@ -48,22 +57,29 @@
     /** Removes endpoints that have been expired for too long. */
     fun removeExpired() = apply(directory.dropExpired(thread.now()))
 
-    private fun decode(row: StoreRow): EndpointEntry? = row.value?.let { decode(row.key, it) }
+    private fun decode(row: StoreRow): EndpointEntry? = row.value?.let { decode(row.key, it, row.version) }
 
-    private fun decode(id: String, text: String): EndpointEntry? {
+    private fun decode(id: String, text: String, version: Long?): EndpointEntry? {
         val entry = EndpointEntryDecoder.decode(id, text)
         if (entry == null) {
             decisions.write("endpoint entry unreadable") { mapOf("endpoint" to id) }
         } else {
-            texts[entry.id] = text
+            recordRow(entry, ReadRow(text, version))
         }
         return entry
     }
 
+    /** A complete read brings rows that were read before, whose remaining times count from then on. */
+    private fun recordRow(entry: EndpointEntry, row: ReadRow) {
+        val previous = rows.put(entry.id, row)
+        val isKnown = previous?.text == row.text && (row.version == null || row.version == previous.version)
+        if (!isKnown) endpoints.cold.rowRead(entry)
+    }
+
     /** Applies [changes] that the directory has made. */
     fun apply(changes: List<EndpointChange>) {
         endpoints.applyChanges(changes)
-        changes.forEach { if (it is EndpointChange.Gone) texts.remove(it.id) }
+        changes.forEach { if (it is EndpointChange.Gone) rows.remove(it.id) }
         for (change in changes) {
             decisions.write("endpoint changed") {
                 mapOf("endpoint" to change.id, "change" to change::class.simpleName, "pool" to poolOf(change))
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LeavingEndpointTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LeavingEndpointTest.kt
@@ -130,7 +130,8 @@
                     )
                     val directory = EndpointDirectory()
                     val connector = Connector(thread, WireHeaders.REQUEST_ID)
-                    val endpoints = Endpoints(thread, connector, directory, pools = { null }, entryCount = { 1 })
+                    val cold = coldEndpoints(thread, directory)
+                    val endpoints = Endpoints(thread, connector, directory, { null }, entryCount = { 1 }, cold)
                     val outcome = CompletableFuture<ExchangeOutcome>()
                     val request =
                         OutboundRequest(HttpMethod.GET, "/a", DefaultHttpHeaders().add("Host", "h"), ByteArray(0))
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -109,6 +109,9 @@
     /** Number of exceptions that the entry did not expect. */
     val failureCount: Long get() = entryThread.failureCount
 
+    /** Number of endpoints that are cold, as far as the entry knows. */
+    fun coldCount(): Int = registry.find("bilberry.endpoints.cold").gauge()?.value()?.toInt() ?: 0
+
     /** Number of reports of the entry on crashes of endpoints. */
     val crashReportCount: Int get() = registry.find("bilberry.endpoint.crashes").counter()?.count()?.toInt() ?: 0
 
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/AdmissionWithEndpoint.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/AdmissionWithEndpoint.kt
@@ -27,6 +27,7 @@
 import org.bilberryhead.forwarding.caller.CallerListener
 import org.bilberryhead.forwarding.caller.CallerRequest
 import org.bilberryhead.forwarding.caller.ResponseWriter
+import org.bilberryhead.forwarding.coldEndpoints
 import org.bilberryhead.forwarding.endpoint.Endpoints
 import org.bilberryhead.forwarding.http.Connector
 import org.bilberryhead.forwarding.http.RequestBody
@@ -60,20 +61,24 @@
 }
 
 /** The admission of an entry that knows one endpoint of pool `p`. */
-internal class AdmissionWithEndpoint(endpoint: ScriptedEndpoint) : AutoCloseable {
+internal class AdmissionWithEndpoint(
+    endpoint: ScriptedEndpoint,
+    configurationText: String = LoopbackDeployment.CONFIGURATION,
+) : AutoCloseable {
     val clock = FailingClock()
     private val thread = EventThread(
         MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next() as EventLoop,
         clock,
     )
     private val directory = EndpointDirectory()
-    private val configuration = checkNotNull(ConfigurationDecoder.decode(LoopbackDeployment.CONFIGURATION))
+    private val configuration = checkNotNull(ConfigurationDecoder.decode(configurationText))
     private val endpoints = Endpoints(
         thread,
         Connector(thread, WireHeaders.REQUEST_ID),
         directory,
         configuration.pools::get,
         entryCount = { 1 },
+        cold = coldEndpoints(thread, directory, configuration.pools::get),
     )
     private val connector = Connector(thread, WireHeaders.REQUEST_ID)
     private val decisions = DecisionLog(linesPerSecond = 10, thread::now)
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/stage/FakeStageContext.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/stage/FakeStageContext.kt
@@ -35,6 +35,8 @@
 
     override fun maximumCalls(entry: EndpointEntry): Int = Int.MAX_VALUE
 
+    override fun callSent(entry: EndpointEntry) = Unit
+
     override fun obstacleTo(entry: EndpointEntry): String? = null
 
     override fun headReceived(entry: EndpointEntry, head: ResponseHead) = Unit
