--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/AdmissionWithEndpoint.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/AdmissionWithEndpoint.kt
@@ -61,17 +61,14 @@
 }
 
 /** The admission of an entry that knows one endpoint of pool `p`. */
-internal class AdmissionWithEndpoint(
-    endpoint: ScriptedEndpoint,
-    configurationText: String = LoopbackDeployment.CONFIGURATION,
-) : AutoCloseable {
+internal class AdmissionWithEndpoint(endpoint: ScriptedEndpoint) : AutoCloseable {
     val clock = FailingClock()
     private val thread = EventThread(
         MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next() as EventLoop,
         clock,
     )
     private val directory = EndpointDirectory()
-    private val configuration = checkNotNull(ConfigurationDecoder.decode(configurationText))
+    private val configuration = checkNotNull(ConfigurationDecoder.decode(LoopbackDeployment.CONFIGURATION))
     private val endpoints = Endpoints(
         thread,
         Connector(thread, WireHeaders.REQUEST_ID),
