Read the work time that endpoints on shared machines report

A load header with a fourth figure was discarded as a whole, so that these endpoints were placed without any report. Expected response times are scaled by the factor relative to its average over the learnt response times, so that the same slowness does not count twice. The cost of engines does not use the factor yet.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointLoad.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointLoad.kt
@@ -8,8 +8,15 @@
 import kotlin.time.DurationUnit
 import kotlin.time.Instant
 
-/** The load that an endpoint reported with a response. */
-data class LoadReport(val running: Int, val waiting: Int, val slots: Int)
+/**
+ * The load that an endpoint reported with a response.
+ *
+ * @property reportedFactor how much longer than usual work takes on the endpoint's machine; null when not reported
+ */
+data class LoadReport(val running: Int, val waiting: Int, val slots: Int, val reportedFactor: Double? = null) {
+    /** The reported factor, or 1 when there is none. */
+    val workTimeFactor: Double get() = reportedFactor ?: 1.0
+}
 
 /** How an exchange with an endpoint ended, as far as it matters for choosing endpoints. */
 enum class ExchangeResult {
@@ -29,16 +36,26 @@
 /**
  * Estimates the load, speed and failure rate of one endpoint. Load reports are corrected by the number of requests that
  * this entry has in flight itself, because reports are out of date when they are used.
+ *
+ * The reported work time factor counts only as far as it differs from its average over the learnt response times, so
+ * that the same slowness does not count twice. A factor that is always the same, also a wrong one, has no effect once
+ * response times are learnt.
  */
 class EndpointLoad(private val slots: Int, private val expectedTime: Duration) {
     private var report: LoadReport? = null
     private var reportedAt: Instant? = null
     private var inFlightAtReport = 0
     private var responseTimeEstimate = expectedTime
+
+    /** Average of the work time factor over the responses in [responseTimeEstimate]. */
+    private var learntFactor = 1.0
     private var failureRate = 0.0
     private var failureRateUpdatedAt: Instant? = null
     private var pendingSince = ArrayDeque<Instant>()
 
+    /** How much longer than usual work takes on the endpoint's machine. */
+    val workTimeFactor = WorkTimeFactor()
+
     /** Requests that were sent to the endpoint and whose responses are not complete. */
     var inFlight = 0
         private set
@@ -57,6 +74,8 @@
             ExchangeResult.SUCCEEDED -> {
                 responseTimeEstimate =
                     responseTimeEstimate * (1 - RESPONSE_TIME_WEIGHT) + elapsed * RESPONSE_TIME_WEIGHT
+                learntFactor = learntFactor * (1 - RESPONSE_TIME_WEIGHT) +
+                    workTimeFactor.current(now, usual = learntFactor) * RESPONSE_TIME_WEIGHT
                 recordOutcome(failed = false, now)
             }
 
@@ -70,6 +89,7 @@
         this.report = report
         reportedAt = now
         inFlightAtReport = inFlight
+        workTimeFactor.record(report, now)
     }
 
     /** Expected time until the response to a request that is sent now. Recent failures increase it. */
@@ -89,7 +109,8 @@
     /** Returns the estimated response time, raised when a request has been waiting for its response for a long time. */
     private fun currentResponseTime(now: Instant): Duration {
         val longestWait = pendingSince.firstOrNull()?.let { now - it } ?: Duration.ZERO
-        return maxOf(responseTimeEstimate, longestWait / 2)
+        val relativeFactor = workTimeFactor.current(now, usual = learntFactor) / learntFactor
+        return maxOf(responseTimeEstimate * relativeFactor, longestWait / 2)
     }
 
     private fun othersInFlight(now: Instant): Int {
