Choose among endpoints on shared machines by two random draws

Entries that read the same out-of-date speeds send to the same endpoint, whose queue then refuses work. Where endpoints without an engine report their work time, the faster of two endpoints drawn by expected time is chosen; other pools are chosen as before. Requests that are sent log the averaged factor.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptEndpointSelector.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptEndpointSelector.kt
@@ -1,6 +1,7 @@
 package org.bilberryhead.forwarding.request
 
 import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.serving.EndpointChoice
 import org.bilberryhead.core.serving.EndpointEntry
 import org.bilberryhead.core.serving.EndpointRests
 import org.bilberryhead.core.serving.ResultHandle
@@ -9,6 +10,8 @@
 
 /** Selects the endpoint to which a request is sent next. */
 internal class AttemptEndpointSelector(private val context: ServingContext) {
+    private val choice = EndpointChoice(context.random)
+
     /** The result of a selection. */
     sealed interface Selection {
         /** No endpoint of the pool is known. */
@@ -29,7 +32,7 @@
 
     /**
      * Selects an endpoint of the request's pool that can take another exchange: for prompts the one with the lowest
-     * placement cost, for other requests the one with the shortest expected response time.
+     * placement cost, for other requests one with a short expected response time.
      *
      * @param inputs results of the preparation stages that the endpoint will fetch
      * @param excluded endpoints at which the request has failed; considered only when the pool has no other
@@ -58,7 +61,7 @@
     private fun selectBest(request: AdmittedRequest, inputs: List<ResultHandle>, free: List<Endpoint>): Endpoint {
         val now = context.thread.now()
         val prompt = request.prompt
-        if (prompt == null || free.first().engine == null) return free.minBy { it.load.expectedResponseTime(now) }
+        if (prompt == null || free.first().engine == null) return choice.choose(free, Endpoint::load, now)
         val endpointByEntry = free.associateBy { it.entry }
         val engineOf = { entry: EndpointEntry -> checkNotNull(endpointByEntry.getValue(entry).engine) }
         val inputsDataCentre = dataCentreOfLargeInputs(request, inputs)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestDecisionLog.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestDecisionLog.kt
@@ -2,6 +2,7 @@
 
 import org.bilberryhead.forwarding.endpoint.Endpoint
 import kotlin.time.Duration
+import kotlin.time.Instant
 
 /** Writes the decisions on one request to the decision log, with the figures on which they were based. */
 internal class RequestDecisionLog(private val request: AdmittedRequest, private val context: ServingContext) {
@@ -25,7 +26,13 @@
             "expected_ms" to endpoint.load.expectedResponseTime(now).inWholeMilliseconds,
             "own_in_flight" to endpoint.load.inFlight,
             "fault_rate" to "%.2f".format(endpoint.load.currentFailureRate(now)),
-        )
+        ) + workTimeField(endpoint, now)
+    }
+
+    /** How much longer than usual work takes at [endpoint]; nothing when it does not report it. */
+    private fun workTimeField(endpoint: Endpoint, now: Instant): Map<String, Any> {
+        val factor = endpoint.load.workTimeFactor
+        return if (factor.isReported) mapOf("work_time" to "%.2f".format(factor.current(now))) else emptyMap()
     }
 
     /** The request is sent to [endpoint] now, as attempt number [attemptNumber]. */
