Reserve a share of the memory for streams that callers read slowly

Cause: an endpoint aborts a response that stays unread, so an entry has to buffer what a slow caller has not taken. There was no kind of memory for it, and the other kinds can hold the whole budget together.

Change: MemoryKind.STREAM_BACKLOG with a share of 8 % that the other kinds leave free. The other kinds together get 92 % of the budget instead of all of it.

--- a/core/src/main/kotlin/org/bilberryhead/core/memory/MemoryBudget.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/memory/MemoryBudget.kt
@@ -1,7 +1,16 @@
 package org.bilberryhead.core.memory
 
-/** What memory is held for. A kind may hold at most [share] of the whole budget, so that none displaces the others. */
-enum class MemoryKind(internal val share: Double) {
+/**
+ * What memory is held for. A kind may hold at most [share] of the whole budget, so that none displaces the others.
+ *
+ * @property isReserved whether the other kinds leave the whole share free
+ * @property unrefusedBytes size up to which a reservation is never refused
+ */
+enum class MemoryKind(
+    internal val share: Double,
+    internal val isReserved: Boolean = false,
+    internal val unrefusedBytes: Long = MemoryReservation.SMALL_BYTES,
+) {
     /** Bodies of requests of callers that are being read, wait, or are being served. */
     REQUEST_BODY(share = 0.75),
 
@@ -13,6 +22,12 @@
 
     /** Responses of other entries, of stage endpoints and of the store that are not complete yet. */
     OTHER_RESPONSE(share = 0.5),
+
+    /**
+     * Parts of streams that their callers have not taken yet. Reading can pause instead, so that nothing has to be
+     * granted beyond the share.
+     */
+    STREAM_BACKLOG(share = 0.08, isReserved = true, unrefusedBytes = 0),
 }
 
 /**
@@ -22,6 +37,7 @@
  */
 class MemoryBudget(val capacity: Long) {
     private val heldByKind = LongArray(MemoryKind.entries.size)
+    private val unreservedCapacity = capacity - MemoryKind.entries.sumOf { if (it.isReserved) limit(it) else 0L }
 
     /** Bytes that all kinds hold together. */
     val held: Long get() = heldByKind.sum()
@@ -36,7 +52,9 @@
     fun newReservation(kind: MemoryKind) = MemoryReservation(this, kind)
 
     internal fun hasRoom(kind: MemoryKind, bytes: Long): Boolean =
-        held(kind) + bytes <= limit(kind) && held + bytes <= capacity
+        held(kind) + bytes <= limit(kind) && (kind.isReserved || heldUnreserved + bytes <= unreservedCapacity)
+
+    private val heldUnreserved: Long get() = MemoryKind.entries.sumOf { if (it.isReserved) 0L else held(it) }
 
     internal fun add(kind: MemoryKind, bytes: Long) {
         heldByKind[kind.ordinal] += bytes
@@ -63,16 +81,21 @@
 
     /**
      * Changes the reservation to [newBytes]. Returns false, and changes nothing, when there is no room for more; up to
-     * [SMALL_BYTES] there always is.
+     * the unrefused size of the kind there always is.
      */
     fun tryResize(newBytes: Long): Boolean {
         val added = newBytes - bytes
-        if (added > 0 && newBytes > SMALL_BYTES && !budget.hasRoom(kind, added)) return false
-        budget.add(kind, added)
-        bytes = newBytes
+        if (added > 0 && newBytes > kind.unrefusedBytes && !budget.hasRoom(kind, added)) return false
+        resize(newBytes)
         return true
     }
 
+    /** Changes the reservation to [newBytes] even without room, for what has been received and can't be refused. */
+    internal fun resize(newBytes: Long) {
+        budget.add(kind, newBytes - bytes)
+        bytes = newBytes
+    }
+
     /** Returns what is reserved; has no effect when nothing is. */
     fun release() {
         budget.add(kind, -bytes)
