Read on from endpoints while callers of streams are slow

Cause: reading from an endpoint paused as soon as the connection of the caller was congested, and an endpoint aborts a response that stays unread.

Change: BufferedStreamWriter buffers events for a congested caller in a StreamBacklog and reports congestion only when that has no memory for the next read. The end of a stream, complete or broken off, follows what is buffered, at the deadline of the request at the latest. When the caller leaves, the buffer is dropped at once. The execution of requests is unchanged.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingMetrics.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingMetrics.kt
@@ -65,7 +65,7 @@
     /** Registers a gauge of the bytes that [kind] holds, which [value] returns. */
     fun memoryHeld(kind: MemoryKind, value: () -> Long) {
         Gauge.builder("bilberry.memory.held") { value() }
-            .description("Bytes that bodies hold, by kind")
+            .description("Bytes that requests and responses hold, by kind")
             .tag("kind", kind.name.lowercase())
             .register(registry)
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -330,6 +330,10 @@
             channel.close()
         }
 
+        override fun whenSent(action: () -> Unit) {
+            if (isOpen) channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { action() }
+        }
+
         /** Ends the response after an exception that was not expected: whether the request has run is unknown. */
         fun fail() {
             if (isStarted) return abort()
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerRequest.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerRequest.kt
@@ -50,6 +50,9 @@
 
     /** Closes the connection, so that the caller sees the response as incomplete. */
     fun abort()
+
+    /** Calls [action] when all that was written has been sent, or the connection has closed. */
+    fun whenSent(action: () -> Unit) = action()
 }
 
 /** Serves requests that were read completely. */
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestAdmission.kt
@@ -88,10 +88,12 @@
         context.retryBudget.countRequest(request.pool, now)
         request.route.stages.mapTo(mutableSetOf<PoolName>()) { it.pool }
             .forEach { context.retryBudget.countRequest(it, now) }
-        val execution = ForwardedRequestExecution(request, response, context) { executions -= it }
+        val writer = BufferedStreamWriter(response, request, context)
+        val execution = ForwardedRequestExecution(request, writer, context) { executions -= it }
+        writer.listener = execution
         executions += execution
         execution.start()
-        return execution
+        return writer
     }
 
     private fun admit(
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/AdmissionWithEndpoint.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/AdmissionWithEndpoint.kt
@@ -60,7 +60,10 @@
 }
 
 /** The admission of an entry that knows one endpoint of pool `p`. */
-internal class AdmissionWithEndpoint(endpoint: ScriptedEndpoint) : AutoCloseable {
+internal class AdmissionWithEndpoint(
+    endpoint: ScriptedEndpoint,
+    memory: MemoryBudget = MemoryBudget(capacity = 1_000_000),
+) : AutoCloseable {
     val clock = FailingClock()
     private val thread = EventThread(
         MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next() as EventLoop,
@@ -90,7 +93,7 @@
         decisions = decisions,
         metrics = metrics,
         random = Random(1),
-        memory = MemoryBudget(capacity = 1_000_000),
+        memory = memory,
     ).also { it.matcher = RouteMatcher(configuration) }
     private val admission = RequestAdmission(context)
 
