Hedge slow idempotent requests within a limit of all entries

A request whose endpoint became slow after it was sent was replaced only after the objective of its route, when it was already late. With hedgeRatio above 0 (the default, 0, changes and records nothing) it is sent to a second endpoint after the 95th percentile of its pool's response times of the last minute. The first complete response is forwarded, and the other attempt is ended with its connection. The hedges of all entries stay within the ratio as retries do, and each also takes a retry and an attempt. The silence check does not act while both attempts are running.

The time of an attempt that lost is a lower bound of its endpoint's response time, and a sample of the slow responses of the pool; otherwise a slow endpoint that always loses would not be known as slow, and the delay would shrink.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointLoad.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointLoad.kt
@@ -22,6 +22,9 @@
     /** The endpoint sent a failure, an incomplete response or none. */
     FAILED,
 
+    /** This side cancelled the exchange because another endpoint answered first; its time is a lower bound. */
+    OVERTAKEN,
+
     /** This side cancelled the exchange, which does not count against the endpoint. */
     ABANDONED,
 }
@@ -55,12 +58,13 @@
         pendingSince.remove(now - elapsed)
         when (result) {
             ExchangeResult.SUCCEEDED -> {
-                responseTimeEstimate =
-                    responseTimeEstimate * (1 - RESPONSE_TIME_WEIGHT) + elapsed * RESPONSE_TIME_WEIGHT
+                recordResponseTime(elapsed)
                 recordOutcome(failed = false, now)
             }
 
             ExchangeResult.REFUSED, ExchangeResult.FAILED -> recordOutcome(failed = true, now)
+            // Without it, an endpoint that loses every time would never be known as slow.
+            ExchangeResult.OVERTAKEN -> if (elapsed > responseTimeEstimate) recordResponseTime(elapsed)
             ExchangeResult.ABANDONED -> Unit
         }
     }
@@ -99,6 +103,10 @@
         return max(0, latest.running + latest.waiting - inFlightAtReport - 1)
     }
 
+    private fun recordResponseTime(elapsed: Duration) {
+        responseTimeEstimate = responseTimeEstimate * (1 - RESPONSE_TIME_WEIGHT) + elapsed * RESPONSE_TIME_WEIGHT
+    }
+
     private fun recordOutcome(failed: Boolean, now: Instant) {
         val current = currentFailureRate(now)
         failureRate = current * (1 - FAILURE_WEIGHT) + if (failed) FAILURE_WEIGHT else 0.0
--- /dev/null
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/HedgingTest.kt
@@ -0,0 +1,128 @@
+package org.bilberryhead.core.serving
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThanOrEqualTo
+import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
+import io.kotest.matchers.shouldBe
+import org.bilberryhead.core.common.PoolName
+import org.bilberryhead.core.serving.ResponseTimeWindow.Companion.MINIMUM_SAMPLES
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+private val start = Instant.fromEpochSeconds(1_000)
+private val pool = PoolName("p")
+private val possible = HedgeSituation(remaining = 1.seconds)
+
+private fun hedgingAt(ratio: Double = 0.1) = Hedging(RetryLimits(ratio, slack = 0.0))
+
+/** Knows response times of 1 to 100 ms and enough requests for 9 hedges. */
+private fun experienced() = hedgingAt().apply {
+    (1..100).forEach { recordResponseTime(pool, it.milliseconds, start) }
+    repeat(100) { countRequest(pool, start) }
+}
+
+private infix fun Duration?.shouldBeAbout(expected: Duration) {
+    checkNotNull(this)
+    this shouldBeGreaterThanOrEqualTo expected * 0.98
+    this shouldBeLessThanOrEqualTo expected * 1.02
+}
+
+class HedgingTest :
+    DescribeSpec({
+        describe("the delay of a hedge") {
+            it("is the 95th percentile, so that few fast requests are hedged") {
+                experienced().delay(pool, start) shouldBeAbout 95.milliseconds
+            }
+
+            it("is unknown with too few response times, so that a start does not hedge at random") {
+                val hedging = hedgingAt()
+                repeat(MINIMUM_SAMPLES - 1) { hedging.recordResponseTime(pool, 5.milliseconds, start) }
+                hedging.delay(pool, start) shouldBe null
+                hedging.obstacleTo(pool, possible, start) shouldBe HedgeObstacle.FEW_SAMPLES
+                hedging.recordResponseTime(pool, 5.milliseconds, start)
+                hedging.delay(pool, start) shouldBeAbout 5.milliseconds
+                hedging.delay(PoolName("other"), start) shouldBe null
+            }
+
+            it("follows the last minute, so that a past slowdown does not stop hedges") {
+                val hedging = experienced()
+                val later = start + 55.seconds
+                repeat(MINIMUM_SAMPLES) { hedging.recordResponseTime(pool, 5.milliseconds, later) }
+                hedging.delay(pool, later) shouldBeAbout 93.milliseconds
+                hedging.delay(pool, start + 65.seconds) shouldBeAbout 5.milliseconds
+                hedging.delay(pool, start + 3_600.seconds) shouldBe null
+            }
+
+            it("does not shrink when slow attempts are ended by their hedges") {
+                val hedging = experienced()
+                val now = start + 1.seconds
+                repeat(95) { hedging.recordResponseTime(pool, (it + 1).milliseconds, now) }
+                repeat(5) { hedging.recordUnanswered(pool, 97.milliseconds, now) }
+                hedging.recordUnanswered(pool, 1.milliseconds, now)
+                hedging.delay(pool, now) shouldBeAbout 95.milliseconds
+            }
+        }
+
+        describe("a request that is slow") {
+            it("is hedged when nothing stands against it") {
+                experienced().obstacleTo(pool, possible, start) shouldBe null
+            }
+
+            val obstacles = mapOf(
+                possible.copy(hasResponseBegun = true) to HedgeObstacle.RESPONSE_BEGUN,
+                possible.copy(isDraining = true) to HedgeObstacle.DRAINING,
+                possible.copy(doRequestsWait = true) to HedgeObstacle.REQUESTS_WAIT,
+                possible.copy(remaining = 40.milliseconds) to HedgeObstacle.SHORT_TIME,
+                possible.copy(hasEndpoint = false) to HedgeObstacle.NO_ENDPOINT,
+                possible.copy(isQuarantined = true) to HedgeObstacle.QUARANTINED,
+                possible.copy(hasRetry = false) to HedgeObstacle.NO_RETRY,
+            )
+            for ((situation, obstacle) in obstacles) {
+                it("is not hedged because of $obstacle") {
+                    experienced().obstacleTo(pool, situation, start) shouldBe obstacle
+                }
+            }
+        }
+
+        describe("the limit of hedges") {
+            it("is not reached by asking, and is reached by taking") {
+                val hedging = experienced()
+                repeat(20) { hedging.obstacleTo(pool, possible, start) shouldBe null }
+                List(20) { hedging.take(pool, start) }.count { it } shouldBe 9
+                hedging.obstacleTo(pool, possible, start) shouldBe HedgeObstacle.LIMIT
+            }
+
+            it("is kept by all entries together, though they get different numbers of requests") {
+                val random = Random(11)
+                val entries = List(28) { hedgingAt(ratio = 0.1) }
+                val requests = mutableListOf<Instant>()
+                val hedges = mutableListOf<Instant>()
+                for (step in 0 until 6_000) {
+                    val now = start + (step * 5).milliseconds
+                    val entry = entries[minOf(random.nextInt(entries.size), random.nextInt(entries.size))]
+                    entry.countRequest(pool, now)
+                    requests += now
+                    if (entry.take(pool, now)) hedges += now
+                }
+                hedges.size shouldBeGreaterThanOrEqualTo requests.size / 20
+                for (end in hedges) {
+                    val window = end - 10.seconds..end
+                    hedges.count { it in window && it > window.start }.toDouble() shouldBeLessThanOrEqualTo
+                        0.1 * requests.count { it in window && it > window.start }
+                }
+            }
+
+            it("of 0 records nothing, also after a reload, so that old response times do not count later") {
+                val hedging = experienced()
+                hedging.limits = hedging.limits.copy(ratio = 0.0)
+                repeat(100) { hedging.recordResponseTime(pool, 5.milliseconds, start) }
+                hedging.delay(pool, start) shouldBe null
+                hedging.take(pool, start) shouldBe false
+                hedging.limits = hedging.limits.copy(ratio = 0.1)
+                hedging.delay(pool, start) shouldBe null
+            }
+        }
+    })
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -95,7 +95,7 @@
         metrics = metrics,
         random = random,
         memory = memory,
-    )
+    ).also { it.hedging.limits = settings.hedgeLimits }
     private val admission = RequestAdmission(servingContext)
     private val endpointListener =
         EndpointListener(directory, endpoints, thread, decisions, connectionWaitQueue::dispatchAll)
@@ -300,11 +300,13 @@
         settings = settings.withReloadable(changed)
         decisions.linesPerSecond = settings.decisionLinesPerSecond
         servingContext.retryBudget.limits = settings.retryLimits
+        servingContext.hedging.limits = settings.hedgeLimits
         log.atInfo {
             message = "reloaded"
             payload = mapOf(
                 "retry_ratio" to settings.retryRatio,
                 "retry_slack" to settings.retrySlack,
+                "hedge_ratio" to settings.hedgeRatio,
                 "seeds" to settings.seeds.size,
                 "waits_for_start" to (settings != changed),
                 "configuration" to servingContext.matcher?.configuration?.version,
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingMetrics.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingMetrics.kt
@@ -48,6 +48,20 @@
         .register(registry)
         .increment()
 
+    /** Counts a hedge by what became of it. */
+    fun hedge(outcome: String) = Counter.builder("bilberry.hedges")
+        .description("Second attempts beside a slow first one, by outcome: sent, and then one of the others")
+        .tag("outcome", outcome)
+        .register(registry)
+        .increment()
+
+    /** Counts a request that was not hedged for [reason]. */
+    fun hedgeNotAllowed(reason: String) = Counter.builder("bilberry.hedges.not.allowed")
+        .description("Requests that were not hedged, by reason")
+        .tag("reason", reason)
+        .register(registry)
+        .increment()
+
     /** Counts a crash of an endpoint, or another report of this entry on the same crash. */
     fun endpointCrashed() = Counter.builder("bilberry.endpoint.crashes")
         .description("Reports of this entry on crashes of endpoints that were about to answer prompts")
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingSettings.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingSettings.kt
@@ -28,6 +28,8 @@
  * @property retryRatio largest ratio of retries to requests of a pool, over all entries, in any [retryWindow]
  * @property retrySlack retries of a pool that are allowed beyond the ratio, over all entries, in any [retryWindow]
  * @property retryWindow length of the period to which [retryRatio] and [retrySlack] apply
+ * @property hedgeRatio largest ratio of hedges to requests of a pool that may be hedged, over all entries, in any
+ *   [retryWindow]; 0 switches hedging off
  * @property decisionLinesPerSecond largest number of decision log lines of one kind per second
  */
 @Serializable
@@ -50,17 +52,25 @@
     val retryRatio: Double = 0.2,
     val retrySlack: Double = 0.0,
     @Serializable(with = DurationTextSerializer::class) val retryWindow: Duration = 10.seconds,
+    val hedgeRatio: Double = 0.0,
     val decisionLinesPerSecond: Int = 100,
 ) : CheckedSettings {
     /** Limits of retries, from the settings above. */
     val retryLimits: RetryLimits get() = RetryLimits(retryRatio, retrySlack, retryWindow)
 
-    /** Returns these settings with the ones of [changed] that apply at run time: seeds, retry limits, log limit. */
+    /** Limits of hedges, from the settings above. */
+    val hedgeLimits: RetryLimits get() = RetryLimits(hedgeRatio, slack = 0.0, retryWindow)
+
+    /**
+     * Returns these settings with the ones of [changed] that apply at run time: seeds, limits of retries, of hedges and
+     * of log lines.
+     */
     fun withReloadable(changed: ForwardingSettings): ForwardingSettings = copy(
         seeds = changed.seeds,
         retryRatio = changed.retryRatio,
         retrySlack = changed.retrySlack,
         retryWindow = changed.retryWindow,
+        hedgeRatio = changed.hedgeRatio,
         decisionLinesPerSecond = changed.decisionLinesPerSecond,
     )
 
@@ -74,6 +84,7 @@
         if (!retryWindow.isPositive()) add(SettingsError("retryWindow", "$retryWindow is not positive"))
         if (retryRatio < 0) add(SettingsError("retryRatio", "$retryRatio is negative"))
         if (retrySlack < 0) add(SettingsError("retrySlack", "$retrySlack is negative"))
+        if (hedgeRatio !in 0.0..1.0) add(SettingsError("hedgeRatio", "$hedgeRatio is not between 0 and 1"))
         if (decisionLinesPerSecond < 1) add(SettingsError("decisionLinesPerSecond", "less than 1"))
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/QuarantineService.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/QuarantineService.kt
@@ -73,6 +73,9 @@
         thread.every(REMOVAL_CHECK_INTERVAL) { if (isRemover()) removeUnchangedRows() }
     }
 
+    /** Returns whether one of [parts] crashes endpoints, so that no prompt with it may be sent. */
+    fun isQuarantined(parts: List<PromptPartId>): Boolean = quarantine.quarantineOf(parts) != null
+
     /** Returns why the request [id] with the shared [parts] is refused, or null when it may be sent. */
     fun refusalOf(id: String?, parts: List<PromptPartId>): Refusal? {
         val found = quarantine.quarantineOf(parts) ?: return null
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/Attempt.kt
@@ -75,6 +75,9 @@
     private var firstEventAt: Instant? = null
     private var isProvenSound = false
 
+    /** Whether part of the response has arrived. */
+    val hasReceivedHead: Boolean get() = head != null
+
     /** Whether an event of the stream has arrived. */
     val hasReceivedEvent: Boolean get() = firstEventAt != null
 
@@ -257,9 +260,12 @@
         if (finish(ExchangeResult.FAILED)) exchange?.cancel()
     }
 
-    /** Ends the attempt for a reason that the endpoint did not cause, and counts no failure. */
-    fun cancel() {
-        if (finish(ExchangeResult.ABANDONED)) exchange?.cancel()
+    /**
+     * Ends the attempt, and counts no failure: for a reason that the endpoint did not cause, or because another one
+     * answered first if [isOvertaken].
+     */
+    fun cancel(isOvertaken: Boolean = false) {
+        if (finish(if (isOvertaken) ExchangeResult.OVERTAKEN else ExchangeResult.ABANDONED)) exchange?.cancel()
     }
 
     private fun failAsBroken(reason: String) {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ConnectionWaitQueue.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ConnectionWaitQueue.kt
@@ -30,6 +30,9 @@
         waiting[waiter.pool]?.remove(waiter)
     }
 
+    /** Returns whether requests of [pool] wait. */
+    fun hasWaiters(pool: PoolName): Boolean = !waiting[pool].isNullOrEmpty()
+
     /** Dispatches the waiters of [pool] in order, until the next one finds no free endpoint. */
     fun dispatch(pool: PoolName) {
         // A dispatch can free a connection at once; the dispatch in progress then goes on with it.
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -56,7 +56,10 @@
     private val retries = RequestRetries(request, context)
     private val failedEndpoints = mutableSetOf<Endpoint>()
     private val silenceCheck = SilenceCheck(request, context, failedEndpoints, { isStreaming }, ::retryElsewhere)
-    private val replacement = AttemptReplacement(request, context, failedEndpoints, retries, ReplaceableAttempt())
+    private val replaceable = ReplaceableAttempt()
+    private val replacement = AttemptReplacement(request, context, failedEndpoints, retries, replaceable)
+    private val hedge =
+        RequestHedge(request, context, failedEndpoints, retries, silenceCheck, decisionLog, replaceable)
 
     /** Runs a block; an exception that was not expected ends the request, so that its caller does not wait for ever. */
     private val guarded: (block: () -> Unit) -> Unit = { block ->
@@ -183,13 +186,17 @@
             OutboundRequests.create(request, endpoint.entry.id, inputs, eventOrder.lastDelivered, context.thread.now())
         newAttempt.send(outbound, connection)
         // The attempt may have failed already.
-        if (route.repeatRule.mayRepeat && attempt === newAttempt) silenceCheck.start(newAttempt)
+        if (route.repeatRule.mayRepeat && attempt === newAttempt) {
+            silenceCheck.start(newAttempt)
+            hedge.schedule(newAttempt)
+        }
     }
 
     private fun retryElsewhere(expiredAttempt: Attempt): Unit = guarded {
         if (retries.isAvailable() && context.maySend(request, isStreaming)) {
             decisionLog.attemptFailed(expiredAttempt.endpoint, "silent for too long", "try elsewhere")
             silenceCheck.stop()
+            hedge.replaced(expiredAttempt)
             failedEndpoints += expiredAttempt.endpoint
             replacement.start()
             // The results were released once the stream started, so another engine needs them computed again.
@@ -200,6 +207,7 @@
     override fun responseReceived(attempt: Attempt, response: FullResponse) {
         if (isFinished) return
         if (isStreaming) return abort("another endpoint did not resume the stream: status ${response.head.status}")
+        hedge.answered(attempt)
         respond(response, attempt.endpoint)
     }
 
@@ -230,11 +238,11 @@
 
     override fun attemptFailed(attempt: Attempt, failure: AttemptFailure, response: FullResponse?) {
         if (isFinished) return
-        if (attempt === this.attempt) {
-            currentAttemptFailed(attempt, failure, response)
-        } else {
-            failedEndpoints += attempt.endpoint
-            replacement.otherAttemptFailed(attempt, failure.reason)
+        failedEndpoints += attempt.endpoint
+        when {
+            hedge.absorb(attempt, failure) -> Unit
+            attempt === this.attempt -> currentAttemptFailed(attempt, failure, response)
+            else -> replacement.otherAttemptFailed(attempt, failure.reason)
         }
     }
 
@@ -244,7 +252,6 @@
         silenceCheck.stop()
         if (outcome == AttemptOutcome.NotSent && failed.isSent) retries.recordNotSent()
         attempt = null
-        failedEndpoints += endpoint
         if (replacement.takeBack(reason)) return
         val nextStep = if (isFinal) NextStep.ReportUnknown else retries.next(outcome)
         decisionLog.attemptFailed(endpoint, reason, nextStep.toString())
@@ -345,6 +352,7 @@
         deadlineTimer?.cancel()
         silenceCheck.stop()
         replacement.end()
+        hedge.end()
         attempt?.cancel()
         preparation?.end()
         decisionLog.requestEnded(status, reason, endpoint)
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestDecisionLog.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestDecisionLog.kt
@@ -55,6 +55,29 @@
         timeToFirstEvent = elapsed()
     }
 
+    /** A hedge is sent to [endpoint], [delay] after the first attempt was sent. */
+    fun hedgeSent(endpoint: Endpoint, delay: Duration) {
+        context.metrics.hedge("sent")
+        context.decisions.write("hedge sent") {
+            commonFields() + mapOf("endpoint" to endpoint.entry.id, "delay_ms" to delay.inWholeMilliseconds)
+        }
+    }
+
+    /** A hedge that was sent to [endpoint] has ended with [outcome]. */
+    fun hedgeEnded(endpoint: Endpoint, outcome: HedgeOutcome) {
+        val name = outcome.name.lowercase()
+        context.metrics.hedge(name)
+        context.decisions.write("hedge ended") {
+            commonFields() + mapOf("endpoint" to endpoint.entry.id, "outcome" to name)
+        }
+    }
+
+    /** The request is not hedged, or the connection for the hedge could not be used, for [reason]. */
+    fun hedgeNotAllowed(reason: String) {
+        context.metrics.hedgeNotAllowed(reason)
+        context.decisions.write("hedge not allowed") { commonFields() + mapOf("reason" to reason) }
+    }
+
     /** An attempt has failed; [nextStep] says what follows. */
     fun attemptFailed(endpoint: Endpoint?, reason: String, nextStep: String) =
         context.decisions.write("attempt failed") {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ServingContext.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ServingContext.kt
@@ -4,6 +4,8 @@
 import org.bilberryhead.core.memory.MemoryBudget
 import org.bilberryhead.core.serving.DrainAdmission
 import org.bilberryhead.core.serving.EnginePlacement
+import org.bilberryhead.core.serving.Hedging
+import org.bilberryhead.core.serving.RetryLimits
 import org.bilberryhead.core.serving.RouteMatcher
 import org.bilberryhead.core.serving.SharedRetryBudget
 import org.bilberryhead.forwarding.DecisionLog
@@ -32,6 +34,9 @@
     val random: Random,
     val memory: MemoryBudget,
 ) {
+    /** Decides on hedges; off until limits are set. */
+    val hedging = Hedging(RetryLimits(ratio = 0.0, slack = 0.0))
+
     /** Routes of the current configuration; null until the first configuration is known. */
     var matcher: RouteMatcher? = null
 
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ReloadTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ReloadTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import org.bilberryhead.core.common.DataCentre
+import org.bilberryhead.core.serving.ResponseTimeWindow
 import org.bilberryhead.daemon.SettingsError
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -38,6 +39,32 @@
                 }
             }
 
+            it("begins to hedge, and stops again") {
+                val slowRequests = AtomicInteger()
+                val endpoints = List(2) {
+                    ScriptedEndpoint {
+                        val isFirst = id.startsWith("slow") && slowRequests.getAndIncrement() % 2 == 0
+                        if (isFirst) awaitClose() else respond()
+                    }
+                }
+                LoopbackDeployment(LoopbackDeployment.CONFIGURATION, mapOf("p" to endpoints)).use { entry ->
+                    entry.reload(Ok(entry.settings.copy(hedgeRatio = 0.5)))
+                    repeat(ResponseTimeWindow.MINIMUM_SAMPLES) { entry.lookUp("fast$it") }
+                    entry.lookUp("slow1") shouldContain " 200 "
+                    entry.reload(Ok(entry.settings))
+                    entry.lookUp("slow2") shouldContain " 504 "
+                }
+                endpoints.forEach { it.close() }
+            }
+
+            it("rejects a ratio of hedges that is not one") {
+                withFailingEndpoints { entry ->
+                    for (ratio in listOf(-0.1, 1.1, Double.NaN)) {
+                        entry.settings.copy(hedgeRatio = ratio).check().map { it.path } shouldBe listOf("hedgeRatio")
+                    }
+                }
+            }
+
             it("keeps its settings when the new ones are invalid") {
                 withFailingEndpoints { entry ->
                     entry.reload(Err(listOf(SettingsError("retryRatio", "-1 is negative"))))
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/AdmissionWithEndpoint.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/AdmissionWithEndpoint.kt
@@ -14,6 +14,7 @@
 import org.bilberryhead.core.serving.EndpointDirectory
 import org.bilberryhead.core.serving.EndpointEntry
 import org.bilberryhead.core.serving.EnginePlacement
+import org.bilberryhead.core.serving.ResponseTimeWindow
 import org.bilberryhead.core.serving.RetryLimits
 import org.bilberryhead.core.serving.RouteMatcher
 import org.bilberryhead.core.serving.SharedRetryBudget
@@ -59,8 +60,19 @@
     }
 }
 
-/** The admission of an entry that knows one endpoint of pool `p`. */
-internal class AdmissionWithEndpoint(endpoint: ScriptedEndpoint) : AutoCloseable {
+/**
+ * The admission of an entry that knows the [scripted] endpoints as pool `p`.
+ *
+ * @param dataCentres data centres of the endpoints; `x`, that of the entry, for those that are not listed
+ * @param hedgeRatio largest ratio of hedges to requests
+ * @param retrySlack retries that are allowed beyond a ratio of the requests
+ */
+internal class AdmissionWithEndpoint(
+    vararg scripted: ScriptedEndpoint,
+    dataCentres: List<String> = emptyList(),
+    hedgeRatio: Double = 0.0,
+    retrySlack: Double = 50.0,
+) : AutoCloseable {
     val clock = FailingClock()
     private val thread = EventThread(
         MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next() as EventLoop,
@@ -77,12 +89,13 @@
     )
     private val connector = Connector(thread, WireHeaders.REQUEST_ID)
     private val decisions = DecisionLog(linesPerSecond = 10, thread::now)
-    private val metrics = ForwardingMetrics(newMeterRegistry())
+    private val registry = newMeterRegistry()
+    private val metrics = ForwardingMetrics(registry)
     private val storeWriter = StoreWriter(SocketAddress("127.0.0.1", 1), SingleExchange(thread, connector))
     private val context = ServingContext(
         thread = thread,
         endpoints = endpoints,
-        retryBudget = SharedRetryBudget(RetryLimits(ratio = 0.2, slack = 50.0, window = 10.seconds)) { 1 },
+        retryBudget = SharedRetryBudget(RetryLimits(ratio = 0.2, slack = retrySlack, window = 10.seconds)) { 1 },
         placement = EnginePlacement(DataCentre("x")),
         stageClient = { null },
         connectionWaitQueue = ConnectionWaitQueue(),
@@ -91,30 +104,51 @@
         metrics = metrics,
         random = Random(1),
         memory = MemoryBudget(capacity = 1_000_000),
-    ).also { it.matcher = RouteMatcher(configuration) }
+    ).also {
+        it.matcher = RouteMatcher(configuration)
+        it.hedging.limits = RetryLimits(hedgeRatio, slack = 0.0)
+    }
     private val admission = RequestAdmission(context)
 
-    private val endpointEntry = endpoint.address.split(':').let { (host, port) ->
+    private val endpointEntries = scripted.mapIndexed { index, endpoint ->
+        val (host, port) = endpoint.address.split(':')
         EndpointEntry(
-            id = EndpointId("p-0"),
+            id = EndpointId("p-$index"),
             pool = PoolName("p"),
             address = SocketAddress(host, port.toInt()),
-            dataCentre = DataCentre("x"),
+            dataCentre = DataCentre(dataCentres.getOrElse(index) { "x" }),
             slots = 4,
             isDraining = false,
             startedAt = 1,
         )
     }
 
-    /** Share of recent exchanges of the endpoint that failed. */
+    private val endpointEntry = endpointEntries.first()
+
+    /** Share of recent exchanges of the first endpoint that failed. */
     val failureRate: Double
         get() = onThread { endpoints.getOrCreate(endpointEntry).load.currentFailureRate(thread.now()) }
 
     init {
-        onThread { directory.update(listOf(endpointEntry), emptyList(), thread.now()) }
+        onThread { directory.update(endpointEntries, emptyList(), thread.now()) }
+    }
+
+    /** Makes the entry expect responses after [time], with enough requests in the past for [hedges] hedges. */
+    fun expectResponsesAfter(time: Duration, hedges: Int) = onThread {
+        val now = thread.now()
+        repeat(ResponseTimeWindow.MINIMUM_SAMPLES) { context.hedging.recordResponseTime(PoolName("p"), time, now) }
+        repeat(hedges * REQUESTS_PER_HEDGE) { context.hedging.countRequest(PoolName("p"), now) }
     }
 
-    /** The endpoint rests for [period] from now on. */
+    /** Number of hedges that ended with [outcome], or that were `sent`. */
+    fun hedgeCount(outcome: String): Int =
+        registry.find("bilberry.hedges").tag("outcome", outcome).counter()?.count()?.toInt() ?: 0
+
+    /** Number of requests that were not hedged for [reason]. */
+    fun notHedgedCount(reason: String): Int =
+        registry.find("bilberry.hedges.not.allowed").tag("reason", reason).counter()?.count()?.toInt() ?: 0
+
+    /** The first endpoint rests for [period] from now on. */
     fun rest(period: Duration) = onThread { endpoints.rests.record(endpointEntry.run, period, thread.now()) }
 
     /** Serves a request of [writer]; the clock fails at the next reading after [failsBefore] or [failsAfter]. */
@@ -146,4 +180,9 @@
     override fun close() {
         thread.loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS)
     }
+
+    private companion object {
+        /** At the hedge ratio of the tests, 0.2, of which 0.9 are used. */
+        const val REQUESTS_PER_HEDGE = 6
+    }
 }
