Test that a lost hedge tells how slow an endpoint is at least

No test held that the time of an attempt that was ended raises the expected response time, but never lowers it.

--- a/core/src/test/kotlin/org/bilberryhead/core/serving/HedgingTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/HedgingTest.kt
@@ -87,6 +87,23 @@
             }
         }
 
+        describe("an endpoint whose attempts are ended because hedges answered first") {
+            it("is known as slow, so that it is not chosen again and again, and does not count as failed") {
+                val load = EndpointLoad(slots = 4, expectedTime = 10.milliseconds)
+                load.recordStart(start)
+                load.recordEnd(ExchangeResult.OVERTAKEN, 200.milliseconds, start + 200.milliseconds)
+                load.expectedResponseTime(start + 200.milliseconds) shouldBeAbout 38.5.milliseconds
+                load.currentFailureRate(start + 200.milliseconds) shouldBe 0.0
+            }
+
+            it("is not taken for fast when it was ended early") {
+                val load = EndpointLoad(slots = 4, expectedTime = 100.milliseconds)
+                load.recordStart(start)
+                load.recordEnd(ExchangeResult.OVERTAKEN, 5.milliseconds, start + 5.milliseconds)
+                load.expectedResponseTime(start + 5.milliseconds) shouldBe 100.milliseconds
+            }
+        }
+
         describe("the limit of hedges") {
             it("is not reached by asking, and is reached by taking") {
                 val hedging = experienced()
