--- a/core/src/main/kotlin/org/bilberryhead/core/serving/ColdStartLimit.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ColdStartLimit.kt
@@ -89,12 +89,10 @@
         val knownSince = membersKnownSince ?: return 0
         val current = members()?.takeIf { now - knownSince >= SETTLING_TIME } ?: return 0
         val permits = requestsPerSecond.toInt()
-        return if (current.size <=
-            permits
-        ) {
-            permits / current.size.coerceAtLeast(1)
-        } else {
-            ownedPermits(run, current, permits)
+        return when {
+            current.isEmpty() -> 0
+            current.size <= permits -> permits / current.size
+            else -> ownedPermits(run, current, permits)
         }
     }
 
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointChoice.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointChoice.kt
@@ -37,7 +37,7 @@
     private companion object {
         const val MINIMUM_EXPECTED_MS = 0.1
 
-        /** In simulation, draws without weights answered less in time, and exponents above 2 gave no further gain. */
+        /** Prefers fast endpoints without leaving the slow ones out, whose reports would become old. */
         const val WEIGHT_EXPONENT = 2.0
     }
 }
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointLoad.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointLoad.kt
@@ -29,6 +29,9 @@
     /** The endpoint sent a failure, an incomplete response or none. */
     FAILED,
 
+    /** This side cancelled the exchange because another endpoint answered first; its time is a lower bound. */
+    OVERTAKEN,
+
     /** This side cancelled the exchange, which does not count against the endpoint. */
     ABANDONED,
 }
@@ -72,14 +75,13 @@
         pendingSince.remove(now - elapsed)
         when (result) {
             ExchangeResult.SUCCEEDED -> {
-                responseTimeEstimate =
-                    responseTimeEstimate * (1 - RESPONSE_TIME_WEIGHT) + elapsed * RESPONSE_TIME_WEIGHT
-                learntFactor = learntFactor * (1 - RESPONSE_TIME_WEIGHT) +
-                    workTimeFactor.current(now, usual = learntFactor) * RESPONSE_TIME_WEIGHT
+                recordResponseTime(elapsed, now)
                 recordOutcome(failed = false, now)
             }
 
             ExchangeResult.REFUSED, ExchangeResult.FAILED -> recordOutcome(failed = true, now)
+            // Without it, an endpoint that loses every time would never be known as slow.
+            ExchangeResult.OVERTAKEN -> if (elapsed > responseTimeEstimate) recordResponseTime(elapsed, now)
             ExchangeResult.ABANDONED -> Unit
         }
     }
@@ -120,6 +122,12 @@
         return max(0, latest.running + latest.waiting - inFlightAtReport - 1)
     }
 
+    private fun recordResponseTime(elapsed: Duration, now: Instant) {
+        responseTimeEstimate = responseTimeEstimate * (1 - RESPONSE_TIME_WEIGHT) + elapsed * RESPONSE_TIME_WEIGHT
+        learntFactor = learntFactor * (1 - RESPONSE_TIME_WEIGHT) +
+            workTimeFactor.current(now, usual = learntFactor) * RESPONSE_TIME_WEIGHT
+    }
+
     private fun recordOutcome(failed: Boolean, now: Instant) {
         val current = currentFailureRate(now)
         failureRate = current * (1 - FAILURE_WEIGHT) + if (failed) FAILURE_WEIGHT else 0.0
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/WorkTimeFactor.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/WorkTimeFactor.kt
@@ -36,7 +36,7 @@
     private companion object {
         const val SAMPLE_WEIGHT = 0.5
 
-        /** Longer times gave more refusals in simulation, because the speeds change several times per second. */
+        /** The speed of a shared machine changes several times per second, so that older reports say little. */
         val DECAY_TIME = 600.milliseconds
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -99,7 +99,7 @@
         metrics = metrics,
         random = random,
         memory = memory,
-    )
+    ).also { it.hedging.ratio = settings.hedgeRatio }
     private val admission = RequestAdmission(servingContext)
     private val endpointListener =
         EndpointListener(directory, endpoints, thread, decisions, connectionWaitQueue::dispatchAll)
@@ -309,11 +309,13 @@
         settings = settings.withReloadable(changed)
         decisions.linesPerSecond = settings.decisionLinesPerSecond
         servingContext.retryBudget.limits = settings.retryLimits
+        servingContext.hedging.ratio = settings.hedgeRatio
         log.atInfo {
             message = "reloaded"
             payload = mapOf(
                 "retry_ratio" to settings.retryRatio,
                 "retry_slack" to settings.retrySlack,
+                "hedge_ratio" to settings.hedgeRatio,
                 "seeds" to settings.seeds.size,
                 "waits_for_start" to (settings != changed),
                 "configuration" to servingContext.matcher?.configuration?.version,
