--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/AdmissionWithEndpoint.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/AdmissionWithEndpoint.kt
@@ -141,7 +141,7 @@
     fun expectResponsesAfter(time: Duration, hedges: Int) = onThread {
         val now = thread.now()
         repeat(ResponseTimeWindow.MINIMUM_SAMPLES) { context.hedging.recordResponseTime(PoolName("p"), time, now) }
-        repeat(hedges * REQUESTS_PER_HEDGE) { context.hedging.countRequest(PoolName("p"), now) }
+        repeat(hedges * REQUESTS_PER_HEDGE) { context.hedging.countRequest(PoolName("p")) }
     }
 
     /** Number of hedges that ended with [outcome], or that were `sent`. */
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/SlowCallerTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/SlowCallerTest.kt
@@ -71,7 +71,7 @@
     handler: ScriptedEndpoint.Exchange.() -> Unit,
 ) : AutoCloseable {
     private val endpoint = ScriptedEndpoint(handler)
-    private val entry = AdmissionWithEndpoint(endpoint, memory)
+    private val entry = AdmissionWithEndpoint(endpoint, memory = memory)
     val writer = StalledWriter()
 
     val held: Long get() = entry.onThread { memory.held(MemoryKind.STREAM_BACKLOG) }
