Log the longest pause of each stream

Streams that begin in time can be late by a pause between two events, which no line of the log showed. The end of a request now has longest_pause_ms.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -216,7 +216,7 @@
         if (isFinished) return
         replacement.responseWentOn()
         val isFirst = !isStreaming
-        lastEventAt = context.thread.now()
+        lastEventAt = context.thread.now().also { now -> lastEventAt?.let { decisionLog.eventForwarded(now - it) } }
         if (isFirst) {
             responseWriter.start(head)
             preparation?.release()
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestDecisionLog.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestDecisionLog.kt
@@ -8,6 +8,7 @@
 internal class RequestDecisionLog(private val request: AdmittedRequest, private val context: ServingContext) {
     private var timeToFirstEvent: Duration? = null
     private var preparationTime: Duration? = null
+    private var longestPause: Duration? = null
     private var attemptCount = 0
 
     /** The figures by which each endpoint was selected. */
@@ -85,6 +86,11 @@
         context.decisions.write("hedge not allowed") { commonFields() + mapOf("reason" to reason) }
     }
 
+    /** Another event of the stream has been forwarded, [pause] after the one before it. */
+    fun eventForwarded(pause: Duration) {
+        longestPause = maxOf(longestPause ?: pause, pause)
+    }
+
     /** An attempt has failed; [nextStep] says what follows. */
     fun attemptFailed(endpoint: Endpoint?, reason: String, nextStep: String) =
         context.decisions.write("attempt failed") {
@@ -108,6 +114,7 @@
                 "attempts" to attemptCount,
                 "prepared_ms" to preparationTime?.inWholeMilliseconds,
                 "first_event_ms" to timeToFirstEvent?.inWholeMilliseconds,
+                "longest_pause_ms" to longestPause?.inWholeMilliseconds,
             )
         }
     }
