Clarify comments and names of the limits in core

Comments called releasing memory 'returning' it and left the bounds of constants unexplained; two private times of a cold run were named after events. Names now say until when a run is cold. No behaviour changes.

--- a/core/src/main/kotlin/org/bilberryhead/core/memory/MemoryBudget.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/memory/MemoryBudget.kt
@@ -4,12 +4,12 @@
  * What memory is held for. A kind may hold at most [share] of the whole budget, so that none displaces the others.
  *
  * @property isReserved whether the other kinds leave the whole share free
- * @property unrefusedBytes size up to which a reservation is never refused
+ * @property alwaysGrantedBytes size up to which a reservation is never refused
  */
 enum class MemoryKind(
     internal val share: Double,
     internal val isReserved: Boolean = false,
-    internal val unrefusedBytes: Long = MemoryReservation.SMALL_BYTES,
+    internal val alwaysGrantedBytes: Long = MemoryReservation.SMALL_BYTES,
 ) {
     /** Bodies of requests of callers that are being read, wait, or are being served. */
     REQUEST_BODY(share = 0.75),
@@ -27,7 +27,7 @@
      * Parts of streams that their callers have not taken yet. Reading can pause instead, so that nothing has to be
      * granted beyond the share.
      */
-    STREAM_BACKLOG(share = 0.08, isReserved = true, unrefusedBytes = 0),
+    STREAM_BACKLOG(share = 0.08, isReserved = true, alwaysGrantedBytes = 0),
 }
 
 /**
@@ -81,11 +81,11 @@
 
     /**
      * Changes the reservation to [newBytes]. Returns false, and changes nothing, when there is no room for more; up to
-     * the unrefused size of the kind there always is.
+     * [MemoryKind.alwaysGrantedBytes] there always is.
      */
     fun tryResize(newBytes: Long): Boolean {
         val added = newBytes - bytes
-        if (added > 0 && newBytes > kind.unrefusedBytes && !budget.hasRoom(kind, added)) return false
+        if (added > 0 && newBytes > kind.alwaysGrantedBytes && !budget.hasRoom(kind, added)) return false
         resize(newBytes)
         return true
     }
--- a/core/src/main/kotlin/org/bilberryhead/core/memory/StreamBacklog.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/memory/StreamBacklog.kt
@@ -30,7 +30,7 @@
         return isReserved
     }
 
-    /** Returns the memory for the next read, because nothing is read now. */
+    /** Releases the memory for the next read, because nothing is read now. */
     fun releaseRead() = reservation.resize(heldBytes)
 
     /** Removes and returns the oldest part, or returns null when there is none. */
@@ -41,7 +41,7 @@
         return part
     }
 
-    /** Drops all parts, and returns the memory, also that for the next read. */
+    /** Drops all parts and releases the memory, including that for the next read. */
     fun clear() {
         parts.clear()
         heldBytes = 0
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/ColdStartLimit.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ColdStartLimit.kt
@@ -27,19 +27,21 @@
  */
 class ColdStartLimit(private val own: DaemonId, private val members: () -> Collection<DaemonId>?) {
     private class ColdRun {
-        /** When the run is warm according to its row. */
-        var rowEnd = Instant.DISTANT_PAST
+        /** Until when the run is cold according to its row. */
+        var coldUntilByRow = Instant.DISTANT_PAST
 
-        /** When the run is warm after an evacuation of its data centre; its row may not know of that period. */
-        var returnEnd = Instant.DISTANT_PAST
+        /** Until when the run is cold after an evacuation of its data centre, which its row may not say. */
+        var coldUntilAfterEvacuation = Instant.DISTANT_PAST
+
+        /** When requests were sent to the run in the last second. */
         val sentAt = ArrayDeque<Instant>()
-        val end: Instant get() = maxOf(rowEnd, returnEnd)
+        val coldUntil: Instant get() = maxOf(coldUntilByRow, coldUntilAfterEvacuation)
     }
 
     private val runs = mutableMapOf<EndpointRun, ColdRun>()
     private var membersKnownSince: Instant? = null
 
-    /** Whether no run has been cold lately; always so in pools without cold starts. */
+    /** Whether no run is recorded as cold. Runs that have become warm are dropped when the next row is recorded. */
     val isEmpty: Boolean get() = runs.isEmpty()
 
     /** Notes whether the members are known. To be called regularly, also while no run is cold. */
@@ -49,29 +51,29 @@
 
     /** Records that a new row of [run] says at [now] that it stays cold for [remaining]; zero when it is warm. */
     fun recordRow(run: EndpointRun, remaining: Duration, now: Instant) {
-        dropOld(now)
+        dropWarmRuns(now)
         if (remaining > Duration.ZERO) {
-            runs.getOrPut(run, ::ColdRun).rowEnd = now + remaining
+            runs.getOrPut(run, ::ColdRun).coldUntilByRow = now + remaining
         } else {
-            runs[run]?.rowEnd = Instant.DISTANT_PAST
+            runs[run]?.coldUntilByRow = Instant.DISTANT_PAST
         }
     }
 
     /** Records that the evacuation of [run] was withdrawn at [now]; it counts as cold for [period]. */
     fun recordReturn(run: EndpointRun, period: Duration, now: Instant) {
-        dropOld(now)
-        if (period > Duration.ZERO) runs.getOrPut(run, ::ColdRun).returnEnd = now + period
+        dropWarmRuns(now)
+        if (period > Duration.ZERO) runs.getOrPut(run, ::ColdRun).coldUntilAfterEvacuation = now + period
     }
 
     /** Returns whether [run] is cold. */
-    fun isCold(run: EndpointRun, now: Instant): Boolean = runs[run]?.let { now < it.end } ?: false
+    fun isCold(run: EndpointRun, now: Instant): Boolean = runs[run]?.let { now < it.coldUntil } ?: false
 
-    /** The runs that are cold. */
-    fun coldRuns(now: Instant): List<EndpointRun> = runs.filterValues { now < it.end }.keys.toList()
+    /** Returns the runs that are cold. */
+    fun coldRuns(now: Instant): List<EndpointRun> = runs.filterValues { now < it.coldUntil }.keys.toList()
 
     /** Returns whether this entry may send to [run], which tolerates [requestsPerSecond] while it is cold. */
     fun maySend(run: EndpointRun, requestsPerSecond: Double, now: Instant): Boolean {
-        val cold = runs[run]?.takeIf { now < it.end } ?: return true
+        val cold = runs[run]?.takeIf { now < it.coldUntil } ?: return true
         dropOldSends(cold, now)
         return cold.sentAt.size < share(run, requestsPerSecond, now)
     }
@@ -107,11 +109,14 @@
         return if (ahead < permits) 1 else 0
     }
 
-    /** Sends count for a second, also when the run becomes cold again in that second. */
-    private fun dropOld(now: Instant) {
+    /**
+     * Drops warm runs to which nothing was sent in the last second. Sends count for a second even when the run becomes
+     * cold again in that second.
+     */
+    private fun dropWarmRuns(now: Instant) {
         if (runs.isEmpty()) return
         runs.values.forEach { dropOldSends(it, now) }
-        runs.values.removeAll { it.end <= now && it.sentAt.isEmpty() }
+        runs.values.removeAll { it.coldUntil <= now && it.sentAt.isEmpty() }
     }
 
     private fun dropOldSends(cold: ColdRun, now: Instant) {
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointChoice.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointChoice.kt
@@ -35,9 +35,10 @@
     }
 
     private companion object {
+        /** Keeps the weight finite when the expected time is zero. */
         const val MINIMUM_EXPECTED_MS = 0.1
 
-        /** Prefers fast endpoints without leaving the slow ones out, whose reports would become old. */
+        /** Prefers fast endpoints, and still chooses slow ones, since reports arrive only with responses. */
         const val WEIGHT_EXPONENT = 2.0
     }
 }
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointLoad.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointLoad.kt
@@ -80,7 +80,7 @@
             }
 
             ExchangeResult.REFUSED, ExchangeResult.FAILED -> recordOutcome(failed = true, now)
-            // Without it, an endpoint that loses every time would never be known as slow.
+            // Otherwise an endpoint whose attempts always lose to hedges would never be known as slow.
             ExchangeResult.OVERTAKEN -> if (elapsed > responseTimeEstimate) recordResponseTime(elapsed, now)
             ExchangeResult.ABANDONED -> Unit
         }
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/Hedging.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/Hedging.kt
@@ -128,6 +128,7 @@
     private fun earned(pool: PoolName): Double = earnedHedges[pool] ?: 0.0
 
     companion object {
+        /** Limits the hedges to about 5 % of the requests (Dean and Barroso, The Tail at Scale, 2013). */
         private const val DELAY_PERCENTILE = 95.0
         private const val MEDIAN = 50.0
 
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/ResponseTimeWindow.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ResponseTimeWindow.kt
@@ -47,6 +47,8 @@
         private val SLICE = 10.seconds
         private const val SLICE_COUNT = 6
         private val UNIT = 100.microseconds
+
+        /** Longer times are recorded as one minute. */
         private val HIGHEST_VALUE = (1.minutes / UNIT).toLong()
 
         /** An error of 1 % in the delay of a hedge does not matter; more digits take more memory. */
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/WorkTimeFactor.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/WorkTimeFactor.kt
@@ -7,7 +7,7 @@
 
 /**
  * Averages the work time factors that an endpoint reports. A single report is a noisy sample, because the speed of a
- * shared machine changes many times per second. Reports lose their weight with age.
+ * shared machine changes several times per second. Reports lose their weight with age.
  */
 class WorkTimeFactor {
     private var average = 1.0
