Clarify comments and names around hedges and cold endpoints

absorb and obstacleBeside did not say what they do; some state had no comment; an expression with nested lambdas and one broken over seven lines were hard to read. No behaviour changes.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -81,8 +81,8 @@
     private val peers = Peers(settings.id, membership::members) { PeerClient(it, thread, decisions, connector) }
     private val directory = EndpointDirectory()
     private val coldStartLimit = ColdStartLimit(settings.id, membership::knownIds)
-    private val cold = ColdEndpoints(thread, directory, ::poolOf, decisions, coldStartLimit)
-    private val endpoints = Endpoints(thread, connector, directory, ::poolOf, membership::shareCount, cold)
+    private val coldEndpoints = ColdEndpoints(thread, directory, ::poolOf, decisions, coldStartLimit)
+    private val endpoints = Endpoints(thread, connector, directory, ::poolOf, membership::shareCount, coldEndpoints)
     private val connectionWaitQueue = ConnectionWaitQueue()
     private val releaser = ResultReleaser(thread, memory, endpoints::byAddress, endpoints::mayRelease)
     private val stageSchedulers = mutableMapOf<PoolName, StageScheduler>()
@@ -116,7 +116,7 @@
         connectionWaitQueue.dispatchAll()
     }
     private val evacuationListener = EvacuationListener(decisions, { operatorWatch.lastResponseAt }) {
-        cold.evacuationsChanged(it)
+        coldEndpoints.evacuationsChanged(it)
         directory.evacuated = it
         connectionWaitQueue.dispatchAll()
     }
@@ -169,7 +169,7 @@
 
         override fun maximumCalls(entry: EndpointEntry): Int = endpoints.maximumCalls(entry)
 
-        override fun callSent(entry: EndpointEntry) = cold.recordSent(entry)
+        override fun callSent(entry: EndpointEntry) = coldEndpoints.recordSent(entry)
 
         override fun obstacleTo(entry: EndpointEntry): String? = endpoints.obstacleTo(entry)
 
@@ -197,7 +197,9 @@
         metrics.gauge("bilberry.endpoints.evacuated", "Endpoints that get nothing because of an evacuation") {
             directory.evacuatedCount
         }
-        metrics.gauge("bilberry.endpoints.cold", "Endpoints that are cold and get few requests") { cold.count }
+        metrics.gauge("bilberry.endpoints.cold", "Endpoints that are cold and get few requests") {
+            coldEndpoints.count
+        }
         metrics.gauge("bilberry.quarantine.parts", "Parts of prompts that are refused because they crash endpoints") {
             quarantine.quarantinedCount
         }
@@ -225,7 +227,7 @@
         membership.start { endpointWatch.lastResponseAt }
         thread.every(EXPIRY_CHECK_INTERVAL) {
             endpointListener.removeExpired()
-            cold.observeMembers()
+            coldEndpoints.observeMembers()
             // This entry's share of the connections may have grown.
             connectionWaitQueue.dispatchAll()
         }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerConnection.kt
@@ -331,6 +331,7 @@
         }
 
         override fun whenSent(action: () -> Unit) {
+            // An empty write completes after all earlier ones.
             if (isOpen) channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { action() }
         }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerRequest.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/caller/CallerRequest.kt
@@ -51,7 +51,7 @@
     /** Closes the connection, so that the caller sees the response as incomplete. */
     fun abort()
 
-    /** Calls [action] when all that was written has been sent, or the connection has closed. */
+    /** Calls [action] when all that was written has been sent, or the connection closes before. */
     fun whenSent(action: () -> Unit) = action()
 }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/Endpoints.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/Endpoints.kt
@@ -21,9 +21,9 @@
  * The registry of the known endpoints, each with its load and connections.
  *
  * @param pools the configuration of a pool, or null for an unknown pool
- * @property cold which endpoints are cold, and what may be sent to them
  * @param entryCount number of entries that share the connections that an endpoint accepts; null when this entry may
  *   open one only
+ * @property cold which endpoints are cold, and what may be sent to them
  */
 internal class Endpoints(
     private val thread: EventThread,
@@ -49,7 +49,10 @@
     /** Returns whether [endpoint] still accepts new work from this entry. */
     fun isUsable(endpoint: Endpoint): Boolean = obstacleTo(endpoint.entry) == null
 
-    /** Returns whether results at [endpoint] may be released; a cold one drops them itself after their retention. */
+    /**
+     * Returns whether results at [endpoint] may be released. Releases would count as requests to a cold endpoint, which
+     * drops the results itself after their retention.
+     */
     fun mayRelease(endpoint: Endpoint): Boolean = isUsable(endpoint) && !cold.isCold(endpoint.entry)
 
     /** Returns why the run of an endpoint that [entry] is about accepts no new work from this entry now, or null. */
@@ -80,8 +83,8 @@
         endpoint.connections.canAcquire()
 
     /**
-     * Returns how many stage calls may be open at the endpoint of [entry]. At a cold one they follow one another, so
-     * that no call is prepared whose permit another one takes.
+     * Returns how many stage calls may be open at the endpoint of [entry]. At a cold one it is one at a time,
+     * so that no call is prepared for a permit that another call takes.
      */
     fun maximumCalls(entry: EndpointEntry): Int = when {
         !cold.maySend(entry) -> 0
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/BufferedStreamWriter.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/BufferedStreamWriter.kt
@@ -16,7 +16,7 @@
     private val context: ServingContext,
 ) : ResponseWriter by caller,
     CallerListener {
-    /** Receives what the caller does; it has caught up when more can be read for it. */
+    /** Is told when the caller disconnects, and when more can be read for it. */
     lateinit var listener: CallerListener
 
     private val backlog = StreamBacklog(context.memory)
@@ -24,10 +24,12 @@
     /** Whether the stream has ended: nothing follows what is buffered. */
     private var isEnding = false
 
-    /** What ends the response once the backlog is empty; null before the end of the stream, and when it was called. */
+    /** Ends the response once the backlog is empty; null before the end of the stream and after the call. */
     private var end: (() -> Unit)? = null
     private var deadlineTimer: Timer? = null
     private var isDelivering = false
+
+    /** Whether anything has been buffered. */
     private var hasBeenBehind = false
 
     /** Bytes that may still be written since the caller has caught up. */
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -216,7 +216,9 @@
         if (isFinished) return
         replacement.responseWentOn()
         val isFirst = !isStreaming
-        lastEventAt = context.thread.now().also { now -> lastEventAt?.let { decisionLog.eventForwarded(now - it) } }
+        val now = context.thread.now()
+        lastEventAt?.let { decisionLog.eventForwarded(now - it) }
+        lastEventAt = now
         if (isFirst) {
             responseWriter.start(head)
             preparation?.release()
@@ -241,7 +243,7 @@
         if (isFinished) return
         failedEndpoints += attempt.endpoint
         when {
-            hedge.absorb(attempt, failure) -> Unit
+            hedge.handleFailure(attempt, failure) -> Unit
             attempt === this.attempt -> currentAttemptFailed(attempt, failure, response)
             else -> replacement.otherAttemptFailed(attempt, failure.reason)
         }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestHedge.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestHedge.kt
@@ -53,7 +53,11 @@
 
     /** Whether a hedge was sent, or the silence check acted on the request. */
     private var isDone = false
+
+    /** Whether the request was counted as one that may be hedged. */
     private var isCounted = false
+
+    /** When each attempt was sent. */
     private val sentAt = mutableMapOf<Attempt, Instant>()
 
     /** Hedges [attempt], which is sent now, after the delay of its pool; does nothing if the request is not hedged. */
@@ -73,7 +77,7 @@
     private fun connect(first: Attempt) {
         if (execution.attempt !== first || isDone || !context.hedging.isEnabled) return
         val endpoint = HedgeEndpointSelector(context).select(request, execution.inputs, first.endpoint, tried)
-        val obstacle = obstacleBeside(first, hasEndpoint = endpoint != null)
+        val obstacle = currentObstacle(first, hasEndpoint = endpoint != null)
         if (endpoint == null || obstacle != null) return decisionLog.hedgeNotAllowed(checkNotNull(obstacle).label)
         val hedge = execution.newAttempt(endpoint)
         candidate = hedge
@@ -85,7 +89,7 @@
         )
     }
 
-    private fun obstacleBeside(first: Attempt, hasEndpoint: Boolean): HedgeObstacle? {
+    private fun currentObstacle(first: Attempt, hasEndpoint: Boolean): HedgeObstacle? {
         val now = context.thread.now()
         val situation = HedgeSituation(
             remaining = request.deadline - now,
@@ -101,7 +105,7 @@
 
     private fun useConnection(first: Attempt, hedge: Attempt, connection: OutboundConnection) {
         if (candidate !== hedge) return connection.release()
-        val obstacle = obstacleBeside(first, context.endpoints.isUsable(hedge.endpoint)) ?: takeFromLimits()
+        val obstacle = currentObstacle(first, context.endpoints.isUsable(hedge.endpoint)) ?: takeFromLimits()
         if (obstacle == null) return send(first, hedge, connection)
         dropCandidate()
         connection.release()
@@ -152,15 +156,15 @@
     }
 
     /**
-     * Returns whether the failure of [failed] changes nothing but that the other attempt is the only one left. No retry
-     * is taken for it.
+     * Handles the failure of [failed] when the other attempt can go on alone, without taking a retry. Returns false
+     * when it cannot, so that the usual rule for failures applies.
      */
-    fun absorb(failed: Attempt, failure: AttemptFailure): Boolean {
+    fun handleFailure(failed: Attempt, failure: AttemptFailure): Boolean {
         val hedge = candidate
         if (failed === execution.attempt) timer?.cancel()
         if (failed === sent) reportOutcome(HedgeOutcome.FAILED)
         if (hedge == null || (failed !== hedge && failed !== execution.attempt)) return false
-        if (!hedge.isSent) return absorbUnsent(failed, failure)
+        if (!hedge.isSent) return handleFailureBeforeSending(failed, failure)
         candidate = null
         when (failure.outcome) {
             AttemptOutcome.NotSent -> retries.recordNotSent()
@@ -177,7 +181,7 @@
     }
 
     /** Without a connection for the hedge the first attempt goes on; if that has failed, the request is sent again. */
-    private fun absorbUnsent(failed: Attempt, failure: AttemptFailure): Boolean {
+    private fun handleFailureBeforeSending(failed: Attempt, failure: AttemptFailure): Boolean {
         val isFirst = failed !== candidate
         dropCandidate()
         if (!isFirst) decisionLog.attemptFailed(failed.endpoint, failure.reason, "no hedge")
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EndpointListener.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EndpointListener.kt
@@ -31,14 +31,10 @@
     val newestTexts: Map<String, String> get() = rows.entries.associate { (id, row) -> id.value to row.text }
 
     /** Replaces what this entry last read from the store by the rows that a peer knows. */
-    fun replaceFromPeer(peerTexts: Map<String, String>) = apply(
-        directory.replaceAll(
-            peerTexts.mapNotNull { (id, text) ->
-                decode(id, text, version = null)
-            },
-            thread.now(),
-        ),
-    )
+    fun replaceFromPeer(peerTexts: Map<String, String>) {
+        val entries = peerTexts.mapNotNull { (id, text) -> decode(id, text, version = null) }
+        apply(directory.replaceAll(entries, thread.now()))
+    }
 
     override fun onTableRead(rows: List<StoreRow>, afterOutage: Boolean) {
         val now = thread.now()
@@ -69,7 +65,7 @@
         return entry
     }
 
-    /** A complete read brings rows that were read before, whose remaining times count from then on. */
+    /** Records [row]. Complete reads repeat known rows, whose remaining cold time counts from the first read. */
     private fun recordRow(entry: EndpointEntry, row: ReadRow) {
         val previous = rows.put(entry.id, row)
         val isKnown = previous?.text == row.text && (row.version == null || row.version == previous.version)
