--- a/core/src/test/kotlin/org/bilberryhead/core/memory/StreamBacklogTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/memory/StreamBacklogTest.kt
@@ -21,9 +21,14 @@
         val kind = MemoryKind.STREAM_BACKLOG
 
         /** Adds parts as long as the stream may be read; returns how many. */
-        fun StreamBacklog.fill(): Int = generateSequence {
-            tryReserveRead()
-        }.takeWhile { it }.onEach { add(ByteArray(10_000)) }.count()
+        fun StreamBacklog.fill(): Int {
+            var count = 0
+            while (tryReserveRead()) {
+                add(ByteArray(10_000))
+                count++
+            }
+            return count
+        }
 
         describe("the backlog of a stream") {
             it("never loses a part or changes the order, and holds nothing when all were taken") {
--- a/core/src/test/kotlin/org/bilberryhead/core/serving/ColdStartLimitTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/ColdStartLimitTest.kt
@@ -42,11 +42,11 @@
         private set
     val sent = mutableListOf<Instant>()
 
-    private fun newEntry(id: DaemonId) = Entry(
-        ColdStartLimit(id) {
-            views[id]
-        }.apply { recordRow(RUN, 1.hours, START) },
-    )
+    private fun newEntry(id: DaemonId): Entry {
+        val limit = ColdStartLimit(id) { views[id] }
+        limit.recordRow(RUN, 1.hours, START)
+        return Entry(limit)
+    }
 
     /** Kills some entries; they stay members until [expire]. */
     fun kill(count: Int) = entries.values.shuffled(random).take(count).forEach { it.isAlive = false }
@@ -71,6 +71,7 @@
         announce()
     }
 
+    /** Tells each entry the current members after a random time of up to 2 s. */
     private fun announce() = entries.keys.forEach { id ->
         val known = members
         val changedAt = now
@@ -83,6 +84,7 @@
         }
     }
 
+    /** Lets the entries that are alive send whenever they may, for [period]. */
     fun run(period: Duration) {
         val end = now + period
         while (now < end) {
@@ -106,11 +108,11 @@
     fun peak(): Int = sent.maxOf { first -> sent.count { it >= first && it < first + 1.seconds } }
 }
 
-private fun limit(members: List<DaemonId>?, own: DaemonId = DaemonId("entry-0")) = ColdStartLimit(own) {
-    members
-}.apply {
-    observeMembers(START)
-    recordRow(RUN, 1.hours, START)
+private fun limit(members: List<DaemonId>?, own: DaemonId = DaemonId("entry-0")): ColdStartLimit {
+    val limit = ColdStartLimit(own) { members }
+    limit.observeMembers(START)
+    limit.recordRow(RUN, 1.hours, START)
+    return limit
 }
 
 private fun ColdStartLimit.sendAll(now: Instant, run: EndpointRun = RUN): Int =
--- a/core/src/test/kotlin/org/bilberryhead/core/serving/HedgingTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/HedgingTest.kt
@@ -14,12 +14,11 @@
 
 private val start = Instant.fromEpochSeconds(1_000)
 private val pool = PoolName("p")
-private val possible = HedgeSituation(remaining = 1.seconds)
+/** A situation in which nothing stands against a hedge. */
+private val hedgeable = HedgeSituation(remaining = 1.seconds)
 
-private fun hedgingAt(ratio: Double = 0.1) = Hedging(ratio)
-
-/** Knows response times of 1 to 100 ms and enough requests for three hedges, which is the most that is kept. */
-private fun experienced() = hedgingAt().apply {
+/** Has response times of 1 to 100 ms and enough requests for three hedges, which is the most that is kept. */
+private fun hedgingWithHistory() = Hedging(ratio = 0.1).apply {
     (1..100).forEach { recordResponseTime(pool, it.milliseconds, start) }
     repeat(100) { countRequest(pool) }
 }
@@ -33,22 +32,22 @@
 class HedgingTest :
     DescribeSpec({
         describe("the delay of a hedge") {
-            it("is the 95th percentile, so that few fast requests are hedged") {
-                experienced().delay(pool, start) shouldBeAbout 95.milliseconds
+            it("is the 95th percentile, so that requests of usual duration are not hedged") {
+                hedgingWithHistory().delay(pool, start) shouldBeAbout 95.milliseconds
             }
 
-            it("is unknown with too few response times, so that a start does not hedge at random") {
-                val hedging = hedgingAt()
+            it("is unknown with too few response times, so that a new entry does not hedge at random") {
+                val hedging = Hedging(ratio = 0.1)
                 repeat(MINIMUM_SAMPLES - 1) { hedging.recordResponseTime(pool, 5.milliseconds, start) }
                 hedging.delay(pool, start) shouldBe null
-                hedging.obstacleTo(pool, possible, start) shouldBe HedgeObstacle.FEW_SAMPLES
+                hedging.obstacleTo(pool, hedgeable, start) shouldBe HedgeObstacle.FEW_SAMPLES
                 hedging.recordResponseTime(pool, 5.milliseconds, start)
                 hedging.delay(pool, start) shouldBeAbout 5.milliseconds
                 hedging.delay(PoolName("other"), start) shouldBe null
             }
 
             it("follows the last minute, so that a past slowdown does not stop hedges") {
-                val hedging = experienced()
+                val hedging = hedgingWithHistory()
                 val later = start + 55.seconds
                 repeat(MINIMUM_SAMPLES) { hedging.recordResponseTime(pool, 5.milliseconds, later) }
                 hedging.delay(pool, later) shouldBeAbout 93.milliseconds
@@ -57,7 +56,7 @@
             }
 
             it("does not shrink when slow attempts are ended by their hedges") {
-                val hedging = experienced()
+                val hedging = hedgingWithHistory()
                 val now = start + 1.seconds
                 repeat(95) { hedging.recordResponseTime(pool, (it + 1).milliseconds, now) }
                 repeat(5) { hedging.recordUnanswered(pool, 97.milliseconds, now) }
@@ -68,21 +67,21 @@
 
         describe("a request that is slow") {
             it("is hedged when nothing stands against it") {
-                experienced().obstacleTo(pool, possible, start) shouldBe null
+                hedgingWithHistory().obstacleTo(pool, hedgeable, start) shouldBe null
             }
 
             val obstacles = mapOf(
-                possible.copy(hasResponseBegun = true) to HedgeObstacle.RESPONSE_BEGUN,
-                possible.copy(isDraining = true) to HedgeObstacle.DRAINING,
-                possible.copy(doRequestsWait = true) to HedgeObstacle.REQUESTS_WAIT,
-                possible.copy(remaining = 40.milliseconds) to HedgeObstacle.SHORT_TIME,
-                possible.copy(hasEndpoint = false) to HedgeObstacle.NO_ENDPOINT,
-                possible.copy(isQuarantined = true) to HedgeObstacle.QUARANTINED,
-                possible.copy(hasRetry = false) to HedgeObstacle.NO_RETRY,
+                hedgeable.copy(hasResponseBegun = true) to HedgeObstacle.RESPONSE_BEGUN,
+                hedgeable.copy(isDraining = true) to HedgeObstacle.DRAINING,
+                hedgeable.copy(doRequestsWait = true) to HedgeObstacle.REQUESTS_WAIT,
+                hedgeable.copy(remaining = 40.milliseconds) to HedgeObstacle.SHORT_TIME,
+                hedgeable.copy(hasEndpoint = false) to HedgeObstacle.NO_ENDPOINT,
+                hedgeable.copy(isQuarantined = true) to HedgeObstacle.QUARANTINED,
+                hedgeable.copy(hasRetry = false) to HedgeObstacle.NO_RETRY,
             )
             for ((situation, obstacle) in obstacles) {
                 it("is not hedged because of $obstacle") {
-                    experienced().obstacleTo(pool, situation, start) shouldBe obstacle
+                    hedgingWithHistory().obstacleTo(pool, situation, start) shouldBe obstacle
                 }
             }
         }
@@ -106,15 +105,15 @@
 
         describe("the limit of hedges") {
             it("is not reached by asking, and is reached by taking") {
-                val hedging = experienced()
-                repeat(20) { hedging.obstacleTo(pool, possible, start) shouldBe null }
+                val hedging = hedgingWithHistory()
+                repeat(20) { hedging.obstacleTo(pool, hedgeable, start) shouldBe null }
                 List(20) { hedging.take(pool) }.count { it } shouldBe 3
-                hedging.obstacleTo(pool, possible, start) shouldBe HedgeObstacle.LIMIT
+                hedging.obstacleTo(pool, hedgeable, start) shouldBe HedgeObstacle.LIMIT
             }
 
             it("is kept by all entries together, though they get different numbers of requests") {
                 val random = Random(11)
-                val entries = List(28) { hedgingAt(ratio = 0.1) }
+                val entries = List(28) { Hedging(ratio = 0.1) }
                 var hedges = 0
                 for (requests in 1..6_000) {
                     val entry = entries[minOf(random.nextInt(entries.size), random.nextInt(entries.size))]
@@ -126,7 +125,7 @@
             }
 
             it("lets an entry with few requests send a hedge, as most entries of a large deployment are") {
-                val hedging = hedgingAt(ratio = 0.05)
+                val hedging = Hedging(ratio = 0.05)
                 repeat(19) { hedging.countRequest(pool) }
                 hedging.take(pool) shouldBe false
                 repeat(2) { hedging.countRequest(pool) }
@@ -135,7 +134,7 @@
             }
 
             it("of 0 records nothing, also after a reload, so that old response times do not count later") {
-                val hedging = experienced()
+                val hedging = hedgingWithHistory()
                 hedging.ratio = 0.0
                 repeat(100) { hedging.recordResponseTime(pool, 5.milliseconds, start) }
                 hedging.delay(pool, start) shouldBe null
--- a/core/src/test/kotlin/org/bilberryhead/core/serving/SharedMachines.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/SharedMachines.kt
@@ -48,15 +48,31 @@
     companion object {
         const val SLOTS = 6
         const val QUEUE_LENGTH = 6
+
+        /** Standard deviation of the logarithm of the work time factor. */
         const val DEVIATION = 0.6
+
+        /** Standard deviation of the logarithm of the error of a reported factor. */
         const val NOISE = 0.2
     }
 }
 
-/** Requests per second, by how much a wave in a quarter of each second exceeds them, and the level of one machine. */
+/**
+ * The load and the machines of a simulation.
+ *
+ * @property perSecond average number of requests per second
+ * @property wave rate in the first quarter of each second, relative to the average
+ * @property firstLevel median work time factor of the first machine; it is 1.2 on the others
+ */
 internal data class SharedLoad(val perSecond: Double, val wave: Double = 1.0, val firstLevel: Double = 1.2)
 
-/** Shares of requests answered in time, of refusals per request, and of the endpoint that received most. */
+/**
+ * The result of a simulation.
+ *
+ * @property inTime share of the requests that were answered in time
+ * @property refused refusals per request
+ * @property largestShare share of the attempts that the endpoint with most of them received
+ */
 internal data class SharedResult(val inTime: Double, val refused: Double, val largestShare: Double)
 
 /** Simulates 28 entries that send short work to 4 endpoints on shared machines. */
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ReloadTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ReloadTest.kt
@@ -39,7 +39,7 @@
                 }
             }
 
-            it("begins to hedge, and stops again") {
+            it("applies the hedge ratio, so that hedging begins and stops without a restart") {
                 val slowRequests = AtomicInteger()
                 val endpoints = List(2) {
                     ScriptedEndpoint {
@@ -57,7 +57,7 @@
                 endpoints.forEach { it.close() }
             }
 
-            it("rejects a ratio of hedges that is not one") {
+            it("rejects a hedge ratio that is not between 0 and 1") {
                 withFailingEndpoints { entry ->
                     for (ratio in listOf(-0.1, 1.1, Double.NaN)) {
                         entry.settings.copy(hedgeRatio = ratio).check().map { it.path } shouldBe listOf("hedgeRatio")
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/AdmissionWithEndpoint.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/AdmissionWithEndpoint.kt
@@ -186,7 +186,7 @@
     }
 
     private companion object {
-        /** At the hedge ratio of the tests, 0.2, of which 0.9 are used. */
+        /** Earns slightly more than one hedge at the hedge ratio of the tests, 0.2. */
         const val REQUESTS_PER_HEDGE = 6
     }
 }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/RequestHedgeTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/RequestHedgeTest.kt
@@ -79,9 +79,9 @@
             }
 
             it("is answered once when both answers arrive at the same instant, and no answer reaches another request") {
-                val areBothThere = CyclicBarrier(2)
+                val bothArrived = CyclicBarrier(2)
                 val answer: Handler = {
-                    if (id == "r") areBothThere.await(5, TimeUnit.SECONDS)
+                    if (id == "r") bothArrived.await(5, TimeUnit.SECONDS)
                     respond(body = id)
                 }
                 withHedging(first = answer, hedge = answer) { entry, _ ->
@@ -138,14 +138,14 @@
 
             it("leaves no attempt running when its caller disconnects") {
                 val areClosed = CountDownLatch(2)
-                val isHedged = CountDownLatch(2)
+                val haveArrived = CountDownLatch(2)
                 val silent: Handler = {
-                    isHedged.countDown()
+                    haveArrived.countDown()
                     if (awaitClose()) areClosed.countDown()
                 }
                 withHedging(first = silent, hedge = silent) { entry, _ ->
                     val listener = entry.serve(RecordingWriter(), REQUEST_PATH)
-                    isHedged.await(2, TimeUnit.SECONDS) shouldBe true
+                    haveArrived.await(2, TimeUnit.SECONDS) shouldBe true
                     entry.onThread { listener?.callerDisconnected() }
                     areClosed.await(500, TimeUnit.MILLISECONDS) shouldBe true
                     entry.hedgeCount("abandoned") shouldBe 1
@@ -201,7 +201,7 @@
             val other: Handler = { respond(body = "other") }
 
             for (path in listOf("/order/a", "/long/a")) {
-                it("is one that may run once: $path") {
+                it("is one that may run only once: $path") {
                     withHedging(slow, other) { entry, requests ->
                         entry.request(path).bodyWithin(2_000) shouldBe "first"
                         requests.get() shouldBe 1
