--- a/core/src/test/kotlin/org/bilberryhead/core/serving/HedgingTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/HedgingTest.kt
@@ -14,6 +14,7 @@
 
 private val start = Instant.fromEpochSeconds(1_000)
 private val pool = PoolName("p")
+
 /** A situation in which nothing stands against a hedge. */
 private val hedgeable = HedgeSituation(remaining = 1.seconds)
 
