Mend what a review of the new parts found

The age counts from the request now, and peers are not heard while the store answers. - An evacuation that could not be applied was not tried again. - Requests sent to an endpoint in the second before it became cold did not use its permits. - A request that had failed at one endpoint waited for a cold one without a permit, although the first was free. - A lower hedgeRatio kept hedges that were earned at the old one. - EngineLoad kept a work time factor that nothing used.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/ColdStartLimit.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ColdStartLimit.kt
@@ -41,11 +41,16 @@
     private val runs = mutableMapOf<EndpointRun, ColdRun>()
     private var membersKnownSince: Instant? = null
 
-    /** Whether no run is recorded as cold. Runs that have become warm are dropped when the next row is recorded. */
+    /** Whether nothing was sent, and no run has been cold, lately; always so in pools without cold starts. */
     val isEmpty: Boolean get() = runs.isEmpty()
 
-    /** Notes whether the members are known. To be called regularly, also while no run is cold. */
-    fun observeMembers(now: Instant) {
+    /** Notes whether the members are known, and forgets what is out of date. To be called regularly. */
+    fun update(now: Instant) {
+        observeMembers(now)
+        dropWarmRuns(now)
+    }
+
+    private fun observeMembers(now: Instant) {
         membersKnownSince = if (members() == null) null else membersKnownSince ?: now
     }
 
@@ -78,11 +83,11 @@
         return cold.sentAt.size < share(run, requestsPerSecond, now)
     }
 
-    /** Counts a request that is sent to [run] now. */
+    /** Counts a request that is sent to [run] now. Also one to a warm run, which may become cold within the second. */
     fun recordSent(run: EndpointRun, now: Instant) {
-        val cold = runs[run] ?: return
-        dropOldSends(cold, now)
-        cold.sentAt.addLast(now)
+        val sentTo = runs.getOrPut(run, ::ColdRun)
+        dropOldSends(sentTo, now)
+        sentTo.sentAt.addLast(now)
     }
 
     /** Returns how many requests this entry may send to [run] in any second. */
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointLoad.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointLoad.kt
@@ -11,12 +11,9 @@
 /**
  * The load that an endpoint reported with a response.
  *
- * @property reportedFactor how much longer than usual work takes on the endpoint's machine; null when not reported
+ * @property workTimeFactor how much longer than usual work takes on the endpoint's machine; null when not reported
  */
-data class LoadReport(val running: Int, val waiting: Int, val slots: Int, val reportedFactor: Double? = null) {
-    /** The reported factor, or 1 when there is none. */
-    val workTimeFactor: Double get() = reportedFactor ?: 1.0
-}
+data class LoadReport(val running: Int, val waiting: Int, val slots: Int, val workTimeFactor: Double? = null)
 
 /** How an exchange with an endpoint ended, as far as it matters for choosing endpoints. */
 enum class ExchangeResult {
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EngineLoad.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EngineLoad.kt
@@ -43,9 +43,6 @@
     private var slowdown = 1.0
     private val waitingSince = mutableSetOf<Instant>()
 
-    /** How much longer than usual work takes on the engine's machine. */
-    val workTimeFactor = WorkTimeFactor()
-
     /** Requests of this entry that run on the engine. */
     var running = 0
         private set
@@ -108,7 +105,6 @@
         this.report = report
         reportedAt = now
         ownRequestsAtReport = running
-        workTimeFactor.record(report, now)
     }
 
     /** Moves the slowdown towards 1, so that an engine that was slow or failed is tried again. Called at intervals. */
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/Hedging.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/Hedging.kt
@@ -70,10 +70,11 @@
     /** The largest ratio of hedges to requests; it may change at any time. */
     var ratio: Double = ratio
         set(value) {
+            if (value == field) return
             field = value
-            if (isEnabled) return
-            responseTimes.clear()
+            // They were earned at another ratio.
             earnedHedges.clear()
+            if (!isEnabled) responseTimes.clear()
         }
 
     /** Whether requests are hedged at all; nothing is recorded otherwise. */
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/WorkTimeFactor.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/WorkTimeFactor.kt
@@ -18,7 +18,7 @@
 
     /** Records the factor of [report]; a report without one changes nothing. */
     fun record(report: LoadReport, now: Instant) {
-        val sample = report.reportedFactor ?: return
+        val sample = report.workTimeFactor ?: return
         average = sample + (average - sample) * (1 - SAMPLE_WEIGHT) * remainingWeight(now)
         updatedAt = now
     }
--- a/core/src/test/kotlin/org/bilberryhead/core/serving/ColdStartLimitTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/ColdStartLimitTest.kt
@@ -97,7 +97,7 @@
     }
 
     private fun send(entry: Entry) {
-        entry.limit.observeMembers(now)
+        entry.limit.update(now)
         while (entry.limit.maySend(RUN, PER_SECOND, now)) {
             entry.limit.recordSent(RUN, now)
             sent += now
@@ -110,7 +110,7 @@
 
 private fun limit(members: List<DaemonId>?, own: DaemonId = DaemonId("entry-0")): ColdStartLimit {
     val limit = ColdStartLimit(own) { members }
-    limit.observeMembers(START)
+    limit.update(START)
     limit.recordRow(RUN, 1.hours, START)
     return limit
 }
@@ -118,6 +118,8 @@
 private fun ColdStartLimit.sendAll(now: Instant, run: EndpointRun = RUN): Int =
     generateSequence { maySend(run, PER_SECOND, now).also { if (it) recordSent(run, now) } }.takeWhile { it }.count()
 
+private val WARM_RUN = EndpointRun(EndpointId("warm"), startedAt = 1)
+
 class ColdStartLimitTest :
     DescribeSpec({
         val settled = START + ColdStartLimit.SETTLING_TIME
@@ -150,6 +152,14 @@
                 }
             }
 
+            it("count what was sent to a run in the second before it became cold") {
+                val limit = limit(ids(1), ids(1).single())
+                repeat(11) { limit.recordSent(WARM_RUN, settled) }
+                limit.recordRow(WARM_RUN, 3.seconds, settled + 500.milliseconds)
+                limit.maySend(WARM_RUN, PER_SECOND, settled + 900.milliseconds) shouldBe false
+                limit.maySend(WARM_RUN, PER_SECOND, settled + 1.seconds) shouldBe true
+            }
+
             it("use all of what is tolerated when they agree, so that cold endpoints are not idle") {
                 for (count in listOf(1, 2, 11, 12, 28)) {
                     val sent = ids(count).sumOf { limit(ids(count), it).sendAll(settled) }
--- a/core/src/test/kotlin/org/bilberryhead/core/serving/SharedMachines.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/SharedMachines.kt
@@ -121,7 +121,7 @@
         timeline.schedule(now + delay) { arrival ->
             machines[target].submit(size, arrival) { report, wasRun, end ->
                 timeline.schedule(end + delay) { at ->
-                    load.recordReport(if (withFactor) report else report.copy(reportedFactor = null), at)
+                    load.recordReport(if (withFactor) report else report.copy(workTimeFactor = null), at)
                     load.recordEnd(if (wasRun) ExchangeResult.SUCCEEDED else ExchangeResult.REFUSED, at - now, at)
                     if (wasRun && at - began <= OBJECTIVE) inTime++
                     if (!wasRun) refused++
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -227,7 +227,7 @@
         membership.start { endpointWatch.lastResponseAt }
         thread.every(EXPIRY_CHECK_INTERVAL) {
             endpointListener.removeExpired()
-            coldEndpoints.observeMembers()
+            coldEndpoints.update()
             // This entry's share of the connections may have grown.
             connectionWaitQueue.dispatchAll()
         }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/ColdEndpoints.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/endpoint/ColdEndpoints.kt
@@ -29,8 +29,8 @@
             directory.entry(run.id)?.let { it.run == run && coldStartOf(it) != null } ?: false
         }
 
-    /** Notes whether the members are known. To be called regularly. */
-    fun observeMembers() = limit.observeMembers(thread.now())
+    /** Notes whether the members are known, and forgets what is out of date. To be called regularly. */
+    fun update() = limit.update(thread.now())
 
     /** Reads from [entry], a new row, how much longer its endpoint is cold. */
     fun rowRead(entry: EndpointEntry) {
@@ -63,7 +63,7 @@
 
     /** Counts a request or call that is sent to the endpoint of [entry] now. */
     fun recordSent(entry: EndpointEntry) {
-        if (!limit.isEmpty) limit.recordSent(entry.run, thread.now())
+        if (coldStartOf(entry) != null) limit.recordSent(entry.run, thread.now())
     }
 
     private fun recordIfCold(entry: EndpointEntry, period: Duration, cause: String, record: () -> Unit) {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerCatchUp.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/peer/PeerCatchUp.kt
@@ -10,6 +10,7 @@
 import org.bilberryhead.forwarding.http.SingleExchange
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
 
 /** This entry's copy of the store's data, as [PeerCatchUp] reads and updates it. */
 internal interface StoreReplica {
@@ -19,8 +20,11 @@
     /** Time since the endpoints were last read from the store; null when they never were. */
     val age: Duration?
 
-    /** Applies a peer's [snapshot]; its endpoints only if [withEndpoints], that is if they are newer. */
-    fun update(snapshot: SnapshotMessage, withEndpoints: Boolean)
+    /**
+     * Applies the [snapshot] that a peer was asked for at [requestedAt]; its endpoints only if [withEndpoints], that is
+     * if they are newer.
+     */
+    fun update(snapshot: SnapshotMessage, withEndpoints: Boolean, requestedAt: Instant)
 }
 
 /** Fetches snapshots from the other entries in turn while the store does not respond to this entry. */
@@ -42,10 +46,11 @@
         val peer = addresses[nextPeerIndex++ % addresses.size]
         val headers = DefaultHttpHeaders().add("Host", peer.toString())
         val request = OutboundRequest(HttpMethod.GET, PeerPaths.SNAPSHOT, headers, ByteArray(0))
-        exchange.send(peer, request, RESPONSE_TIMEOUT) { outcome -> handleOutcome(peer, outcome) }
+        val requestedAt = thread.now()
+        exchange.send(peer, request, RESPONSE_TIMEOUT) { outcome -> handleOutcome(peer, outcome, requestedAt) }
     }
 
-    private fun handleOutcome(peer: SocketAddress, outcome: ExchangeOutcome) {
+    private fun handleOutcome(peer: SocketAddress, outcome: ExchangeOutcome, requestedAt: Instant) {
         if (replica.isStoreReachable) return
         val response = (outcome as? ExchangeOutcome.Completed)?.response ?: return
         val snapshot = PeerCodec.decode(SnapshotMessage.serializer(), response.body) ?: return
@@ -60,7 +65,7 @@
                 "newer" to isNewer,
             )
         }
-        replica.update(snapshot, isNewer)
+        replica.update(snapshot, isNewer, requestedAt)
     }
 
     private companion object {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptEndpointSelector.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/AttemptEndpointSelector.kt
@@ -35,14 +35,16 @@
      * placement cost, for other requests one with a short expected response time.
      *
      * @param inputs results of the preparation stages that the endpoint will fetch
-     * @param excluded endpoints at which the request has failed; considered only when the pool has no other
+     * @param excluded endpoints at which the request has failed; considered only when the pool has no other that may be
+     *   sent something now: a cold endpoint may not for seconds
      */
     fun select(request: AdmittedRequest, inputs: List<ResultHandle>, excluded: Set<Endpoint>): Selection {
         context.endpoints.timeUntilFirstReturn(request.pool)?.let {
             return Selection.AllResting(firstReturn = it, retryAfter = it + returnDelay())
         }
         val usable = context.endpoints.usable(request.pool).filterNot { context.endpoints.isResting(it.entry) }
-        val candidates = usable.filter { it !in excluded }.ifEmpty { usable }
+        val permitted = usable.filter { context.endpoints.cold.maySend(it.entry) }.ifEmpty { usable }
+        val candidates = permitted.filter { it !in excluded }.ifEmpty { permitted }
         val free = candidates.filter(context.endpoints::canSend)
         return when {
             candidates.isEmpty() -> Selection.NoneKnown
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EvacuationListener.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EvacuationListener.kt
@@ -49,11 +49,12 @@
 
     private fun replace(dataCentres: Set<DataCentre>) {
         if (dataCentres == evacuated) return
+        apply(dataCentres)
         val before = evacuated
+        // Only now: a set that could not be applied is applied when it is read again.
         evacuated = dataCentres
         (dataCentres - before).forEach { log("data centre evacuated", it) }
         (before - dataCentres).forEach { log("evacuation withdrawn", it) }
-        apply(dataCentres)
     }
 
     private fun log(message: String, dataCentre: DataCentre) =
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/fuzz/WireTargets.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/fuzz/WireTargets.kt
@@ -78,7 +78,7 @@
             CrashRow.decode(text)?.reports?.forEach { PartQuarantine().record(it, now) }
         },
         textTarget("load reports", "3,0,8", "0,0,1", "3,1,8,250") { text ->
-            HeaderValues.loadReport(text)?.let { check(it.workTimeFactor in 0.1..20.0) }
+            HeaderValues.loadReport(text)?.let { check((it.workTimeFactor ?: 1.0) in 0.1..20.0) }
         },
         textTarget("prompts", "1460,80|5c1e07a2:800,91bd3f06:410", "10,10|a:5") { usePrompt(it) },
         textTarget("piece counts", "1,0,3", "2") { usePieceCounts(it) },
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/store/EvacuationListenerTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/store/EvacuationListenerTest.kt
@@ -1,5 +1,6 @@
 package org.bilberryhead.forwarding.store
 
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
@@ -51,6 +52,21 @@
             }
         }
 
+        describe("a set that could not be applied") {
+            it("is applied when it is read again") {
+                var fails = true
+                val applied = mutableListOf<Set<DataCentre>>()
+                val listener = EvacuationListener(DecisionLog(linesPerSecond = 10) { start }, { start }) {
+                    if (fails) throw OutOfMemoryError("test")
+                    applied += it
+                }
+                shouldThrow<OutOfMemoryError> { listener.onTableRead(listOf(row(north)), afterOutage = false) }
+                fails = false
+                listener.onTableRead(listOf(row(north)), afterOutage = true)
+                applied shouldBe listOf(setOf(north))
+            }
+        }
+
         describe("what a peer knows") {
             it("replaces older knowledge of this entry") {
                 val fixture = Fixture()
