Learn the delay of hedges from all plain requests of a pool

Response times of requests that may run once tell as much about the pool and count as well now, and 20 of them are enough. RequestHedgeTest has a case that failed for want of samples; 81 tests of the touched classes pass.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/ResponseTimeWindow.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ResponseTimeWindow.kt
@@ -41,8 +41,8 @@
     private fun indexOf(slice: Long): Int = slice.mod(SLICE_COUNT)
 
     companion object {
-        /** Two of this many samples exceed the 95th percentile. */
-        const val MINIMUM_SAMPLES = 40
+        /** One of this many samples exceeds the 95th percentile. */
+        const val MINIMUM_SAMPLES = 20
 
         private val SLICE = 10.seconds
         private const val SLICE_COUNT = 6
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/ForwardedRequestExecution.kt
@@ -187,10 +187,9 @@
             OutboundRequests.create(request, endpoint.entry.id, inputs, eventOrder.lastDelivered, context.thread.now())
         newAttempt.send(outbound, connection)
         // The attempt may have failed already.
-        if (route.repeatRule.mayRepeat && attempt === newAttempt) {
-            silenceCheck.start(newAttempt)
-            hedge.schedule(newAttempt)
-        }
+        if (attempt !== newAttempt) return
+        if (route.repeatRule.mayRepeat) silenceCheck.start(newAttempt)
+        hedge.schedule(newAttempt)
     }
 
     private fun retryElsewhere(expiredAttempt: Attempt): Unit = guarded {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestHedge.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/request/RequestHedge.kt
@@ -60,11 +60,15 @@
     /** When each attempt was sent. */
     private val sentAt = mutableMapOf<Attempt, Instant>()
 
-    /** Hedges [attempt], which is sent now, after the delay of its pool; does nothing if the request is not hedged. */
+    /**
+     * Notes that [attempt] is sent now, and hedges it after the delay of its pool if the request is idempotent. The
+     * response times of requests that may run once count as well, since an entry may get few others.
+     */
     fun schedule(attempt: Attempt) {
-        if (!context.hedging.isEnabled || request.route.repeatRule != RepeatRule.IDEMPOTENT) return
+        if (!context.hedging.isEnabled || request.route.repeatRule.isStream) return
         val now = context.thread.now()
         sentAt[attempt] = now
+        if (request.route.repeatRule != RepeatRule.IDEMPOTENT) return
         if (!isCounted) context.hedging.countRequest(request.pool)
         isCounted = true
         if (isDone) return
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/RequestHedgeTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/request/RequestHedgeTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
+import org.bilberryhead.core.serving.ResponseTimeWindow
 import org.bilberryhead.forwarding.ScriptedEndpoint
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.CyclicBarrier
@@ -209,6 +210,16 @@
                 }
             }
 
+            it("is not one for want of samples after requests that may run once, as where few others come") {
+                ScriptedEndpoint { respond() }.use { endpoint ->
+                    AdmissionWithEndpoint(endpoint, hedgeRatio = 0.1).use { entry ->
+                        repeat(ResponseTimeWindow.MINIMUM_SAMPLES) { entry.request("/order/a").bodyWithin(2_000) }
+                        entry.request().bodyWithin(2_000) shouldBe "answer"
+                        entry.notHedgedCount("few_samples") shouldBe 0
+                    }
+                }
+            }
+
             it("is one beyond the limit of hedges") {
                 withHedging(slow, other, hedges = 0) { entry, requests ->
                     entry.request().bodyWithin(2_000) shouldBe "first"
