Keep the review's disruptions within the site's lengths

Change: early answers twice for 6 s, bursts twice for 6.5 s, servers that differ in speed, five rounds.

--- a/review/parts-2/src/EarlyAnswers.java
+++ b/review/parts-2/src/EarlyAnswers.java
@@ -13,8 +13,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Clients send long bodies, within the limits of the configuration. For some seconds the servers answer each of them
- * before they have read it, keep the channel, and read on later. Small requests go on all the time.
+ * Clients send long bodies, within the limits of the configuration. Twice, for some seconds, the servers answer each of
+ * them before they have read it, keep the channel, and read on later. Small requests go on all the time.
  *
  * Arguments: folder for the record, folder for temporary files, 1 with the disruption or 0 without it.
  */
@@ -23,7 +23,11 @@
     private static final int UPLOADING_CLIENTS = 40;
     private static final long PAUSE_MS = 1000;
     private static final long READ_ON_AFTER_MS = 3000;
-    private static final long UPLOADS_FOR_MS = 15_000;
+    private static final long CALM_MS = 3000;
+    private static final long TROUBLE_MS = 6000;
+    private static final int TIMES = 2;
+    private static final long UPLOADS_FOR_MS = 20_000;
+    private static final int SERVERS = 6;
     private static final long SMALL_FOR_MS = 40_000;
     private static final int SMALL_TIMEOUT_MS = 1500;
     private static final int UPLOAD_TIMEOUT_MS = 10_000;
@@ -62,7 +66,7 @@
             "services":[{"name":"orders","max_conns":220}],
             "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
             "tenants":[{"name":"yard","api_keys":["key-of-yard"]}]}""");
-        for (int i = 0; i < 6; i++) startServer(store, "i-" + i);
+        for (int i = 0; i < SERVERS; i++) startServer(store, "i-" + i);
         int control = Entry.freePort();
         Entry entry = new Entry("front-a-1", "a", store, folder, List.of(control), control);
         entry.start();
@@ -71,7 +75,6 @@
             return 2;
         }
         Recorder.sleep(5000);
-        isTroubled = hasTrouble;
         long start = Recorder.now();
         for (int client = 0; client < UPLOADING_CLIENTS; client++) {
             int number = client;
@@ -79,10 +82,14 @@
         }
         List<Thread> small = new ArrayList<>();
         for (int n = 0; Recorder.now() < start + SMALL_FOR_MS; n++) {
-            if (Recorder.now() > start + UPLOADS_FOR_MS && doesUpload) {
+            long elapsed = Recorder.now() - start;
+            boolean isTime = hasTrouble && elapsed < (CALM_MS + TROUBLE_MS) * TIMES
+                && elapsed % (CALM_MS + TROUBLE_MS) >= CALM_MS;
+            if (isTime != isTroubled) Recorder.write(isTime ? "early answers begin" : "no more early answers");
+            isTroubled = isTime;
+            if (elapsed > UPLOADS_FOR_MS && doesUpload) {
                 doesUpload = false;
-                isTroubled = false;
-                Recorder.write("no more long bodies, and no more early answers");
+                Recorder.write("no more long bodies");
             }
             String id = "s" + n;
             Thread thread = new Thread(() -> send(entry, "GET", "/status/", id, null, SMALL_TIMEOUT_MS));
--- a/review/parts-2/src/LateReads.java
+++ b/review/parts-2/src/LateReads.java
@@ -17,7 +17,7 @@
 
 /**
  * Clients upload long bodies, within the limits of the configuration, and others send orders of medium length with a
- * short deadline, after which they close their channels. A burst multiplies the uploads.
+ * short deadline, after which they close their channels. Bursts multiply the uploads.
  *
  * Arguments: folder for the record, folder for temporary files, 1 with the disruption or 0 without it.
  */
@@ -32,7 +32,8 @@
     private static final long ORDER_WORK_MS = 50;
     private static final long ORDER_INTERVAL_MS = 60;
     private static final long CALM_MS = 6000;
-    private static final long BURST_MS = 20_000;
+    private static final long BURST_MS = 6500;
+    private static final int BURSTS = 2;
 
     /** A request that reaches a server so long after its client has closed the channel breaks the rule. */
     private static final long GONE_MS = 500;
@@ -44,6 +45,7 @@
     private static final AtomicInteger LATE = new AtomicInteger();
     private static final Map<String, AtomicInteger> ENDS = new ConcurrentHashMap<>();
     private static volatile boolean isOver;
+    private static volatile boolean isBurst;
 
     private LateReads() {}
 
@@ -86,11 +88,17 @@
             }
         });
         Recorder.sleep(CALM_MS);
-        if (hasTrouble) {
-            Recorder.write("burst: %.1f times the uploads", BURST);
-            for (int c = UPLOADING_CLIENTS; c < UPLOADING_CLIENTS * BURST; c++) startUploads(entry, c);
+        for (int burst = 0; burst < BURSTS; burst++) {
+            if (hasTrouble) {
+                Recorder.write("burst: %.1f times the uploads", BURST);
+                isBurst = true;
+                for (int c = UPLOADING_CLIENTS; c < UPLOADING_CLIENTS * BURST; c++) startUploads(entry, c);
+            }
+            Recorder.sleep(BURST_MS);
+            isBurst = false;
+            Recorder.write("no burst");
+            Recorder.sleep(CALM_MS);
         }
-        Recorder.sleep(BURST_MS);
         isOver = true;
         Recorder.sleep(4000);
         Recorder.write("ends %s; requests that reached a server over %d ms after their clients had left: %d",
@@ -101,7 +109,8 @@
     private static void startUploads(Entry entry, int client) {
         Store.daemon("client " + client, () -> {
             byte[] body = new byte[UPLOAD_BYTES];
-            for (int n = 0; !isOver; n++) {
+            boolean isRegular = client < UPLOADING_CLIENTS;
+            for (int n = 0; !isOver && (isRegular || isBurst); n++) {
                 send(entry, "/photos/", "p" + client + "-" + n, body, UPLOAD_DEADLINE_MS);
                 Recorder.sleep(300);
             }
--- a/review/parts-2/src/StaleHeartbeat.java
+++ b/review/parts-2/src/StaleHeartbeat.java
@@ -15,7 +15,7 @@
 final class StaleHeartbeat {
     private static final long DRAIN_MS = 2000;
     private static final long CUT_MS = 5000;
-    private static final int ROUNDS = 6;
+    private static final int ROUNDS = 5;
 
     private record Arrival(String requestId, long at) {}
 
@@ -131,9 +131,10 @@
         return broken > 0 ? 1 : 0;
     }
 
+    /** Servers differ in speed; the ones that leave first are the fastest. */
     private static void add(Store store, List<PlainServer> servers, List<Link> links, int number) throws Exception {
         Link link = new Link(store);
-        PlainServer server = new PlainServer("i-" + number, "orders", number % 2 == 0 ? "a" : "b", 85, link,
+        PlainServer server = new PlainServer("i-" + number, "orders", number % 2 == 0 ? "a" : "b", 40 + 10 * number, link,
             StaleHeartbeat::runs);
         server.startHeartbeats();
         servers.add(server);
