Review case 10: crashes that take the server's machine along do not count

Cause: a crash counts only when the address refuses a new connection.

Change: the script of case 7 with servers that fall silent when they crash. Nothing outside review/ changes.

--- a/review/parts-2/src/DeadlyPart.java
+++ b/review/parts-2/src/DeadlyPart.java
@@ -7,7 +7,7 @@
  * Prompts have many shared parts, such as documents. One part crashes each server that begins to write an answer on it.
  *
  * Arguments: folder for the record, folder for temporary files, 1 with the disruption or 0 without it, and optionally
- * the number of shared parts of a prompt.
+ * the number of shared parts of a prompt, and "dark" for crashes that take the machines of servers with them.
  */
 final class DeadlyPart {
     private static final int SERVERS = 8;
@@ -30,6 +30,7 @@
     public static void main(String[] arguments) throws Exception {
         Recorder.open(Path.of(arguments[0], "record.txt"));
         if (arguments.length > 3) sharedParts = Integer.parseInt(arguments[3]);
+        ModelServer.goesDark = arguments.length > 4 && arguments[4].equals("dark");
         int status = 2;
         try {
             status = play(Path.of(arguments[1]), arguments[2].equals("1"));
--- a/review/parts-2/src/ModelServer.java
+++ b/review/parts-2/src/ModelServer.java
@@ -5,6 +5,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -26,6 +28,7 @@
     static final String DEADLY_PART = "dead0bad";
     static final int EVENTS = 20;
     private static final long DOWN_MS = 4000;
+    private static final int BACKLOG = 8;
     private static final int SLOTS = 48;
     private static final long PREFILL_MS = 300;
     private static final long EVENT_MS = 100;
@@ -37,11 +40,15 @@
     private final Listener told;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final AtomicInteger running = new AtomicInteger();
-    private int port;
+    private volatile int port;
     private int boot;
-    private ServerSocket listener;
+    private volatile ServerSocket listener;
     private volatile boolean isDown = true;
-    String id;
+    private final List<Socket> fillers = new ArrayList<>();
+
+    /** Whether a crash takes the server's machine with it: channels fall silent and new ones are not answered. */
+    static volatile boolean goesDark;
+    volatile String id;
 
     ModelServer(Store store, String service, String zone, String name, Listener told) {
         this.store = store;
@@ -55,7 +62,7 @@
     synchronized void start() throws IOException {
         listener = new ServerSocket();
         listener.setReuseAddress(true);
-        listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 200);
+        listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), BACKLOG);
         port = listener.getLocalPort();
         id = name + "-" + ++boot;
         isDown = false;
@@ -67,7 +74,9 @@
         Store.daemon("model server " + id, () -> {
             while (true) {
                 try {
+                    while (isDown && own == listener) Recorder.sleep(5);
                     Socket socket = own.accept();
+                    while (isDown && own == listener) Recorder.sleep(5);
                     socket.setTcpNoDelay(true);
                     sockets.add(socket);
                     Store.daemon("request at " + ownId, () -> serve(socket, ownId));
@@ -84,22 +93,20 @@
         isDown = true;
         told.crashed();
         Recorder.write("server %s crashes, it runs %d requests", id, running.get());
-        listener.close();
-        for (Socket socket : sockets) {
-            try {
-                socket.setSoLinger(true, 0);
-                socket.close();
-            } catch (IOException e) {
-                // It was closed already.
-            }
+        if (goesDark) {
+            fallSilent();
+        } else {
+            reset();
         }
-        sockets.clear();
         String gone = id;
         Store.daemon("expiry of " + gone, () -> {
             Recorder.sleep(3600);
             store.remove("servers", gone);
             Recorder.sleep(DOWN_MS - 3600);
             try {
+                if (goesDark) reset();
+                for (Socket filler : fillers) filler.close();
+                fillers.clear();
                 start();
                 Recorder.write("server %s has started", id);
             } catch (IOException e) {
@@ -108,11 +115,38 @@
         });
     }
 
+    /** Nobody accepts channels any more, and those that wait to be accepted leave no room for others. */
+    private void fallSilent() {
+        for (int i = 0; i < BACKLOG + 3; i++) {
+            try {
+                Socket filler = new Socket();
+                filler.connect(new InetSocketAddress("127.0.0.1", port), 50);
+                fillers.add(filler);
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void reset() throws IOException {
+        listener.close();
+        for (Socket socket : sockets) {
+            try {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            } catch (IOException e) {
+                // It was closed already.
+            }
+        }
+        sockets.clear();
+    }
+
     private void serve(Socket socket, String ownId) {
         try (socket) {
             while (true) {
                 Http.Message request = Http.read(socket.getInputStream(), false);
                 if (request == null) return;
+                hangWhileDark(ownId);
                 answer(request, socket.getOutputStream(), ownId);
             }
         } catch (IOException e) {
@@ -122,6 +156,10 @@
         }
     }
 
+    private void hangWhileDark(String ownId) {
+        while (goesDark && isDown && ownId.equals(id)) Recorder.sleep(20);
+    }
+
     private void answer(Http.Message request, OutputStream out, String ownId) throws IOException {
         String requestId = request.header("X-Request-Id");
         Map<String, String> headers = Http.headers("X-Instance-Id", ownId, "X-Server-Load",
@@ -140,6 +178,7 @@
         try {
             Recorder.sleep(PREFILL_MS);
             if (isDeadly) crash();
+            hangWhileDark(ownId);
             if (isDown || !ownId.equals(id)) throw new IOException("down");
             Recorder.write("server %s runs %s", ownId, requestId);
             headers.put("X-Response-Stamp", "stamp-" + requestId);
@@ -154,6 +193,7 @@
                 out.write("\r\n".getBytes(StandardCharsets.US_ASCII));
                 out.flush();
                 Recorder.sleep(EVENT_MS);
+                hangWhileDark(ownId);
             }
             out.write("0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             out.flush();
