Reject responses whose status line is invalid

Callers saw: an endpoint in trouble answered with the status 000, and the caller got that as an answer. With X-Not-Executed beside it, the caller of an order was even told 503, not run.

Cause: the decoder takes any number for a status and skips blanks, control bytes and empty lines before it. Nothing looked at the status line after that, in any of the places where responses are read: from endpoints, for streams and stages, from the store and from peers.

Change: all of them read through OutboundConnection, so the check is made there, once: ResponseSyntaxCheck passes a head on to the decoder only if its status line follows the grammar of RFC 9112 with a status from 100 to 599 (RFC 9110). What does not is no response: the outcome is unknown, the reason is logged with the id of the request, and the connection is closed. An idempotent request goes to another endpoint, any other gets 502.

The fuzz test of the decoders now checks the range of the status too.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
@@ -61,6 +61,7 @@
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
     private val decoder = ResponseDecoder()
+    private val syntaxCheck = ResponseSyntaxCheck(decoder, ::rejectResponse)
     private var current: Exchange? = null
     private var expectedId: String? = null
     private var remainingBodyBytes = 0L
@@ -99,7 +100,11 @@
 
     /** Adds this connection and its codec to [pipeline]. */
     fun addTo(pipeline: ChannelPipeline) {
-        pipeline.addLast(UnexpectedBytesCheck()).addLast(decoder).addLast(RequestEncoder()).addLast(this)
+        pipeline.addLast(UnexpectedBytesCheck())
+            .addLast(syntaxCheck)
+            .addLast(decoder)
+            .addLast(RequestEncoder())
+            .addLast(this)
     }
 
     override fun handlerAdded(context: ChannelHandlerContext) {
@@ -127,6 +132,7 @@
         expectedId = requestId
         remainingBodyBytes = maximumBodyBytes
         bytesWithoutProgress = 0
+        syntaxCheck.expectHead()
         decoder.expectsNoBody = request.method == HttpMethod.HEAD
         if (request.method == HttpMethod.HEAD) isReusable = false
         requestId?.let { carriedIdHashes += it.hashCode() }
@@ -175,11 +181,15 @@
     }
 
     private fun read(message: HttpObject) {
-        if (message.decoderResult().isFailure) return fail("the answer is not HTTP")
+        val decoderFailure = message.decoderResult().cause()
+        if (decoderFailure != null) return rejectResponse("the answer is not HTTP: ${describe(decoderFailure)}")
         if (message is HttpResponse) readHead(message)
         if (message is HttpContent) readContent(message)
     }
 
+    /** Ends the exchange because what arrived for it is no response; without one nothing is expected. */
+    private fun rejectResponse(reason: String) = if (current == null) close() else fail(reason)
+
     private fun readHead(response: HttpResponse) {
         val activeListener = current?.listener
         if (activeListener == null) {
@@ -223,7 +233,7 @@
         }
 
     private fun readConnectionHeaders(response: HttpResponse) {
-        framing = decoder.framingOf(response)
+        framing = decoder.bodyFraming
         if (!HttpUtil.isKeepAlive(response) || framing == BodyFraming.END_OF_CONNECTION) isReusable = false
         val seconds = response.headers()[KEEP_ALIVE_HEADER]?.let { TIMEOUT_PARAMETER.find(it)?.groupValues?.get(1) }
         idleTimeout = seconds?.toLongOrNull()?.let { it.seconds * IDLE_TIMEOUT_FRACTION } ?: DEFAULT_IDLE_TIMEOUT
@@ -254,7 +264,7 @@
         }
         if (!ResponseEnd.isWhole(framing, ResponsePlace.AFTER_HEAD, end)) return fail(failureReason ?: CLOSED)
         // Bytes after the response would be read as the beginning of the next one.
-        if (decoder.hasUnreadBytes) isReusable = false
+        if (syntaxCheck.hasUnreadBytes || decoder.hasUnreadBytes) isReusable = false
         exchange.resumeReading()
         current = null
         idleSince = now()
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/ResponseDecoder.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/ResponseDecoder.kt
@@ -1,5 +1,7 @@
 package org.bilberryhead.forwarding.http
 
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
@@ -15,19 +17,31 @@
     /** Whether bytes were received that belong to no decoded message yet. */
     val hasUnreadBytes: Boolean get() = actualReadableBytes() > 0
 
+    /** How the last decoded head, an interim one too, states where its body ends. */
+    var bodyFraming = BodyFraming.NO_BODY
+        private set
+
+    override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        super.decode(context, buffer, out)
+        out.forEach { if (it is HttpResponse) bodyFraming = framingOf(it) }
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean {
-        val isFinal = (message as? HttpResponse)?.status()?.codeClass() != HttpStatusClass.INFORMATIONAL
+        val isFinal = (message as? HttpResponse)?.let { !isInterim(it) } ?: true
         return (expectsNoBody && isFinal) || super.isContentAlwaysEmpty(message)
     }
 
-    /** Returns how [response], the final one to the current request, states where its body ends. */
-    fun framingOf(response: HttpResponse): BodyFraming = when {
-        expectsNoBody || response.status().code() in STATUSES_WITHOUT_BODY -> BodyFraming.NO_BODY
+    /** Returns how [response] states where its body ends. */
+    private fun framingOf(response: HttpResponse): BodyFraming = when {
+        isInterim(response) || expectsNoBody -> BodyFraming.NO_BODY
+        response.status().code() in STATUSES_WITHOUT_BODY -> BodyFraming.NO_BODY
         HttpUtil.isTransferEncodingChunked(response) -> BodyFraming.CHUNKS
         HttpUtil.isContentLengthSet(response) -> BodyFraming.LENGTH
         else -> BodyFraming.END_OF_CONNECTION
     }
 
+    private fun isInterim(response: HttpResponse) = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+
     private companion object {
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
     }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/fuzz/HttpTargets.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/fuzz/HttpTargets.kt
@@ -25,6 +25,7 @@
 private const val RESPONSE_HEAD = "HTTP/1.1 200 OK\r\nX-Response-Stamp: s\r\nX-Request-Id: $OWN_ID\r\n"
 private const val REQUEST_HEAD = " HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nX-Api-Key: k\r\n"
 private const val MAXIMUM_BODY_BYTES = 1_000
+private val FINAL_STATUSES = 200..599
 
 /** Decoders of the HTTP messages of callers and endpoints. */
 internal object HttpTargets {
@@ -114,6 +115,7 @@
 
         override fun headReceived(head: ResponseHead) {
             check(!hasHead && endCount == 0)
+            check(head.status in FINAL_STATUSES)
             check(head.headers["X-Request-Id"] == OWN_ID)
             hasHead = true
         }
