Wait in tests until the entry has its share of the retries

Traced by its log lines: the entry was registered with the store 4 ms after the attempt had failed, and until then it has no share of the retries. The test deployment waited only until the store had received that call. It now waits for the line 'entry registered', so that a request that may run again does. This concerns all tests that want a second attempt; no check changes.

--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -98,12 +98,22 @@
 
     init {
         sharedStore?.let { writeTables(it, pools) }
-        daemon.start()
-        if (isOwnStoreUsed && storeResponse == null) store.awaitFirstCalls()
+        RecordedDecisions().use { decisions ->
+            daemon.start()
+            if (isOwnStoreUsed && storeResponse == null) awaitStoreResponses(decisions)
+        }
         // The entry applies the rows on its own thread, possibly after the latch has opened.
         awaitReady()
     }
 
+    private fun awaitStoreResponses(decisions: RecordedDecisions) {
+        store.awaitFirstCalls()
+        // Until it is registered, an entry has no share of the retries.
+        val isRegistered = { decisions.of("entry registered").any { it["entry"] == settings.id.value } }
+        repeat(MAXIMUM_REGISTRATION_CHECKS) { if (!isRegistered()) TimeUnit.MILLISECONDS.sleep(2) }
+        check(isRegistered()) { "the entry is not registered" }
+    }
+
     private fun awaitReady() {
         repeat(MAXIMUM_READINESS_CHECKS) {
             if (isReady() || (configuration == null && isStoreReachable)) return
@@ -169,6 +179,7 @@
 
     companion object {
         private const val MAXIMUM_READINESS_CHECKS = 500
+        private const val MAXIMUM_REGISTRATION_CHECKS = 5_000
 
         /** One route of each kind and one client account. Calls of stages have a long timeout. */
         val CONFIGURATION = """
