Reject responses with a field that is invalid

Callers saw: the head of a response held a blank or a tab in the name of a field, and they got it as an answer, with that field passed on under a part of its name, or with a body that was not the endpoint's: "Content-Length x: 15" cut a body of 30 bytes to 15, and the caller was told that these were all.

Cause: in responses the decoder ends a name at the first blank and skips the rest up to the colon, and it drops lines of interim responses that it cannot read. So such a line became another, valid one.

Change: ResponseSyntaxCheck, through which all responses are read, also checks each field of final and of interim heads: a name that is a token, directly followed by a colon, and a value without control bytes. Folded lines are rejected as well, which RFC 9112 allows: joined to the line before, they change it.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/ResponseSyntaxCheck.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/ResponseSyntaxCheck.kt
@@ -50,8 +50,12 @@
         while (true) {
             val line = lineAt(input, length) ?: return 0
             length += line.length + LINE_BREAK.length
-            if (isStatusLine) ResponseGrammar.problemOfStatusLine(line)?.let { return reject(it) }
-            if (line.isEmpty()) break
+            val problem = when {
+                isStatusLine -> ResponseGrammar.problemOfStatusLine(line)
+                line.isEmpty() -> break
+                else -> ResponseGrammar.problemOfField(line)
+            }
+            if (problem != null) return reject(problem)
             isStatusLine = false
         }
         part = Part.AFTER_HEAD
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/InvalidInternalResponseTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/InvalidInternalResponseTest.kt
@@ -18,6 +18,9 @@
     "with the status 000" to { body ->
         "HTTP/1.1 000 Unknown\r\nContent-Length: ${body.size}\r\n\r\n".encodeToByteArray() + body
     },
+    "with a blank in the name of a field" to { body ->
+        "HTTP/1.1 200 OK\r\nX-No te: a\r\nContent-Length: ${body.size}\r\n\r\n".encodeToByteArray() + body
+    },
 )
 
 private val ScriptedEndpoint.socketAddress: SocketAddress
