Reject responses with a chunk line or trailers that are invalid

What callers would see: not reported, found where the same cause was looked for. A chunk line with blanks, control bytes or a text around the length, or trailers with a blank in a name or a folded line, reached the caller as a whole response.

Cause: the decoder reads a chunk length up to the first blank or control byte and ignores the rest of the line, and reads trailers as tolerantly as heads.

Change: ResponseSyntaxCheck now follows the body of each response by the framing that the decoder has found in the head, and checks chunk lines with their extensions, the end of each chunk and the trailers. It knows where a response ends, so that it also checks the head that follows a late response to another request, and it alone tells whether bytes follow a response.

InvalidInternalResponseTest failed in two: a configuration from the store, and from a peer, in such a body. With the change all pass.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/ResponseGrammar.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ResponseGrammar.kt
@@ -7,17 +7,13 @@
  * it is invalid, or null when it is valid. Folded fields, which RFC 9112 lets a gateway reject, are invalid.
  */
 object ResponseGrammar {
-    private const val TOKEN = """[!#$%&'*+.^_`|~0-9A-Za-z-]+"""
-    private const val TEXT = """[\t\x20-\x7E\x80-\xFF]*"""
-
     /** RFC 9110 calls all other status codes invalid. The blank after the status code is often omitted. */
     private val STATUS_LINE = Regex("""HTTP/1\.[0-9] [1-5][0-9]{2}(?: $TEXT)?""")
-
     private val FIELD_NAME = Regex(TOKEN)
     private val FIELD_VALUE = Regex(TEXT)
 
-    private val VISIBLE = ' '..'~'
-    private const val MAXIMUM_QUOTED_LENGTH = 60
+    /** Possessive quantifiers keep the match of a long line from using the stack. */
+    private val CHUNK_LINE = Regex("""[0-9A-Fa-f]+(?:$BLANKS;$BLANKS$TOKEN(?:$BLANKS=$BLANKS(?:$TOKEN|$QUOTED))?+)*+""")
 
     /** Returns why [line] is not the first line of a response. */
     fun problemOfStatusLine(line: String): String? =
@@ -34,6 +30,20 @@
         }
     }
 
+    /** Returns why [line] does not state the length of a chunk. */
+    fun problemOfChunkLine(line: String): String? = when {
+        !CHUNK_LINE.matches(line) -> "the chunk line ${quote(line)} is invalid"
+        digitsOfChunkLine(line).length > MAXIMUM_CHUNK_DIGITS -> "the chunk length ${quote(line)} is too large"
+        else -> null
+    }
+
+    /** Returns the length in bytes of the chunk that follows [line], which must be valid; 0 for the last chunk. */
+    fun chunkLengthOf(line: String): Long = digitsOfChunkLine(line).ifEmpty { "0" }.toLong(HEXADECIMAL_RADIX)
+
+    /** Returns the significant digits of the chunk length that [line] begins with. */
+    private fun digitsOfChunkLine(line: String): String =
+        line.takeWhile { it.digitToIntOrNull(HEXADECIMAL_RADIX) != null }.trimStart('0')
+
     /** Returns the beginning of [text] with invisible bytes made visible, for logs and error messages. */
     private fun quote(text: String): String {
         val visible = text.take(MAXIMUM_QUOTED_LENGTH).map { character ->
@@ -41,4 +51,15 @@
         }
         return visible.joinToString("", prefix = "\"", postfix = if (text.length > visible.size) "...\"" else "\"")
     }
+
+    private const val TOKEN = """[!#$%&'*+.^_`|~0-9A-Za-z-]+"""
+    private const val TEXT = """[\t\x20-\x7E\x80-\xFF]*"""
+    private const val BLANKS = """[ \t]*"""
+    private const val QUOTED = """"(?:[\t\x20\x21\x23-\x5B\x5D-\x7E\x80-\xFF]|\\[\t\x20-\x7E\x80-\xFF])*+""""
+    private val VISIBLE = ' '..'~'
+    private const val MAXIMUM_QUOTED_LENGTH = 60
+    private const val HEXADECIMAL_RADIX = 16
+
+    /** A longer chunk, of 256 MiB or more, is larger than any body that is accepted. */
+    private const val MAXIMUM_CHUNK_DIGITS = 7
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
@@ -132,7 +132,6 @@
         expectedId = requestId
         remainingBodyBytes = maximumBodyBytes
         bytesWithoutProgress = 0
-        syntaxCheck.expectHead()
         decoder.expectsNoBody = request.method == HttpMethod.HEAD
         if (request.method == HttpMethod.HEAD) isReusable = false
         requestId?.let { carriedIdHashes += it.hashCode() }
@@ -264,7 +263,7 @@
         }
         if (!ResponseEnd.isWhole(framing, ResponsePlace.AFTER_HEAD, end)) return fail(failureReason ?: CLOSED)
         // Bytes after the response would be read as the beginning of the next one.
-        if (syntaxCheck.hasUnreadBytes || decoder.hasUnreadBytes) isReusable = false
+        if (syntaxCheck.hasUnreadBytes) isReusable = false
         exchange.resumeReading()
         current = null
         idleSince = now()
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/ResponseDecoder.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/ResponseDecoder.kt
@@ -14,16 +14,26 @@
     /** Whether the next response is one to a HEAD request, which has no body whatever its headers say. */
     var expectsNoBody = false
 
-    /** Whether bytes were received that belong to no decoded message yet. */
-    val hasUnreadBytes: Boolean get() = actualReadableBytes() > 0
-
     /** How the last decoded head, an interim one too, states where its body ends. */
     var bodyFraming = BodyFraming.NO_BODY
         private set
 
+    /** Length in bytes of the body of the last decoded head; null when the head does not state it. */
+    var bodyLength: Long? = null
+        private set
+
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
         super.decode(context, buffer, out)
-        out.forEach { if (it is HttpResponse) bodyFraming = framingOf(it) }
+        out.forEach { if (it is HttpResponse && it.decoderResult().isSuccess) recordBody(it) }
+    }
+
+    private fun recordBody(response: HttpResponse) {
+        bodyFraming = framingOf(response)
+        bodyLength = when (bodyFraming) {
+            BodyFraming.NO_BODY -> 0
+            BodyFraming.LENGTH -> HttpUtil.getContentLength(response)
+            BodyFraming.CHUNKS, BodyFraming.END_OF_CONNECTION -> null
+        }
     }
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/ResponseSyntaxCheck.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/ResponseSyntaxCheck.kt
@@ -11,42 +11,56 @@
  * Passes the bytes of responses on to [decoder] as long as they follow [ResponseGrammar]. The decoder is more tolerant:
  * it drops what it cannot use of an invalid line and reads the rest as a response that was never sent.
  *
- * Heads are passed on once they are whole, the rest as it arrives.
+ * Heads, chunk lines and trailers are passed on once they are whole, content as it arrives.
  *
  * @param onInvalid called once, with the reason, when the bytes are not a response; none are passed on afterwards
  */
 internal class ResponseSyntaxCheck(private val decoder: ResponseDecoder, private val onInvalid: (String) -> Unit) :
     ByteToMessageDecoder() {
     /** What the next byte belongs to. */
-    private enum class Part { HEAD, AFTER_HEAD, BODY, INVALID }
+    private enum class Part { HEAD, AFTER_HEAD, CONTENT, CHUNK_LINE, CHUNK_CONTENT, CHUNK_END, TRAILERS, INVALID }
 
     private var part = Part.HEAD
 
+    /** Bytes of the content, or of the chunk, that are still to come. */
+    private var remainingBytes = 0L
+
     /** Whether bytes have arrived that are not passed on yet. */
     val hasUnreadBytes: Boolean get() = actualReadableBytes() > 0
 
-    /** Expects the head of a response from now on. */
-    fun expectHead() {
-        part = Part.HEAD
-    }
-
     override fun decode(context: ChannelHandlerContext, input: ByteBuf, out: MutableList<Any>) {
         // What follows the end of an exchange that closed the connection is read by nobody.
         if (part == Part.INVALID || !context.channel().isActive) return
         // The decoder has the head by now.
         if (part == Part.AFTER_HEAD) startBody()
-        val length = if (part == Part.HEAD) readHead(input) else input.readableBytes()
+        val length = readPart(input)
         if (length > 0) out += input.readRetainedSlice(length)
     }
 
     private fun startBody() {
-        part = if (decoder.bodyFraming == BodyFraming.NO_BODY) Part.HEAD else Part.BODY
+        remainingBytes = decoder.bodyLength ?: Long.MAX_VALUE
+        part = when {
+            decoder.bodyFraming == BodyFraming.CHUNKS -> Part.CHUNK_LINE
+            remainingBytes > 0 -> Part.CONTENT
+            else -> Part.HEAD
+        }
     }
 
     /** Returns the number of bytes of [input] that are passed on: 0 when more have to arrive, or when it is invalid. */
-    private fun readHead(input: ByteBuf): Int {
+    private fun readPart(input: ByteBuf): Int = when (part) {
+        Part.HEAD -> readFields(input, hasStatusLine = true, next = Part.AFTER_HEAD)
+        Part.CONTENT -> readContent(input, next = Part.HEAD)
+        Part.CHUNK_LINE -> readChunkLine(input)
+        Part.CHUNK_CONTENT -> readContent(input, next = Part.CHUNK_END)
+        Part.CHUNK_END -> readChunkEnd(input)
+        Part.TRAILERS -> readFields(input, hasStatusLine = false, next = Part.HEAD)
+        Part.AFTER_HEAD, Part.INVALID -> 0
+    }
+
+    /** Reads lines up to and including an empty one. */
+    private fun readFields(input: ByteBuf, hasStatusLine: Boolean, next: Part): Int {
         var length = 0
-        var isStatusLine = true
+        var isStatusLine = hasStatusLine
         while (true) {
             val line = lineAt(input, length) ?: return 0
             length += line.length + LINE_BREAK.length
@@ -58,10 +72,33 @@
             if (problem != null) return reject(problem)
             isStatusLine = false
         }
-        part = Part.AFTER_HEAD
+        part = next
         return length
     }
 
+    private fun readContent(input: ByteBuf, next: Part): Int {
+        val length = minOf(remainingBytes, input.readableBytes().toLong())
+        remainingBytes -= length
+        if (remainingBytes == 0L) part = next
+        return length.toInt()
+    }
+
+    private fun readChunkLine(input: ByteBuf): Int {
+        val line = lineAt(input, offset = 0) ?: return 0
+        ResponseGrammar.problemOfChunkLine(line)?.let { return reject(it) }
+        remainingBytes = ResponseGrammar.chunkLengthOf(line)
+        part = if (remainingBytes > 0) Part.CHUNK_CONTENT else Part.TRAILERS
+        return line.length + LINE_BREAK.length
+    }
+
+    private fun readChunkEnd(input: ByteBuf): Int {
+        if (input.readableBytes() < LINE_BREAK.length) return 0
+        val end = input.toString(input.readerIndex(), LINE_BREAK.length, StandardCharsets.ISO_8859_1)
+        if (end != LINE_BREAK) return reject("a chunk does not end where its length says")
+        part = Part.CHUNK_LINE
+        return LINE_BREAK.length
+    }
+
     /**
      * Returns the line that starts [offset] bytes after the next byte of [input], without its line break. Returns null
      * when it is not whole, and when it is rejected because it is too long or ends with a line feed alone.
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/InvalidInternalResponseTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/InvalidInternalResponseTest.kt
@@ -21,6 +21,10 @@
     "with a blank in the name of a field" to { body ->
         "HTTP/1.1 200 OK\r\nX-No te: a\r\nContent-Length: ${body.size}\r\n\r\n".encodeToByteArray() + body
     },
+    "with a blank after the length of a chunk" to { body ->
+        val head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${body.size.toString(radix = 16)} \r\n"
+        head.encodeToByteArray() + body + "\r\n0\r\n\r\n".encodeToByteArray()
+    },
 )
 
 private val ScriptedEndpoint.socketAddress: SocketAddress
