Reject responses that announce chunks twice

What callers would see: not reported. A response with two headers "Transfer-Encoding: chunked" holds chunks within chunks; one layer was decoded and the caller got the lines of the other one as part of a whole body.

Cause: each of the headers was compared with the only encoding that is decoded, so two of them passed, while "chunked, chunked" in one did not.

Change: there is at most one such header.

Evidence: the new case of OddFramingTest failed on both paths (status 200 in place of 502) and passes with the change.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
@@ -226,10 +226,12 @@
     private fun isToOtherRequest(response: HttpResponse): Boolean =
         expectedId != null && response.headers()[requestIdHeader] != expectedId
 
-    private fun hasKnownTransferEncoding(response: HttpResponse): Boolean =
-        response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).all {
-            it.trim().equals(HttpHeaderValues.CHUNKED.toString(), ignoreCase = true)
-        }
+    /** Returns whether the body is sent as it is, or in chunks once. */
+    private fun hasKnownTransferEncoding(response: HttpResponse): Boolean {
+        val encodings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+        return encodings.isEmpty() ||
+            encodings.singleOrNull()?.trim().equals(HttpHeaderValues.CHUNKED.toString(), ignoreCase = true)
+    }
 
     private fun readConnectionHeaders(response: HttpResponse) {
         framing = decoder.bodyFraming
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/OddFramingTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/OddFramingTest.kt
@@ -46,6 +46,10 @@
                 "a length, and chunks that are whole" to {
                     write(head("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n") + chunkOf("whole") + "0\r\n\r\n")
                 },
+                "chunks within chunks, announced in two headers" to {
+                    val inner = chunkOf("whole") + "0\r\n\r\n"
+                    write(head("Transfer-Encoding: chunked\r\n".repeat(2)) + chunkOf(inner) + "0\r\n\r\n")
+                },
                 "a length that is met, and chunks without a last one" to {
                     write(head("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") + chunkOf("whole"))
                 },
