Take a response without a length as whole only once its request is sent

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. They got that part as a complete response.

Cause: when the endpoint ends its side of the connection before the reset, the entry reads an end of stream, which ends such a response, and closes the connection with the upload unsent. The reset after it was never noticed. After an end of stream a reset shows only when writing.

Change: while a request is being sent, an end of stream does not close the connection. A response that ends with it waits until the request is sent: it is complete if that succeeds and broken if it fails. If the endpoint neither reads on nor closes, the request ends at its deadline with 504. Responses to requests that are sent already, and those with a length or chunks, are not affected.

--- a/core-testing/src/main/kotlin/org/bilberryhead/core/testing/http/RawMessage.kt
+++ b/core-testing/src/main/kotlin/org/bilberryhead/core/testing/http/RawMessage.kt
@@ -28,8 +28,7 @@
 
 /** Reads the next message, or returns null when the stream ends before its head is complete. */
 fun InputStream.readMessage(): RawMessage? {
-    val head = readUntil("\r\n\r\n") ?: return null
-    val message = RawMessage(head.trim(), "")
+    val message = readHead() ?: return null
     val length = message.header("Content-Length")?.toInt()
     return when {
         length != null -> RawMessage(message.head, readLength(length))
@@ -38,6 +37,9 @@
     }
 }
 
+/** Reads the head of the next message, or returns null when the stream ends before it is complete. */
+fun InputStream.readHead(): RawMessage? = readUntil("\r\n\r\n")?.let { RawMessage(it.trim(), "") }
+
 /** Writes [text] and flushes. */
 fun OutputStream.writeText(text: String) {
     write(text.encodeToByteArray())
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/http/OutboundConnection.kt
@@ -5,7 +5,9 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.channel.ChannelPipeline
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.DecoderException
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.EmptyHttpHeaders
@@ -49,7 +51,8 @@
  * A connection to another process that carries one exchange at a time.
  *
  * A response with the id of another request is skipped, and the connection is not reused afterwards. Bytes that arrive
- * while no request is pending close the connection, as do bytes that go on without becoming part of the response.
+ * while no request is pending close the connection, as do bytes that go on without becoming part of the response, and
+ * those that [ResponseSyntaxCheck] rejects.
  * As a response is matched by its id, a request whose id was sent on the connection before needs another connection.
  *
  * @param onUnexpectedFailure receives an exception that is neither an I/O error nor an invalid response
@@ -69,6 +72,10 @@
     private var isSkippingResponse = false
     private var framing = BodyFraming.LENGTH
     private var failureReason: String? = null
+    private var requestsBeingSent = 0
+
+    /** Whether the response has ended with the other side of the connection while the request is still being sent. */
+    private var isEndUncertain = false
     private var idleTimeout: Duration = DEFAULT_IDLE_TIMEOUT
     private val carriedIdHashes = mutableSetOf<Int>()
 
@@ -147,16 +154,29 @@
         if (request.body.size > 0 || request.method == HttpMethod.POST || request.method == HttpMethod.PUT) {
             HttpUtil.setContentLength(message, request.body.size.toLong())
         }
-        channel.writeAndFlush(message).addListener { it.cause()?.let(::recordFailedWrite) }
+        requestsBeingSent++
+        setHalfClosureAllowed(true)
+        channel.writeAndFlush(message).addListener { requestSent(it.cause()) }
         return exchange
     }
 
     /**
-     * Notes that the connection broke while the request was being sent: it may then close without an error of reading.
-     * The other process may as well close it in order before it has read the whole request.
+     * Sets whether sending goes on once the other process has ended its side. Only that tells whether the process has
+     * read the request, or has reset the connection, which no longer shows when reading.
+     */
+    private fun setHalfClosureAllowed(isAllowed: Boolean) {
+        channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, isAllowed)
+    }
+
+    /**
+     * The request is sent, or could not be because of [cause]. A connection that breaks while it is being sent may
+     * close without an error of reading. An exception for a closed channel says that this side has closed it.
      */
-    private fun recordFailedWrite(cause: Throwable) {
-        if (cause !is ClosedChannelException) failureReason = failureReason ?: describe(cause)
+    private fun requestSent(cause: Throwable?) {
+        requestsBeingSent--
+        if (requestsBeingSent == 0) setHalfClosureAllowed(false)
+        if (cause != null && cause !is ClosedChannelException) failureReason = failureReason ?: describe(cause)
+        if (isEndUncertain) current?.let(::complete)
     }
 
     private fun describe(cause: Throwable): String = cause.message ?: cause.javaClass.simpleName
@@ -251,15 +271,18 @@
         if (remainingBodyBytes < 0) return fail("the body of the answer is too long")
         if (length > 0) {
             bytesWithoutProgress = 0
-            exchange.listener.bodyPartReceived(bytesOf(content.content()))
+            exchange.listener.bodyPartReceived(ByteBufUtil.getBytes(content.content()))
         }
         // The listener may have closed the connection while it handled the body.
         if (content is LastHttpContent && current === exchange) complete(exchange)
     }
 
     private fun complete(exchange: Exchange) {
+        val endsWithConnection = framing == BodyFraming.END_OF_CONNECTION
+        isEndUncertain = endsWithConnection && requestsBeingSent > 0 && failureReason == null
+        if (isEndUncertain) return
         val end = when {
-            framing != BodyFraming.END_OF_CONNECTION -> ByteEnd.ANNOUNCED
+            !endsWithConnection -> ByteEnd.ANNOUNCED
             failureReason == null -> ByteEnd.CLOSE
             else -> ByteEnd.RESET
         }
@@ -274,14 +297,17 @@
         onStateChange()
     }
 
-    private fun bytesOf(buffer: ByteBuf): ByteArray = ByteBufUtil.getBytes(buffer)
-
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         failureReason = describe(cause)
         if (cause !is IOException && cause !is DecoderException) onUnexpectedFailure(cause)
         context.close()
     }
 
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        // The other process has ended its side; what it had sent is read by now.
+        if (event is ChannelInputShutdownEvent && !isEndUncertain) channel.close()
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         isReusable = false
         fail(failureReason ?: CLOSED)
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ScriptedEndpoint.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ScriptedEndpoint.kt
@@ -1,9 +1,11 @@
 package org.bilberryhead.forwarding
 
 import org.bilberryhead.core.testing.http.RawMessage
+import org.bilberryhead.core.testing.http.readHead
 import org.bilberryhead.core.testing.http.readMessage
 import org.bilberryhead.core.testing.http.writeText
-import java.net.InetAddress
+import java.io.InputStream
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
@@ -11,8 +13,15 @@
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 
-/** A fake endpoint that passes each request to [handler] and records it. */
-internal class ScriptedEndpoint(private val handler: Exchange.() -> Unit) : AutoCloseable {
+/**
+ * A fake endpoint that passes each request to [handler] and records it.
+ *
+ * @param readsBodies whether a request is read whole before it is passed on, or only its head
+ */
+internal class ScriptedEndpoint(private val readsBodies: Boolean, private val handler: Exchange.() -> Unit) :
+    AutoCloseable {
+    constructor(handler: Exchange.() -> Unit) : this(readsBodies = true, handler)
+
     /** One request and its connection, on which the handler responds; [previousId] is that of the request before it. */
     class Exchange(
         val request: RawMessage,
@@ -49,6 +58,14 @@
 
         fun closeConnection() = socket.close()
 
+        /** Ends the endpoint's side of the connection in order; the entry can go on sending. */
+        fun endOutput() = socket.shutdownOutput()
+
+        /** Reads what the entry sends until it closes the connection. */
+        fun readRest() {
+            socket.getInputStream().skip(Long.MAX_VALUE)
+        }
+
         /** Ends the endpoint as a crash does: it no longer listens, and all of its connections close. */
         fun crashEndpoint() = endpoint.crash()
 
@@ -63,7 +80,10 @@
     }
 
     private val sockets = CopyOnWriteArrayList<Socket>()
-    private val server = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
+    private val server = ServerSocket().apply {
+        if (!readsBodies) receiveBufferSize = SMALL_BUFFER_BYTES
+        bind(InetSocketAddress("127.0.0.1", 0), MAXIMUM_WAITING_CONNECTIONS)
+    }
     private val pendingRequests = LinkedBlockingQueue<RawMessage>()
     val requests = CopyOnWriteArrayList<RawMessage>()
     val address = "127.0.0.1:${server.localPort}"
@@ -79,7 +99,7 @@
         socket.use {
             var previousId: String? = null
             while (true) {
-                val request = runCatching { it.getInputStream().readMessage() }.getOrNull() ?: return
+                val request = runCatching { it.getInputStream().readRequest() }.getOrNull() ?: return
                 requests += request
                 pendingRequests += request
                 val exchange = Exchange(request, it, this, previousId)
@@ -90,6 +110,8 @@
         }
     }
 
+    private fun InputStream.readRequest(): RawMessage? = if (readsBodies) readMessage() else readHead()
+
     fun awaitRequest(): RawMessage = checkNotNull(pendingRequests.poll(10, TimeUnit.SECONDS)) { "no request arrived" }
 
     override fun close() = server.close()
@@ -98,4 +120,11 @@
         server.close()
         sockets.forEach { it.close() }
     }
+
+    private companion object {
+        const val MAXIMUM_WAITING_CONNECTIONS = 50
+
+        /** Makes what the endpoint does not read wait at the entry. */
+        const val SMALL_BUFFER_BYTES = 16 * 1024
+    }
 }
