--- a/core/src/main/kotlin/org/bilberryhead/core/serving/ResponseGrammar.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ResponseGrammar.kt
@@ -7,7 +7,12 @@
  * it is invalid, or null when it is valid. Folded fields, which RFC 9112 lets a gateway reject, are invalid.
  */
 object ResponseGrammar {
-    /** RFC 9110 calls all other status codes invalid. The blank after the status code is often omitted. */
+    private const val TOKEN = """[!#$%&'*+.^_`|~0-9A-Za-z-]+"""
+    private const val TEXT = """[\t\x20-\x7E\x80-\xFF]*"""
+    private const val BLANKS = """[ \t]*"""
+    private const val QUOTED = """"(?:[\t\x20\x21\x23-\x5B\x5D-\x7E\x80-\xFF]|\\[\t\x20-\x7E\x80-\xFF])*+""""
+
+    /** A status outside 100 to 599 is invalid. The blank after it is due, but often omitted where no reason follows. */
     private val STATUS_LINE = Regex("""HTTP/1\.[0-9] [1-5][0-9]{2}(?: $TEXT)?""")
     private val FIELD_NAME = Regex(TOKEN)
     private val FIELD_VALUE = Regex(TEXT)
@@ -15,6 +20,13 @@
     /** Possessive quantifiers keep the match of a long line from using the stack. */
     private val CHUNK_LINE = Regex("""[0-9A-Fa-f]+(?:$BLANKS;$BLANKS$TOKEN(?:$BLANKS=$BLANKS(?:$TOKEN|$QUOTED))?+)*+""")
 
+    private val VISIBLE = ' '..'~'
+    private const val MAXIMUM_QUOTED_LENGTH = 60
+    private const val HEXADECIMAL_RADIX = 16
+
+    /** A longer chunk, of 256 MiB or more, is larger than any body that is accepted. */
+    private const val MAXIMUM_CHUNK_DIGITS = 7
+
     /** Returns why [line] is not the first line of a response. */
     fun problemOfStatusLine(line: String): String? =
         if (STATUS_LINE.matches(line)) null else "the status line ${quote(line)} is invalid"
@@ -23,7 +35,7 @@
     fun problemOfField(line: String): String? {
         val name = line.substringBefore(':')
         return when {
-            name.length == line.length -> "the line ${quote(line)} of the head or trailers has no colon"
+            name.length == line.length -> "a line of the head or trailers has no colon"
             !FIELD_NAME.matches(name) -> "the field name ${quote(name)} is invalid"
             !FIELD_VALUE.matches(line.substring(name.length + 1)) -> "the value of the field $name is invalid"
             else -> null
@@ -51,15 +63,4 @@
         }
         return visible.joinToString("", prefix = "\"", postfix = if (text.length > visible.size) "...\"" else "\"")
     }
-
-    private const val TOKEN = """[!#$%&'*+.^_`|~0-9A-Za-z-]+"""
-    private const val TEXT = """[\t\x20-\x7E\x80-\xFF]*"""
-    private const val BLANKS = """[ \t]*"""
-    private const val QUOTED = """"(?:[\t\x20\x21\x23-\x5B\x5D-\x7E\x80-\xFF]|\\[\t\x20-\x7E\x80-\xFF])*+""""
-    private val VISIBLE = ' '..'~'
-    private const val MAXIMUM_QUOTED_LENGTH = 60
-    private const val HEXADECIMAL_RADIX = 16
-
-    /** A longer chunk, of 256 MiB or more, is larger than any body that is accepted. */
-    private const val MAXIMUM_CHUNK_DIGITS = 7
 }
