--- a/core/src/main/kotlin/org/bilberryhead/core/serving/ResponseGrammar.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/ResponseGrammar.kt
@@ -14,13 +14,16 @@
 
     /** A status outside 100 to 599 is invalid. The blank after it is due, but often omitted where no reason follows. */
     private val STATUS_LINE = Regex("""HTTP/1\.[0-9] [1-5][0-9]{2}(?: $TEXT)?""")
-    private val FIELD_NAME = Regex(TOKEN)
-    private val FIELD_VALUE = Regex(TEXT)
 
     /** Possessive quantifiers keep the match of a long line from using the stack. */
     private val CHUNK_LINE = Regex("""[0-9A-Fa-f]+(?:$BLANKS;$BLANKS$TOKEN(?:$BLANKS=$BLANKS(?:$TOKEN|$QUOTED))?+)*+""")
 
+    private const val BYTE_VALUES = 256
+
+    /** Whether a byte may be part of a token, by its value. */
+    private val TOKEN_CHARACTERS = BooleanArray(BYTE_VALUES) { Regex(TOKEN).matches(it.toChar().toString()) }
     private val VISIBLE = ' '..'~'
+    private const val FIRST_OPAQUE_BYTE = '\u0080'
     private const val MAXIMUM_QUOTED_LENGTH = 60
     private const val HEXADECIMAL_RADIX = 16
 
@@ -36,25 +39,39 @@
         val name = line.substringBefore(':')
         return when {
             name.length == line.length -> "a line of the head or trailers has no colon"
-            !FIELD_NAME.matches(name) -> "the field name ${quote(name)} is invalid"
-            !FIELD_VALUE.matches(line.substring(name.length + 1)) -> "the value of the field $name is invalid"
+            !isToken(name) -> "the field name ${quote(name)} is invalid"
+            !isText(line, name.length + 1) -> "the value of the field $name is invalid"
             else -> null
         }
     }
 
+    private fun isToken(text: String) = text.isNotEmpty() && text.all { TOKEN_CHARACTERS[it.code] }
+
+    private fun isText(line: String, start: Int): Boolean {
+        for (index in start..line.lastIndex) {
+            val character = line[index]
+            if (character !in VISIBLE && character != '\t' && character < FIRST_OPAQUE_BYTE) return false
+        }
+        return true
+    }
+
     /** Returns why [line] does not state the length of a chunk. */
     fun problemOfChunkLine(line: String): String? = when {
-        !CHUNK_LINE.matches(line) -> "the chunk line ${quote(line)} is invalid"
+        !isPlainLength(line) && !CHUNK_LINE.matches(line) -> "the chunk line ${quote(line)} is invalid"
         digitsOfChunkLine(line).length > MAXIMUM_CHUNK_DIGITS -> "the chunk length ${quote(line)} is too large"
         else -> null
     }
 
+    /** Returns whether [line] is a chunk length without extensions, as most are. */
+    private fun isPlainLength(line: String) = line.isNotEmpty() && line.all { isDigit(it) }
+
+    private fun isDigit(character: Char) = character in '0'..'9' || character in 'a'..'f' || character in 'A'..'F'
+
     /** Returns the length in bytes of the chunk that follows [line], which must be valid; 0 for the last chunk. */
     fun chunkLengthOf(line: String): Long = digitsOfChunkLine(line).ifEmpty { "0" }.toLong(HEXADECIMAL_RADIX)
 
     /** Returns the significant digits of the chunk length that [line] begins with. */
-    private fun digitsOfChunkLine(line: String): String =
-        line.takeWhile { it.digitToIntOrNull(HEXADECIMAL_RADIX) != null }.trimStart('0')
+    private fun digitsOfChunkLine(line: String): String = line.takeWhile(::isDigit).trimStart('0')
 
     /** Returns the beginning of [text] with invisible bytes made visible, for logs and error messages. */
     private fun quote(text: String): String {
