--- a/review/parts-3/Server.java
+++ b/review/parts-3/Server.java
@@ -106,10 +106,13 @@
                 if (request == null) return;
                 String requestId = request.header("X-Request-Id");
                 String echo = requestId == null ? "" : "X-Request-Id: " + requestId + "\r\n";
+                // A server that leaves says so in all its answers.
+                String leaving = isDraining ? "Server-Leaving: 1\r\n" : "";
                 String expected = request.header("X-Expect-Instance");
                 if (expected != null && !expected.equals(id)) {
                     listener.arrived(this, request, false);
-                    write(channel, "HTTP/1.1 421 Misdirected\r\n" + echo + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+                    write(channel, "HTTP/1.1 421 Misdirected\r\n" + echo + leaving
+                        + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
                     continue;
                 }
                 listener.arrived(this, request, true);
@@ -117,7 +120,8 @@
                 Thread.sleep(workMs);
                 int now = running.decrementAndGet();
                 String body = "done " + requestId;
-                write(channel, "HTTP/1.1 200 OK\r\n" + echo + "X-Response-Stamp: s." + requestId + "\r\nX-Server-Load: " + now
+                leaving = isDraining ? "Server-Leaving: 1\r\n" : "";
+                write(channel, "HTTP/1.1 200 OK\r\n" + echo + leaving + "X-Response-Stamp: s." + requestId + "\r\nX-Server-Load: " + now
                     + ",0,6\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
             }
         } finally {
