--- a/review/parts-3/CaseCrashReports.java
+++ b/review/parts-3/CaseCrashReports.java
@@ -2,7 +2,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A part of prompts crashes servers, some seconds after a short outage of the store: do the entries stop it together? */
+/** A part of prompts crashes servers, some seconds after open channels to the store went silent: do the entries stop it together? */
 final class CaseCrashReports extends Case {
     private static final String POISON = "bad0bad0";
     private final Map<String, Long> sentAt = new ConcurrentHashMap<>();
@@ -34,8 +34,8 @@
             }
         });
         Thread.sleep(1_500);
-        if (trouble) store.silence(4_500);
-        // The store is calm again for contact_ms before the first of these requests comes.
+        if (trouble) store.silenceChannels();
+        // It has been calm for more than contact_ms when the first of these requests comes.
         Thread.sleep(CONTACT_MS + 1_000);
         for (int i = 0; i < 16; i++) {
             Entry entry = entries.get(i % entries.size());
--- a/review/parts-3/Store.java
+++ b/review/parts-3/Store.java
@@ -163,30 +163,16 @@
     }
 
     /**
-     * The store is silent for [ms]: it answers no call and loses nothing. Calls in progress get no answer, and their
-     * channels deliver nothing further.
+     * All open channels go silent for good, without a reset; new ones work. Calls that are open on them get no answer.
      */
-    void silence(long ms) throws InterruptedException {
-        List<Socket> before;
-        synchronized (this) {
-            isAway = true;
-            resets = false;
-            before = new ArrayList<>(open);
-            silences++;
-            notifyAll();
-        }
-        record.line("store: silent");
-        Thread.sleep(ms);
-        synchronized (this) {
-            dead.addAll(before);
-            beatAt.replaceAll((key, at) -> Record.now());
-            isAway = false;
-            record.line("store: answers again");
-            notifyAll();
-        }
+    synchronized void silenceChannels() {
+        dead.addAll(open);
+        silences++;
+        record.line("store: open channels go silent");
+        notifyAll();
     }
 
-    /** Number of times that the store was silent, by which a call in progress knows that it has lost its answer. */
+    /** Number of times that channels went silent, by which a call in progress knows that it has lost its answer. */
     private volatile int silences = 0;
 
     /** Channels on which an answer was lost. */
