Review: case 14 with as many entries as its site has

Cause: with twelve entries the case depended on chance.

Change: 28 entries, the number that the site has, and fewer orders a second at each. Each entry that counts no more than eleven members sends at least one request a second.

--- a/review/parts-3/CaseColdAfterDrill.java
+++ b/review/parts-3/CaseColdAfterDrill.java
@@ -21,7 +21,7 @@
         long startAt = Record.now();
         var bounds = Entry.bounds();
         bounds.putAll(java.util.Map.of("config_apply_ms", "3000", "drain_ms", "3000", "retry_slack", "96"));
-        startEntries(12, bounds);
+        startEntries(28, bounds);
         long readyAt = Record.now();
         record.line("all entries are ready " + (readyAt - startAt) + " ms after the start");
         if (trouble) store.drill(300, readyAt - startAt + 300, true);
@@ -50,7 +50,7 @@
                     record.line("client: " + result.id() + " through " + entry.name + " -> " + result.status() + " " + result.body());
                 }
             });
-            Thread.sleep(100);
+            Thread.sleep(150);
         }
     }
 }
