Use one stand-in of the store in the tests and the soak

The store's rows stood twice in the tests of forwarding (FakeRowStore, PausingStore) and once more in the soak, each with a part of the store's behaviour: one waited for changes, one could fall silent, none came back from a copy. RowStore and RowStoreServer in platform-testing take their place.

The soak draws such a return beside rejected calls and faults of the link. No test was left out; those that used the earlier fakes are unchanged but for the calls that write rows. LoopbackStore, which answers whole tables from what a test holds, stays.

--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ColdEndpointTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/ColdEndpointTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.shouldBe
 import org.bilberryhead.core.serving.ColdStartLimit
+import org.bilberryhead.platform.testing.RowStoreServer
 import org.bilberryhead.platform.wire.RowKey
 import org.bilberryhead.platform.wire.WireTables
 import java.util.concurrent.CompletableFuture
@@ -41,8 +42,8 @@
 private fun withEntry(
     pools: Map<String, List<TimedEndpoint>>,
     configuration: String = COLD_POOLS,
-    use: (LoopbackDeployment, FakeRowStore) -> Unit,
-) = FakeRowStore().use { store ->
+    use: (LoopbackDeployment, RowStoreServer) -> Unit,
+) = RowStoreServer().use { store ->
     val endpoints = pools.mapValues { (_, pool) -> pool.map { it.endpoint } }
     LoopbackDeployment(configuration, endpoints, sharedStore = store).use { entry ->
         TimeUnit.MILLISECONDS.sleep((ColdStartLimit.SETTLING_TIME + 500.milliseconds).inWholeMilliseconds)
@@ -51,13 +52,13 @@
 }
 
 /** Writes into the row of the first endpoint of [pool] that it stays cold for 30 s. */
-private fun FakeRowStore.writeCold(pool: String, endpoint: TimedEndpoint) {
+private fun RowStoreServer.writeCold(pool: String, endpoint: TimedEndpoint) {
     val row = endpointRows(mapOf(pool to listOf(endpoint.endpoint))).single().second
-    put(RowKey(WireTables.ENDPOINTS, "$pool-0"), row.dropLast(1) + ""","cold_left_ms":30000}""")
+    rows.put(RowKey(WireTables.ENDPOINTS, "$pool-0"), row.dropLast(1) + ""","cold_left_ms":30000}""")
 }
 
 /** Makes the first endpoint of [pool] cold, and waits until the entry knows it. */
-private fun FakeRowStore.makeCold(pool: String, endpoint: TimedEndpoint, entry: LoopbackDeployment) {
+private fun RowStoreServer.makeCold(pool: String, endpoint: TimedEndpoint, entry: LoopbackDeployment) {
     writeCold(pool, endpoint)
     awaitColdCount(entry, 1)
 }
@@ -122,9 +123,9 @@
                 TimedEndpoint().use { endpoint ->
                     withEntry(mapOf("p" to listOf(endpoint))) { entry, store ->
                         val evacuation = RowKey(WireTables.OPERATOR, "evacuate/x")
-                        store.put(evacuation, "{}")
+                        store.rows.put(evacuation, "{}")
                         generateSequence { entry.get("/order/a")?.status }.first { it == 503 }
-                        store.remove(evacuation)
+                        store.rows.remove(evacuation)
                         awaitColdCount(entry, 1)
                         endpoint.arrivals.clear()
                         entry.getTogether(8) shouldBe List(8) { 200 }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/CrashingPromptTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/CrashingPromptTest.kt
@@ -8,6 +8,7 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import org.bilberryhead.core.testing.http.RawMessage
+import org.bilberryhead.platform.testing.RowStoreServer
 import org.bilberryhead.platform.wire.RowKey
 import org.bilberryhead.platform.wire.WireTables
 import java.util.concurrent.TimeUnit
@@ -95,7 +96,7 @@
             }
 
             it("is refused by an entry that saw none of the crashes, and by one that restarts after all were down") {
-                FakeRowStore().use { store ->
+                RowStoreServer().use { store ->
                     CrashingEngines(count = 12).use { engines ->
                         val pools = engines.pools
                         fun entry(id: String) =
@@ -123,14 +124,14 @@
 
         describe("rows of crash reports that other writers left") {
             it("stop nothing: the other rows are still learnt") {
-                FakeRowStore().use { store ->
+                RowStoreServer().use { store ->
                     val reports = (1..3).joinToString(",") {
                         """{"endpoint":"x$it","startedAt":1,"suspects":["bad"]}"""
                     }
-                    store.put(RowKey(WireTables.CRASHES, "a"), "[".repeat(30_000))
-                    store.put(RowKey(WireTables.CRASHES, "b"), """{"crashes":[{"endpoint":7,"startedAt":null}]}""")
-                    store.put(RowKey(WireTables.CRASHES, "c"), """{"crashes":[$reports]}""")
-                    store.put(RowKey(WireTables.CRASHES, "entry"), "no row")
+                    store.rows.put(RowKey(WireTables.CRASHES, "a"), "[".repeat(30_000))
+                    store.rows.put(RowKey(WireTables.CRASHES, "b"), """{"crashes":[{"endpoint":7,"startedAt":null}]}""")
+                    store.rows.put(RowKey(WireTables.CRASHES, "c"), """{"crashes":[$reports]}""")
+                    store.rows.put(RowKey(WireTables.CRASHES, "entry"), "no row")
                     val endpoint = ScriptedEndpoint { stream() }
                     LoopbackDeployment(ENGINE_CONFIGURATION, mapOf("p" to listOf(endpoint)), sharedStore = store).use {
                         TimeUnit.SECONDS.sleep(1)
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EvacuationTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/EvacuationTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.matchers.shouldBe
 import org.bilberryhead.core.testing.http.readMessage
 import org.bilberryhead.core.testing.http.writeText
+import org.bilberryhead.platform.testing.RowStoreServer
 import org.bilberryhead.platform.wire.RowKey
 import org.bilberryhead.platform.wire.WireTables
 import java.util.concurrent.CountDownLatch
@@ -20,16 +21,16 @@
         describe("the endpoints of an evacuated data centre") {
             it("get no requests until the evacuation is withdrawn; callers are told at once that theirs have not run") {
                 ScriptedEndpoint { respond() }.use { endpoint ->
-                    FakeRowStore().use { store ->
+                    RowStoreServer().use { store ->
                         val pools = mapOf("p" to listOf(endpoint))
                         LoopbackDeployment(LoopbackDeployment.CONFIGURATION, pools, sharedStore = store).use { entry ->
                             entry.get("/order/a")?.status shouldBe 200
-                            store.put(EVACUATION, "{}")
+                            store.rows.put(EVACUATION, "{}")
                             eventually(5.seconds) { entry.get("/order/a")?.status shouldBe 503 }
                             val before = endpoint.requests.size
                             repeat(3) { entry.get("/lookup/a", "l$it").shouldNotBeNull().status shouldBe 503 }
                             endpoint.requests.size shouldBe before
-                            store.remove(EVACUATION)
+                            store.rows.remove(EVACUATION)
                             eventually(5.seconds) { entry.get("/order/a")?.status shouldBe 200 }
                         }
                     }
@@ -43,14 +44,14 @@
                     respond()
                 }
                 ScriptedEndpoint(waiting).use { endpoint ->
-                    FakeRowStore().use { store ->
+                    RowStoreServer().use { store ->
                         val pools = mapOf("p" to listOf(endpoint))
                         LoopbackDeployment(LoopbackDeployment.CONFIGURATION, pools, sharedStore = store).use { entry ->
                             entry.connect().use { caller ->
                                 val headers = "Host: h\r\nX-Request-Id: long\r\nX-Api-Key: k"
                                 caller.getOutputStream().writeText("GET /long/a HTTP/1.1\r\n$headers\r\n\r\n")
                                 endpoint.awaitRequest()
-                                store.put(EVACUATION, "{}")
+                                store.rows.put(EVACUATION, "{}")
                                 eventually(5.seconds) { entry.get("/order/a")?.status shouldBe 503 }
                                 evacuated.countDown()
                                 caller.getInputStream().readMessage()?.status shouldBe 200
@@ -62,8 +63,8 @@
 
             it("get no requests from an entry that cannot reach the store and learns of the evacuation from another") {
                 ScriptedEndpoint { respond() }.use { endpoint ->
-                    FakeRowStore().use { store ->
-                        store.put(EVACUATION, "{}")
+                    RowStoreServer().use { store ->
+                        store.rows.put(EVACUATION, "{}")
                         val pools = mapOf("p" to listOf(endpoint))
                         LoopbackDeployment(LoopbackDeployment.CONFIGURATION, pools, sharedStore = store).use { first ->
                             LoopbackDeployment(
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackDeployment.kt
@@ -14,6 +14,7 @@
 import org.bilberryhead.daemon.MonotonicClock
 import org.bilberryhead.daemon.SettingsError
 import org.bilberryhead.daemon.newMeterRegistry
+import org.bilberryhead.platform.testing.RowStoreServer
 import org.bilberryhead.platform.wire.RowKey
 import org.bilberryhead.platform.wire.WireTables
 import java.net.Socket
@@ -73,7 +74,7 @@
     private val isStoreReachable: Boolean = true,
     drainLimit: Long = 8_000,
     id: String = "entry",
-    sharedStore: FakeRowStore? = null,
+    sharedStore: RowStoreServer? = null,
     storeResponse: ((uri: String) -> String)? = null,
     retrySlack: Double = 50.0,
     storeAddress: SocketAddress? = null,
@@ -148,9 +149,9 @@
         check(isDraining) { "still ready" }
     }
 
-    private fun writeTables(shared: FakeRowStore, pools: Map<String, List<ScriptedEndpoint>>) {
-        configuration?.let { shared.put(RowKey(WireTables.OPERATOR, WireTables.CONFIGURATION_KEY), it) }
-        endpointRows(pools).forEach { (key, value) -> shared.put(RowKey(WireTables.ENDPOINTS, key), value) }
+    private fun writeTables(shared: RowStoreServer, pools: Map<String, List<ScriptedEndpoint>>) {
+        configuration?.let { shared.rows.put(RowKey(WireTables.OPERATOR, WireTables.CONFIGURATION_KEY), it) }
+        endpointRows(pools).forEach { (key, value) -> shared.rows.put(RowKey(WireTables.ENDPOINTS, key), value) }
     }
 
     /** Changes the configuration and the endpoints of the pools in the store. */
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackStore.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/LoopbackStore.kt
@@ -4,6 +4,7 @@
 import org.bilberryhead.core.common.SocketAddress
 import org.bilberryhead.forwarding.http.SimpleHttpResponse
 import org.bilberryhead.forwarding.http.SimpleHttpServer
+import org.bilberryhead.platform.wire.RowKey
 import org.bilberryhead.platform.wire.WireTables
 import java.util.Base64
 import java.util.concurrent.CountDownLatch
@@ -18,6 +19,11 @@
         }
     }
 
+/** Returns the rows of a store that holds [configuration] and the endpoints of [pools]. */
+internal fun rowsOf(configuration: String, pools: Map<String, List<ScriptedEndpoint>>): Map<RowKey, String> =
+    mapOf(RowKey(WireTables.OPERATOR, WireTables.CONFIGURATION_KEY) to configuration) +
+        endpointRows(pools).associate { (key, value) -> RowKey(WireTables.ENDPOINTS, key) to value }
+
 /**
  * A store on the loopback interface that holds one configuration and the endpoints of its pools.
  *
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/MembershipServiceTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/MembershipServiceTest.kt
@@ -16,6 +16,7 @@
 import org.bilberryhead.forwarding.store.StoreWriter
 import org.bilberryhead.forwarding.store.TableListener
 import org.bilberryhead.forwarding.store.WatchTimings
+import org.bilberryhead.platform.testing.RowStoreServer
 import org.bilberryhead.platform.wire.RowKey
 import org.bilberryhead.platform.wire.WireTables
 import java.util.concurrent.TimeUnit
@@ -25,7 +26,7 @@
 import kotlin.time.Instant
 
 /** The membership of one entry, which reads and writes [store]. */
-private class MemberProcess(id: String, private val store: FakeRowStore) : AutoCloseable {
+private class MemberProcess(id: String, private val store: RowStoreServer) : AutoCloseable {
     private val thread = newEventThread()
     private val connector = Connector(thread, "X-Request-Id")
     private val decisions = DecisionLog(100, thread::now)
@@ -83,7 +84,7 @@
     DescribeSpec({
         describe("entries that register in the store") {
             it("know each other, and share the limits") {
-                FakeRowStore().use { store ->
+                RowStoreServer().use { store ->
                     val processes = listOf("a", "b", "c").map { MemberProcess(it, store) }
                     for (process in processes) {
                         eventually(10.seconds) {
@@ -96,15 +97,15 @@
             }
 
             it("no longer count one that has died, and remove its rows") {
-                FakeRowStore().use { store ->
+                RowStoreServer().use { store ->
                     val survivors = listOf("a", "c").map { MemberProcess(it, store) }
                     val dead = MemberProcess("b", store)
                     eventually(10.seconds) { survivors.first().shareCount shouldBe 3 }
                     dead.close()
                     eventually(20.seconds) {
                         survivors.map { it.shareCount } shouldBe listOf(2, 2)
-                        store.keys(WireTables.ENTRIES) shouldBe setOf("a", "c")
-                        store.keys(WireTables.LEASES) shouldBe setOf("a", "c")
+                        store.rows.keys(WireTables.ENTRIES) shouldBe setOf("a", "c")
+                        store.rows.keys(WireTables.LEASES) shouldBe setOf("a", "c")
                     }
                     survivors.forEach { it.close() }
                 }
@@ -113,11 +114,11 @@
 
         describe("an entry whose row was removed while it lives") {
             it("registers again") {
-                FakeRowStore().use { store ->
+                RowStoreServer().use { store ->
                     MemberProcess("a", store).use {
-                        eventually(10.seconds) { store.keys(WireTables.ENTRIES) shouldBe setOf("a") }
-                        store.remove(RowKey(WireTables.ENTRIES, "a"))
-                        eventually(10.seconds) { store.keys(WireTables.ENTRIES) shouldBe setOf("a") }
+                        eventually(10.seconds) { store.rows.keys(WireTables.ENTRIES) shouldBe setOf("a") }
+                        store.rows.remove(RowKey(WireTables.ENTRIES, "a"))
+                        eventually(10.seconds) { store.rows.keys(WireTables.ENTRIES) shouldBe setOf("a") }
                     }
                 }
             }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/OddMembershipRowTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/OddMembershipRowTest.kt
@@ -13,6 +13,7 @@
 import org.bilberryhead.core.serving.EntryRecord
 import org.bilberryhead.forwarding.membership.EntryListener
 import org.bilberryhead.forwarding.membership.LeaseListener
+import org.bilberryhead.platform.testing.RowStoreServer
 import org.bilberryhead.platform.wire.RowKey
 import org.bilberryhead.platform.wire.StoreRow
 import org.bilberryhead.platform.wire.WireTables
@@ -85,9 +86,9 @@
                 val endpoint = ScriptedEndpoint { respond() }
                 val pools = mapOf("p" to listOf(endpoint))
                 RecordedDecisions().use { recorded ->
-                    FakeRowStore().use { store ->
-                        ODD_ROWS.forEach { (key, text) -> store.put(RowKey(WireTables.ENTRIES, key), text) }
-                        ODD_LEASES.forEach { (key, text) -> store.put(RowKey(WireTables.LEASES, key), text) }
+                    RowStoreServer().use { store ->
+                        ODD_ROWS.forEach { (key, text) -> store.rows.put(RowKey(WireTables.ENTRIES, key), text) }
+                        ODD_LEASES.forEach { (key, text) -> store.rows.put(RowKey(WireTables.LEASES, key), text) }
                         LoopbackDeployment(LoopbackDeployment.CONFIGURATION, pools, sharedStore = store).use {
                             eventually(10.seconds) {
                                 recorded.of("entry row unreadable").map { line -> line["entry"] } shouldContainAll
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/QuarantineOfWaitingRequestsTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/QuarantineOfWaitingRequestsTest.kt
@@ -8,6 +8,7 @@
 import io.kotest.matchers.shouldBe
 import org.bilberryhead.core.testing.http.readMessage
 import org.bilberryhead.core.testing.http.writeText
+import org.bilberryhead.platform.testing.RowStoreServer
 import org.bilberryhead.platform.wire.RowKey
 import org.bilberryhead.platform.wire.WireTables
 import java.net.Socket
@@ -27,9 +28,9 @@
 """.trimIndent()
 
 /** Writes reports of another entry from which it follows that the part `bad` crashes engines. */
-private fun FakeRowStore.reportCrashes() {
+private fun RowStoreServer.reportCrashes() {
     val reports = (1..3).joinToString(",") { """{"endpoint":"x$it","startedAt":1,"suspects":["bad"]}""" }
-    put(RowKey(WireTables.CRASHES, "other"), """{"crashes":[$reports]}""")
+    rows.put(RowKey(WireTables.CRASHES, "other"), """{"crashes":[$reports]}""")
 }
 
 private fun LoopbackDeployment.begin(path: String, parts: String): Socket = connect().apply {
@@ -59,7 +60,7 @@
         describe("a request whose part is found to crash engines meanwhile") {
             it("is refused and reaches no engine when it waits for a connection") {
                 val released = CountDownLatch(1)
-                FakeRowStore().use { store ->
+                RowStoreServer().use { store ->
                     ScriptedEndpoint { released.await().also { stream() } }.use { engine ->
                         val pools = mapOf("p" to listOf(engine))
                         LoopbackDeployment(NARROW_CONFIGURATION, pools, sharedStore = store).use { entry ->
@@ -82,7 +83,7 @@
 
             it("is refused and reaches no engine when its stages are under way") {
                 val released = CountDownLatch(1)
-                FakeRowStore().use { store ->
+                RowStoreServer().use { store ->
                     ScriptedEndpoint {
                         released.await()
                         respond(body = """{"items":[{"handle":"127.0.0.1:9/1"}]}""", headers = "")
@@ -107,7 +108,7 @@
             }
 
             it("is not sent to a second engine after the first has failed") {
-                FakeRowStore().use { store ->
+                RowStoreServer().use { store ->
                     val hasFailed = AtomicBoolean()
                     val breakOff: ScriptedEndpoint.Exchange.() -> Unit = {
                         when {
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/SilentStoreTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/SilentStoreTest.kt
@@ -4,6 +4,8 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
+import org.bilberryhead.platform.testing.RowStore
+import org.bilberryhead.platform.testing.RowStoreServer
 import org.bilberryhead.platform.wire.RowKey
 import org.bilberryhead.platform.wire.WireTables
 import java.util.concurrent.TimeUnit
@@ -27,7 +29,7 @@
 private class EntryOfSilentStore : AutoCloseable {
     private val endpoints = listOf("p-0", "p-1").map { name -> ScriptedEndpoint { respond(body = name) } }
     private val pools = mapOf("p" to endpoints)
-    val store = pausingStoreOf(LoopbackDeployment.CONFIGURATION, pools)
+    val store = RowStoreServer(RowStore(rowsOf(LoopbackDeployment.CONFIGURATION, pools)))
     val entry = LoopbackDeployment(LoopbackDeployment.CONFIGURATION, emptyMap(), storeAddress = store.address)
     val row = endpointRows(pools).first().second
 
@@ -50,9 +52,9 @@
             describe("a sound store that is silent once for $silence") {
                 it("does not hold up the removal of an endpoint that it had accepted just before") {
                     EntryOfSilentStore().use {
-                        it.store.fallSilentAfterPoll(WireTables.ENDPOINTS, silence)
+                        it.store.rows.fallSilentAfterPoll(WireTables.ENDPOINTS, silence)
                         val accepted = TimeSource.Monotonic.markNow()
-                        it.store.change(ROW, null)
+                        it.store.rows.remove(ROW)
                         sleepUntil(DRAIN_NOTICE, accepted)
                         it.requestsServedByFirst().shouldBeEmpty()
                     }
@@ -60,9 +62,9 @@
 
                 it("does not hold up a drain of an endpoint that it had accepted just before") {
                     EntryOfSilentStore().use {
-                        it.store.fallSilentAfterPoll(WireTables.ENDPOINTS, silence)
+                        it.store.rows.fallSilentAfterPoll(WireTables.ENDPOINTS, silence)
                         val accepted = TimeSource.Monotonic.markNow()
-                        it.store.change(ROW, it.row.replace("ready", "draining"))
+                        it.store.rows.put(ROW, it.row.replace("ready", "draining"))
                         sleepUntil(DRAIN_NOTICE, accepted)
                         it.requestsServedByFirst().shouldBeEmpty()
                     }
@@ -70,10 +72,10 @@
 
                 it("does not hold up the removal of an endpoint that it accepts when it goes on") {
                     EntryOfSilentStore().use {
-                        it.store.fallSilentAfterPoll(WireTables.ENDPOINTS, silence)
+                        it.store.rows.fallSilentAfterPoll(WireTables.ENDPOINTS, silence)
                         TimeUnit.MILLISECONDS.sleep(silence.inWholeMilliseconds + 100)
                         val accepted = TimeSource.Monotonic.markNow()
-                        it.store.change(ROW, null)
+                        it.store.rows.remove(ROW)
                         // The time between two calls, and as much again as a call may take.
                         sleepUntil(1.5.seconds, accepted)
                         it.requestsServedByFirst().shouldBeEmpty()
@@ -82,12 +84,12 @@
 
                 it("does not hold up a configuration that it had accepted just before") {
                     EntryOfSilentStore().use {
-                        it.store.fallSilentAfterPoll(WireTables.OPERATOR, silence)
+                        it.store.rows.fallSilentAfterPoll(WireTables.OPERATOR, silence)
                         val accepted = TimeSource.Monotonic.markNow()
                         val changed = LoopbackDeployment.CONFIGURATION
                             .replace("\"version\":1", "\"version\":2")
                             .replace("/lookup/", "/find/")
-                        it.store.change(RowKey(WireTables.OPERATOR, WireTables.CONFIGURATION_KEY), changed)
+                        it.store.rows.put(RowKey(WireTables.OPERATOR, WireTables.CONFIGURATION_KEY), changed)
                         sleepUntil(CONFIGURATION_DELAY, accepted)
                         it.statusOf("/lookup/a") shouldBe "404"
                         it.statusOf("/find/a") shouldBe "200"
--- a/soak/src/main/kotlin/org/bilberryhead/soak/FaultInjector.kt
+++ b/soak/src/main/kotlin/org/bilberryhead/soak/FaultInjector.kt
@@ -1,5 +1,6 @@
 package org.bilberryhead.soak
 
+import org.bilberryhead.platform.testing.RowStoreServer
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.concurrent.thread
 import kotlin.random.Random
@@ -14,7 +15,7 @@
     val entries: List<EntryProcess>,
     val endpointLinks: List<FaultProxy>,
     val storeLink: FaultProxy,
-    val store: StandInStore,
+    val store: RowStoreServer,
 )
 
 /**
@@ -91,12 +92,22 @@
         link.resetAll()
     }
 
-    private fun injectStoreFault(random: Random) {
-        if (random.nextBoolean()) return injectLinkFault(targets.storeLink, random)
-        recordFault("the store rejects all calls")
-        targets.store.isUnavailable = true
+    private fun injectStoreFault(random: Random) = when (random.nextInt(STORE_FAULT_KINDS)) {
+        0 -> injectLinkFault(targets.storeLink, random)
+        1 -> restoreStore(random)
+        else -> {
+            recordFault("the store rejects all calls")
+            targets.store.isUnavailable = true
+            Thread.sleep(random.nextLong(MIN_INTERVAL_MS, MAX_INTERVAL_MS))
+            targets.store.isUnavailable = false
+        }
+    }
+
+    private fun restoreStore(random: Random) {
+        val copy = targets.store.rows.copy()
         Thread.sleep(random.nextLong(MIN_INTERVAL_MS, MAX_INTERVAL_MS))
-        targets.store.isUnavailable = false
+        recordFault("the store comes back from a copy")
+        targets.store.rows.restore(copy)
     }
 
     private companion object {
@@ -106,6 +117,9 @@
         /** A reset, and each state of a link except `OPEN`. */
         const val LINK_FAULT_KINDS = 4
 
+        /** A fault of the link, a copy, and rejected calls. */
+        const val STORE_FAULT_KINDS = 3
+
         /** Bounds of the delay before a fault and of the time until it is reverted. */
         const val MIN_INTERVAL_MS = 200L
         const val MAX_INTERVAL_MS = 2_000L
--- a/soak/src/main/kotlin/org/bilberryhead/soak/OperatorChanges.kt
+++ b/soak/src/main/kotlin/org/bilberryhead/soak/OperatorChanges.kt
@@ -1,5 +1,7 @@
 package org.bilberryhead.soak
 
+import org.bilberryhead.platform.testing.RowStore
+import org.bilberryhead.platform.wire.RowKey
 import org.bilberryhead.platform.wire.WireTables
 import kotlin.random.Random
 
@@ -33,7 +35,7 @@
     }
 
     /** Writes the configuration as it is. */
-    fun write() = store.put(WireTables.OPERATOR, WireTables.CONFIGURATION_KEY, configuration())
+    fun write() = store.put(RowKey(WireTables.OPERATOR, WireTables.CONFIGURATION_KEY), configuration())
 
     private fun changeOne(): String = when (Change.entries.random(random)) {
         Change.OTHER_ROUTE -> {
--- a/soak/src/main/kotlin/org/bilberryhead/soak/PlannedRun.kt
+++ b/soak/src/main/kotlin/org/bilberryhead/soak/PlannedRun.kt
@@ -1,6 +1,9 @@
 package org.bilberryhead.soak
 
 import org.bilberryhead.core.testing.FreePorts
+import org.bilberryhead.platform.testing.RowStore
+import org.bilberryhead.platform.testing.RowStoreServer
+import org.bilberryhead.platform.wire.RowKey
 import org.bilberryhead.platform.wire.WireTables
 import java.nio.file.Path
 import kotlin.random.Random
@@ -24,10 +27,10 @@
         val operator = OperatorChanges(rows, Random(seed + OPERATOR_STREAM))
         operator.write()
         val endpoints = startEndpoints(rows)
-        val store = StandInStore(rows::respond)
+        val store = RowStoreServer(rows)
         val entries = List(entryCount) { number ->
             val ports = EntryProcess.Ports(FreePorts.next(), FreePorts.next(), FreePorts.next(), FreePorts.next())
-            EntryProcess(number, ports, directory, store.port)
+            EntryProcess(number, ports, directory, store.address.port)
         }
         try {
             entries.forEach { it.start() }
@@ -56,7 +59,7 @@
                 val endpoint = StandInEndpoint(id, checker, seed + index, isSound = true)
                 val row = """{"service":"$pool","address":"127.0.0.1:${endpoint.port}","zone":"here","slots":4,""" +
                     """"state":"ready","sequence":1,"born":1}"""
-                rows.put(WireTables.ENDPOINTS, id, row)
+                rows.put(RowKey(WireTables.ENDPOINTS, id), row)
                 endpoint
             }
 
--- a/soak/src/main/kotlin/org/bilberryhead/soak/SoakRun.kt
+++ b/soak/src/main/kotlin/org/bilberryhead/soak/SoakRun.kt
@@ -1,6 +1,8 @@
 package org.bilberryhead.soak
 
 import org.bilberryhead.core.testing.FreePorts
+import org.bilberryhead.platform.testing.RowStore
+import org.bilberryhead.platform.testing.RowStoreServer
 import org.bilberryhead.platform.wire.SampleDeployment
 import org.bilberryhead.platform.wire.SampleEndpoint
 import java.net.Socket
@@ -56,8 +58,8 @@
                 SampleEndpoint(endpoint.id, pool.wireName, "127.0.0.1:${endpointLinks[index].port}")
             },
         )
-        val store = StandInStore { uri, _ -> OK to deployment.storeResponseBody(uri) }
-        val storeLink = FaultProxy(store.port)
+        val store = RowStoreServer(RowStore(deployment.rows))
+        val storeLink = FaultProxy(store.address.port)
         val ports = List(entryCount) {
             EntryProcess.Ports(FreePorts.next(), FreePorts.next(), FreePorts.next(), FreePorts.next())
         }
@@ -127,7 +129,6 @@
     }
 
     private companion object {
-        const val OK = 200
         const val ENDPOINTS_PER_POOL = 3
         const val CALLER_COUNT = 12
         const val PROGRESS_INTERVAL_MS = 1_000L
