Give each version of the store its era, and wait for rows that it has lost

Callers saw: after a drill, in which the store comes back from a copy some seconds old, a configuration that the store accepted then was not read.

Cause: a version was a bare number. The store gives numbers out again and says so by the header Store-Era, which nothing read. A poll asked for the changes after a number of before; the restored store had passed that number, and the change lay below it. What was read from the restored store was taken for news: missing rows for entries that are gone, missing evacuations for withdrawn ones, an older lease for a renewal, an equal number for an unchanged row.

Change: StoreVersion holds the era and the number, and is made where a response is decoded. A poll that is answered in a later era reads all rows again and tells the listeners so; an answer of an earlier era is a failed call; the other polls of this entry are ended at once, as a poll of before may never be answered. For rows of a store that has come back: - endpoints may register again as after an outage; - evacuations end only when the operator had 2 s to write them again; - members stay until they had two renewal intervals; older leases renew nothing; a run that leaves stays leaving; - an entry whose own row is lost registers again, its crash reports likewise, spread over 4 s and 1 s: at 300 entries some 75 registrations a second; - a transaction that expects a version of an earlier era is a conflict without a call.

Calls to the store: none more without a drill; after one, each entry reads each polled table once, which it did before when its calls were reset, and writes its row once if that is lost.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EntryMembership.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EntryMembership.kt
@@ -12,11 +12,14 @@
  * @property renewalInterval time between two renewals of an entry's own lease
  * @property expiry time without a renewal after which an entry is no longer a member
  * @property leavingExpiry time after which an entry that is shutting down is no longer a member
+ * @property registrationPeriod time in which an entry writes its row again after the store has lost it; longer than a
+ *   renewal interval, as an entry may learn of the loss by its renewal
  */
 data class LeaseTimings(
     val renewalInterval: Duration = 1.minutes,
     val expiry: Duration = 10.minutes,
     val leavingExpiry: Duration = 30.seconds,
+    val registrationPeriod: Duration = renewalInterval * 2,
 )
 
 /**
@@ -33,6 +36,9 @@
 class EntryMembership(private val own: EntryRecord, private val timings: LeaseTimings = LeaseTimings()) {
     private class Lease(var record: EntryRecord, var changedAt: Duration) {
         var renewal: Long? = null
+
+        /** Since when the row has been missing from a store that has come back from a copy; null when it is listed. */
+        var missingSince: Duration? = null
     }
 
     private val leases = mutableMapOf<DaemonId, Lease>()
@@ -58,10 +64,16 @@
         answeredAt = now
     }
 
-    /** Replaces what is known by [records], the rows of all entries. */
-    fun replaceEntries(records: List<EntryRecord>) {
+    /**
+     * Replaces what is known by [records], the rows of all entries. When they are [isRestored] from a copy, the entries
+     * whose rows are missing stay members until they had the time to register again.
+     */
+    fun replaceEntries(records: List<EntryRecord>, isRestored: Boolean = false) {
         hasReadEntries = true
-        leases.keys.retainAll(records.mapTo(mutableSetOf()) { it.id })
+        val listed = records.mapTo(mutableSetOf()) { it.id }
+        val missing = leases.filterKeys { it !in listed }
+        if (isRestored) missing.values.forEach { it.missingSince = it.missingSince ?: observedTime }
+        leases.keys.removeAll(missing.filterValues { it.missingSince == null }.keys)
         updateEntries(records)
     }
 
@@ -74,16 +86,23 @@
 
     private fun updateEntry(record: EntryRecord) {
         val lease = leases.getOrPut(record.id) { Lease(record, observedTime) }
-        if (lease.record == record) return
-        lease.record = record
+        lease.missingSince = null
+        // An earlier row of the same run may be read later.
+        val isLeaving = record.isLeaving || (lease.record.isLeaving && lease.record.incarnation == record.incarnation)
+        val current = record.copy(isLeaving = isLeaving)
+        if (lease.record == current) return
+        lease.record = current
         lease.changedAt = observedTime
     }
 
-    /** Records the numbers that entries wrote with their latest renewals. */
-    fun updateLeases(renewals: Map<DaemonId, Long>) {
+    /**
+     * Records the numbers that entries wrote with their latest renewals. Those that are [isRestored] from a copy may be
+     * earlier ones, so that a difference is no renewal.
+     */
+    fun updateLeases(renewals: Map<DaemonId, Long>, isRestored: Boolean = false) {
         for ((id, renewal) in renewals) {
             val lease = leases[id] ?: continue
-            if (lease.renewal != renewal) lease.changedAt = observedTime
+            if (lease.renewal != renewal && !isRestored) lease.changedAt = observedTime
             lease.renewal = renewal
         }
         updateMembers()
@@ -107,6 +126,9 @@
      * the store. Only one of the members removes rows.
      */
     fun expire(): List<DaemonId> {
+        leases.values.removeAll { lease ->
+            lease.missingSince?.let { observedTime - it > timings.registrationPeriod } ?: false
+        }
         updateMembers()
         return if (isRemover) leases.filterValues { isExpired(it) }.keys.toList() else emptyList()
     }
--- a/core/src/test/kotlin/org/bilberryhead/core/serving/EntryMembershipTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/EntryMembershipTest.kt
@@ -114,7 +114,45 @@
             }
         }
 
+        describe("entries whose rows are missing from a store that has come back from a copy") {
+            it("stay members until they had the time to register again, also through another reading") {
+                val observer = observer("b", "c", "d")
+                observer.membership.replaceEntries(listOf(record("d")), isRestored = true)
+                observer.observe(110.seconds)
+                observer.membership.replaceEntries(listOf(record("d")))
+                observer.membership.updateEntries(listOf(record("b")))
+                observer.memberNames shouldContainExactlyInAnyOrder listOf("a", "b", "c", "d")
+                observer.observe(20.seconds)
+                observer.memberNames shouldContainExactlyInAnyOrder listOf("a", "b", "d")
+            }
+
+            it("are removed at once by a reading of a store that lost nothing") {
+                val observer = observer("b", "c")
+                observer.membership.replaceEntries(listOf(record("b")))
+                observer.memberNames shouldContainExactlyInAnyOrder listOf("a", "b")
+            }
+        }
+
+        describe("leases in a store that has come back from a copy") {
+            it("are not taken for renewals because they are older") {
+                val observer = observer("b")
+                observer.membership.updateLeases(mapOf(DaemonId("b") to 9))
+                observer.observe(9.minutes)
+                observer.membership.updateLeases(mapOf(DaemonId("b") to 7), isRestored = true)
+                observer.observe(2.minutes)
+                observer.memberNames shouldBe listOf("a")
+            }
+        }
+
         describe("an entry that is shutting down") {
+            it("is not taken back by an earlier row of the same run") {
+                val observer = observer("b")
+                observer.membership.updateEntries(listOf(record("b", isLeaving = true)))
+                observer.membership.replaceEntries(listOf(record("b")), isRestored = true)
+                observer.observe(40.seconds)
+                observer.shareCount shouldBe 1
+            }
+
             it("is no longer a member after the time that a shutdown may take") {
                 val observer = observer("b")
                 observer.membership.updateEntries(listOf(record("b", isLeaving = true)))
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -48,6 +48,7 @@
 import org.bilberryhead.forwarding.store.EndpointListener
 import org.bilberryhead.forwarding.store.EvacuationListener
 import org.bilberryhead.forwarding.store.StoreCopy
+import org.bilberryhead.forwarding.store.StoreEras
 import org.bilberryhead.forwarding.store.StoreTableWatch
 import org.bilberryhead.forwarding.store.StoreWriter
 import org.bilberryhead.forwarding.store.TableListener
@@ -75,7 +76,8 @@
     private val memory = MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory())
     private val connector = Connector(thread, WireHeaders.REQUEST_ID, memory)
     private val exchange = SingleExchange(thread, connector)
-    private val storeWriter = StoreWriter(settings.store, exchange)
+    private val storeEras = StoreEras()
+    private val storeWriter = StoreWriter(settings.store, exchange, storeEras)
     private val membership = MembershipService(settings, thread, storeWriter, decisions, random)
     private val quarantine = QuarantineService(settings.id, thread, storeWriter, decisions, metrics, random)
     private val peers = Peers(settings.id, membership::members) { PeerClient(it, thread, decisions, connector) }
@@ -115,7 +117,7 @@
         servingContext.matcher = it
         connectionWaitQueue.dispatchAll()
     }
-    private val evacuationListener = EvacuationListener(decisions, { operatorWatch.lastResponseAt }) {
+    private val evacuationListener = EvacuationListener(decisions, thread::now, { operatorWatch.lastResponseAt }) {
         coldEndpoints.evacuationsChanged(it)
         directory.evacuated = it
         connectionWaitQueue.dispatchAll()
@@ -128,11 +130,7 @@
             TableListeners(evacuationListener, configurationListener),
         )
     private val endpointWatch =
-        watch(
-            WireTables.ENDPOINTS,
-            WatchTimings.forEndpoints(settings.drainNotice),
-            endpointListener,
-        )
+        watch(WireTables.ENDPOINTS, WatchTimings.forEndpoints(settings.drainNotice), endpointListener)
     private val storeCopy = StoreCopy(
         thread,
         operatorWatch,
@@ -227,6 +225,7 @@
         membership.start { endpointWatch.lastResponseAt }
         thread.every(EXPIRY_CHECK_INTERVAL) {
             endpointListener.removeExpired()
+            evacuationListener.endMissing()
             coldEndpoints.update()
             // This entry's share of the connections may have grown.
             connectionWaitQueue.dispatchAll()
@@ -234,8 +233,18 @@
         thread.every(DECAY_INTERVAL) { endpoints.decaySlowdown() }
     }
 
-    private fun watch(table: String, timings: WatchTimings, listener: TableListener) =
-        StoreTableWatch(table, settings.store, timings, thread, connector, decisions, metrics, random, listener)
+    private fun watch(table: String, timings: WatchTimings, listener: TableListener) = StoreTableWatch(
+        table = table,
+        store = settings.store,
+        timings = timings,
+        thread = thread,
+        connector = connector,
+        decisions = decisions,
+        metrics = metrics,
+        random = random,
+        listener = listener,
+        eras = storeEras,
+    )
 
     private fun peerAddresses() =
         (settings.seeds + membership.members.map { it.peerAddress }).distinct().filter { it != settings.peers }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/membership/LeaseKeeper.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/membership/LeaseKeeper.kt
@@ -7,7 +7,10 @@
 import org.bilberryhead.forwarding.store.StoreWriter
 import org.bilberryhead.platform.wire.RowKey
 import org.bilberryhead.platform.wire.RowTransaction
+import org.bilberryhead.platform.wire.StoreRow
+import org.bilberryhead.platform.wire.StoreVersion
 import org.bilberryhead.platform.wire.WireTables
+import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -22,12 +25,13 @@
     private val writer: StoreWriter,
     private val thread: EventThread,
     private val decisions: DecisionLog,
+    private val random: Random,
     private val onRenewed: (sentAt: Instant) -> Unit,
 ) {
     private val entryKey = RowKey(WireTables.ENTRIES, ownId.value)
     private val leaseKey = RowKey(WireTables.LEASES, ownId.value)
     private var newestRow: EntryRow? = null
-    private var registeredVersion: Long? = null
+    private var registeredVersion: StoreVersion? = null
     private var renewalCount = 0
     private var backoff = INITIAL_BACKOFF
 
@@ -69,20 +73,34 @@
         }
     }
 
+    /**
+     * Registers the row again after the store has come back from a copy in which it is [listed] otherwise, or null.
+     * The other entries wait for it, so that not all entries have to write at once.
+     */
+    fun storeRestored(listed: StoreRow?) {
+        val row = newestRow ?: return
+        if (listed?.value == row.encode()) {
+            registeredVersion = listed.version
+            return
+        }
+        decisions.write("own row was lost by the store") { mapOf("entry" to ownId, "version" to registeredVersion) }
+        thread.after(REGISTRATION_SPREAD * random.nextDouble()) { if (row == newestRow) register(row) }
+    }
+
     /** Removes the row and the lease of [id] unless they have changed since they had these versions. */
-    fun remove(id: DaemonId, rowVersion: Long, leaseVersion: Long) {
+    fun remove(id: DaemonId, rowVersion: StoreVersion, leaseVersion: StoreVersion?) {
         val row = RowKey(WireTables.ENTRIES, id.value)
         val lease = RowKey(WireTables.LEASES, id.value)
         val transaction = RowTransaction(
             expected = mapOf(row to rowVersion, lease to leaseVersion),
-            removals = listOfNotNull(row, lease.takeIf { leaseVersion > 0 }),
+            removals = listOfNotNull(row, lease.takeIf { leaseVersion != null }),
         )
         writer.write(transaction) { status, _ ->
             decisions.write("expired entry removed") { mapOf("entry" to id, "status" to status) }
         }
     }
 
-    private fun send(transaction: RowTransaction, ended: (status: Int?, version: Long?) -> Unit) {
+    private fun send(transaction: RowTransaction, ended: (status: Int?, version: StoreVersion?) -> Unit) {
         val sentAt = thread.now()
         writer.write(transaction) { status, version ->
             if (status == StoreWriter.OK) onRenewed(sentAt)
@@ -101,5 +119,8 @@
     private companion object {
         val INITIAL_BACKOFF = 1.seconds
         val MAXIMUM_BACKOFF = 10.seconds
+
+        /** Time over which hundreds of entries distribute their writes after the store has lost their rows. */
+        val REGISTRATION_SPREAD = 4.seconds
     }
 }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/membership/LeaseListener.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/membership/LeaseListener.kt
@@ -4,6 +4,7 @@
 import org.bilberryhead.core.serving.EntryMembership
 import org.bilberryhead.forwarding.DecisionLog
 import org.bilberryhead.forwarding.store.TableListener
+import org.bilberryhead.forwarding.store.TableReading
 import org.bilberryhead.platform.wire.StoreRow
 
 /** Updates [membership] from the leases of entries. The table of leases is always read completely. */
@@ -11,9 +12,9 @@
     TableListener {
     val versions = RowVersions()
 
-    override fun onTableRead(rows: List<StoreRow>, afterOutage: Boolean) {
+    override fun onTableRead(rows: List<StoreRow>, reading: TableReading) {
         versions.update(rows, areComplete = true)
-        membership.updateLeases(rows.mapNotNull(::lease).toMap())
+        membership.updateLeases(rows.mapNotNull(::lease).toMap(), isRestored = reading.afterRestore)
     }
 
     override fun onRowsChanged(rows: List<StoreRow>) = Unit
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/membership/MembershipService.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/membership/MembershipService.kt
@@ -28,11 +28,11 @@
 ) {
     private val ownRow = EntryRow(settings.dataCentre, settings.peers, settings.processorShare, random.nextLong())
     private val membership = EntryMembership(ownRow.toRecord(settings.id), timings)
-    private val entryListener = EntryListener(membership, decisions)
-    private val leaseListener = LeaseListener(membership, decisions)
-    private val keeper = LeaseKeeper(settings.id, writer, thread, decisions) { sentAt ->
+    private val keeper = LeaseKeeper(settings.id, writer, thread, decisions, random) { sentAt ->
         membership.recordOwnRenewal(sentAt, wallClock.now())
     }
+    private val entryListener = EntryListener(settings.id, membership, decisions, keeper::storeRestored)
+    private val leaseListener = LeaseListener(membership, decisions)
     private var loggedIds = emptySet<DaemonId>()
     private var removalDueAt: Instant = thread.now()
 
@@ -87,8 +87,8 @@
         if (ids.isEmpty() || now < removalDueAt) return
         // The removals show in the next reading of the rows at the latest.
         removalDueAt = now + timings.renewalInterval
-        ids.take(MAXIMUM_REMOVALS).forEach {
-            keeper.remove(it, entryListener.versions.of(it), leaseListener.versions.of(it))
+        ids.take(MAXIMUM_REMOVALS).forEach { id ->
+            entryListener.versions.of(id)?.let { keeper.remove(id, it, leaseListener.versions.of(id)) }
         }
     }
 
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/CrashTableListener.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/CrashTableListener.kt
@@ -6,7 +6,9 @@
 import org.bilberryhead.forwarding.EventThread
 import org.bilberryhead.forwarding.store.CrashRow
 import org.bilberryhead.forwarding.store.TableListener
+import org.bilberryhead.forwarding.store.TableReading
 import org.bilberryhead.platform.wire.StoreRow
+import org.bilberryhead.platform.wire.StoreVersion
 import kotlin.time.Duration
 import kotlin.time.Instant
 
@@ -14,6 +16,7 @@
  * Reads the crash reports of all entries.
  *
  * @param ownRowRead called once, with the reports that an earlier run of this entry left in the store
+ * @param storeRestored called with the reports of this entry that are left in a store that has come back from a copy
  * @param reportsRead called with the reports of another entry
  */
 internal class CrashTableListener(
@@ -21,10 +24,11 @@
     private val thread: EventThread,
     private val decisions: DecisionLog,
     private val ownRowRead: (List<CrashReport>) -> Unit,
+    private val storeRestored: (List<CrashReport>) -> Unit,
     private val reportsRead: (List<CrashReport>) -> Unit,
 ) : TableListener {
     /** A row of another writer, and since when it has been seen unchanged. */
-    class KnownRow(val key: String, val version: Long, val unchangedSince: Instant)
+    class KnownRow(val key: String, val version: StoreVersion, val unchangedSince: Instant)
 
     private val rows = mutableMapOf<String, KnownRow>()
     private var isOwnRowRead = false
@@ -32,15 +36,20 @@
     /** Returns the rows of other writers that have not changed for [time]. */
     fun unchangedFor(time: Duration): List<KnownRow> = rows.values.filter { thread.now() - it.unchangedSince >= time }
 
-    override fun onTableRead(rows: List<StoreRow>, afterOutage: Boolean) {
+    override fun onTableRead(rows: List<StoreRow>, reading: TableReading) {
         this.rows.keys.retainAll(rows.mapTo(mutableSetOf()) { it.key })
         if (!isOwnRowRead) {
             isOwnRowRead = true
-            ownRowRead(rows.firstOrNull { it.key == ownId.value }?.let(::reportsOf).orEmpty())
+            ownRowRead(ownReports(rows))
+        } else if (reading.afterRestore) {
+            storeRestored(ownReports(rows))
         }
         onRowsChanged(rows)
     }
 
+    private fun ownReports(rows: List<StoreRow>): List<CrashReport> =
+        rows.firstOrNull { it.key == ownId.value }?.let(::reportsOf).orEmpty()
+
     override fun onRowsChanged(rows: List<StoreRow>) = rows.filter { it.key != ownId.value }.forEach(::read)
 
     private fun read(row: StoreRow) {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/QuarantineService.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/QuarantineService.kt
@@ -50,6 +50,9 @@
             record(reports, isOwn = true)
             publisher.allow()
         },
+        storeRestored = { left ->
+            if (left.toSet() != quarantine.ownReports.toSet()) publisher.publish(SLOW_DELAY * random.nextDouble())
+        },
         reportsRead = { record(it, isOwn = false) },
     )
     private var loggedParts = emptyList<QuarantinedParts>()
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/ConfigurationListener.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/ConfigurationListener.kt
@@ -16,7 +16,7 @@
     var newestText: String? = null
         private set
 
-    override fun onTableRead(rows: List<StoreRow>, afterOutage: Boolean) = onRowsChanged(rows)
+    override fun onTableRead(rows: List<StoreRow>, reading: TableReading) = onRowsChanged(rows)
 
     override fun onRowsChanged(rows: List<StoreRow>) = rows
         .filter { it.key == WireTables.CONFIGURATION_KEY }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EndpointListener.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/EndpointListener.kt
@@ -9,6 +9,7 @@
 import org.bilberryhead.forwarding.endpoint.Endpoints
 import org.bilberryhead.platform.wire.EndpointEntryDecoder
 import org.bilberryhead.platform.wire.StoreRow
+import org.bilberryhead.platform.wire.StoreVersion
 
 /**
  * Updates the directory from the rows that endpoints write about themselves.
@@ -23,7 +24,7 @@
     private val onChange: () -> Unit,
 ) : TableListener {
     /** What this entry last read about an endpoint; the version is unknown for a row that came from a peer. */
-    private data class ReadRow(val text: String, val version: Long?)
+    private data class ReadRow(val text: String, val version: StoreVersion?)
 
     private val rows = mutableMapOf<EndpointId, ReadRow>()
 
@@ -36,9 +37,9 @@
         apply(directory.replaceAll(entries, thread.now()))
     }
 
-    override fun onTableRead(rows: List<StoreRow>, afterOutage: Boolean) {
+    override fun onTableRead(rows: List<StoreRow>, reading: TableReading) {
         val now = thread.now()
-        if (afterOutage) directory.recordStoreRecovery(now)
+        if (reading.afterOutage || reading.afterRestore) directory.recordStoreRecovery(now)
         apply(directory.replaceAll(rows.mapNotNull(::decode), now))
     }
 
@@ -55,7 +56,7 @@
 
     private fun decode(row: StoreRow): EndpointEntry? = row.value?.let { decode(row.key, it, row.version) }
 
-    private fun decode(id: String, text: String, version: Long?): EndpointEntry? {
+    private fun decode(id: String, text: String, version: StoreVersion?): EndpointEntry? {
         val entry = EndpointEntryDecoder.decode(id, text)
         if (entry == null) {
             decisions.write("endpoint entry unreadable") { mapOf("endpoint" to id) }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreReader.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/store/StoreReader.kt
@@ -49,9 +49,15 @@
     private val hedged: () -> Unit,
 ) {
     private var kept: OutboundConnection? = null
+    private var pending: PendingCall? = null
 
-    /** Makes [call], and passes its end to [ended] exactly once. */
-    fun read(call: StoreCall, ended: (StoreCallResult) -> Unit) = PendingCall(call, ended).start()
+    /** Makes [call], and passes its end to [ended] exactly once, unless the call is abandoned. */
+    fun read(call: StoreCall, ended: (StoreCallResult) -> Unit) = PendingCall(call, ended).also { pending = it }.start()
+
+    /** Ends the call in progress without a result. */
+    fun abandon() {
+        pending?.cancel()
+    }
 
     /** Closes the connection, on which more responses may be to come. */
     fun disconnect() {
@@ -131,12 +137,16 @@
 
         private fun end(result: StoreCallResult) {
             if (isEnded) return
+            cancel()
+            ended(result)
+        }
+
+        fun cancel() {
             isEnded = true
             hedgeTimer.cancel()
             timer.cancel()
             connections.forEach { it.close() }
             collectors.forEach { it.cancel() }
-            ended(result)
         }
     }
 
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/CrashingPromptTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/CrashingPromptTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.comparables.shouldBeGreaterThanOrEqualTo
 import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.nulls.shouldNotBeNull
@@ -122,6 +123,25 @@
             }
         }
 
+        describe("crash reports that are lost when the store comes back from a copy") {
+            it("are written again") {
+                RowStoreServer().use { store ->
+                    CrashingEngines(count = 12).use { engines ->
+                        LoopbackDeployment(ENGINE_CONFIGURATION, engines.pools, sharedStore = store).use { entry ->
+                            val copy = store.rows.copy()
+                            entry.sendBadUntilRefused("r", engines).shouldNotBeNull().head shouldContain " 503 "
+                            eventually(5.seconds) { store.rows.keys(WireTables.CRASHES) shouldBe setOf("entry") }
+                            // Until all that is known is written.
+                            TimeUnit.SECONDS.sleep(2)
+                            store.rows.restore(copy)
+                            store.rows.keys(WireTables.CRASHES).shouldBeEmpty()
+                            eventually(10.seconds) { store.rows.keys(WireTables.CRASHES) shouldBe setOf("entry") }
+                        }
+                    }
+                }
+            }
+        }
+
         describe("rows of crash reports that other writers left") {
             it("stop nothing: the other rows are still learnt") {
                 RowStoreServer().use { store ->
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/MembershipServiceTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/MembershipServiceTest.kt
@@ -112,6 +112,25 @@
             }
         }
 
+        describe("entries whose rows are lost when the store comes back from a copy") {
+            it("count each other all the while, and register again") {
+                // Guards against entries that take over the shares of others, which only had no time to write again.
+                RowStoreServer().use { store ->
+                    val copy = store.rows.copy()
+                    val processes = listOf("a", "b", "c").map { MemberProcess(it, store) }
+                    eventually(10.seconds) { processes.forEach { it.shareCount shouldBe 3 } }
+                    store.rows.restore(copy)
+                    val counts = mutableSetOf<Int?>()
+                    eventually(10.seconds) {
+                        processes.forEach { counts += it.shareCount }
+                        store.rows.keys(WireTables.ENTRIES) shouldBe setOf("a", "b", "c")
+                    }
+                    counts shouldBe setOf(3)
+                    processes.forEach { it.close() }
+                }
+            }
+        }
+
         describe("an entry whose row was removed while it lives") {
             it("registers again") {
                 RowStoreServer().use { store ->
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/OddMembershipRowTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/OddMembershipRowTest.kt
@@ -13,9 +13,12 @@
 import org.bilberryhead.core.serving.EntryRecord
 import org.bilberryhead.forwarding.membership.EntryListener
 import org.bilberryhead.forwarding.membership.LeaseListener
+import org.bilberryhead.forwarding.store.TableReading
 import org.bilberryhead.platform.testing.RowStoreServer
 import org.bilberryhead.platform.wire.RowKey
+import org.bilberryhead.platform.wire.StoreEra
 import org.bilberryhead.platform.wire.StoreRow
+import org.bilberryhead.platform.wire.StoreVersion
 import org.bilberryhead.platform.wire.WireTables
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -31,7 +34,9 @@
 )
 private val ODD_LEASES = mapOf("words" to "soon", "fraction" to "1.5", "large" to "99999999999999999999", "empty" to "")
 
-private fun rowsOf(texts: Map<String, String?>) = texts.map { (key, text) -> StoreRow(key, text, version = 1) }
+private val VERSION = StoreVersion(StoreEra(1), number = 1)
+
+private fun rowsOf(texts: Map<String, String?>) = texts.map { (key, text) -> StoreRow(key, text, VERSION) }
 
 /** Listeners of a table of members, whose decisions are recorded, at a moment that does not pass. */
 private class RecordedListeners : AutoCloseable {
@@ -40,7 +45,7 @@
     private val own =
         EntryRecord(DaemonId("own"), DataCentre("x"), SocketAddress(HOST, 9), processorCores = 1.0)
     private val membership = EntryMembership(own)
-    val entries = EntryListener(membership, decisions)
+    val entries = EntryListener(DaemonId("own"), membership, decisions) { }
     val leases = LeaseListener(membership, decisions)
 
     fun namesIn(kind: String): List<String?> = recorded.of(kind).map { it["entry"] }
@@ -53,7 +58,7 @@
         describe("rows of members that cannot be read") {
             it("leave a line each when the table is read, and sound rows and removals leave none") {
                 RecordedListeners().use {
-                    it.entries.onTableRead(rowsOf(ODD_ROWS + ("sound" to SOUND_ROW)), afterOutage = false)
+                    it.entries.onTableRead(rowsOf(ODD_ROWS + ("sound" to SOUND_ROW)), TableReading())
                     it.namesIn("entry row unreadable") shouldBe ODD_ROWS.keys.toList()
                 }
             }
@@ -67,7 +72,7 @@
 
             it("leave a line each when they are leases") {
                 RecordedListeners().use {
-                    it.leases.onTableRead(rowsOf(ODD_LEASES + ("sound" to "7") + ("removed" to null)), false)
+                    it.leases.onTableRead(rowsOf(ODD_LEASES + ("sound" to "7") + ("removed" to null)), TableReading())
                     it.namesIn("lease unreadable") shouldBe ODD_LEASES.keys.toList()
                 }
             }
@@ -75,8 +80,8 @@
             it("do not flood the log however many they are") {
                 RecordedListeners().use {
                     val many = (1..500).associate { number -> "odd-$number" to "odd" }
-                    it.entries.onTableRead(rowsOf(many), afterOutage = false)
-                    it.leases.onTableRead(rowsOf(many), afterOutage = false)
+                    it.entries.onTableRead(rowsOf(many), TableReading())
+                    it.leases.onTableRead(rowsOf(many), TableReading())
                     it.namesIn("entry row unreadable").size shouldBeLessThanOrEqualTo LINES_PER_SECOND
                     it.namesIn("lease unreadable").size shouldBeLessThanOrEqualTo LINES_PER_SECOND
                 }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/StoreTableWatchTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/StoreTableWatchTest.kt
@@ -11,7 +11,10 @@
 import org.bilberryhead.forwarding.http.SimpleHttpServer
 import org.bilberryhead.forwarding.store.StoreTableWatch
 import org.bilberryhead.forwarding.store.TableListener
+import org.bilberryhead.forwarding.store.TableReading
 import org.bilberryhead.forwarding.store.WatchTimings
+import org.bilberryhead.platform.testing.RowStoreServer
+import org.bilberryhead.platform.wire.RowKey
 import org.bilberryhead.platform.wire.StoreRow
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
@@ -47,8 +50,10 @@
 
     init {
         val listener = object : TableListener {
-            override fun onTableRead(rows: List<StoreRow>, afterOutage: Boolean) {
-                notifications += "all ${rows.map { it.key }}" + if (afterOutage) " after an outage" else ""
+            override fun onTableRead(rows: List<StoreRow>, reading: TableReading) {
+                val outage = if (reading.afterOutage) " after an outage" else ""
+                val restore = if (reading.afterRestore) " from a copy" else ""
+                notifications += "all ${rows.map { it.key }}$restore$outage"
             }
 
             override fun onRowsChanged(rows: List<StoreRow>) {
@@ -239,6 +244,54 @@
                 }
             }
 
+            it("is read completely when the store has come back from a copy and given out its versions again") {
+                // Guards against changes that are never read, since they have lower numbers than the version known.
+                RowStoreServer().use { store ->
+                    store.rows.put(RowKey("t", "a"), "hi")
+                    WatchedTable(store.address).use { table ->
+                        table.nextNotification() shouldBe "all [a]"
+                        val copy = store.rows.copy()
+                        store.rows.put(RowKey("t", "lost"), "hi")
+                        table.nextNotification() shouldBe "changed [(lost, hi)]"
+                        val written = listOf("x", "y", "z").associate { RowKey("t", it) to "hi" }
+                        store.rows.restore(copy, writtenAgain = written)
+                        table.nextNotification() shouldBe "all [a, x, y, z] from a copy"
+                        store.rows.put(RowKey("t", "b"), "hi")
+                        table.nextNotification() shouldBe "changed [(b, hi)]"
+                    }
+                }
+            }
+
+            it("is read completely after an outage from which the store came back with a copy") {
+                RowStoreServer().use { store ->
+                    store.rows.put(RowKey("t", "a"), "hi")
+                    WatchedTable(store.address).use { table ->
+                        table.nextNotification() shouldBe "all [a]"
+                        store.isUnavailable = true
+                        TimeUnit.MILLISECONDS.sleep(100)
+                        store.rows.restore(store.rows.copy())
+                        store.isUnavailable = false
+                        table.nextNotification() shouldBe "all [a] from a copy after an outage"
+                    }
+                }
+            }
+
+            it("is not read on from a response that was made before the store came back") {
+                val polls = AtomicInteger()
+                val store = ScriptedEndpoint {
+                    val isReading = "rows-get" in request.head
+                    val era = if (isReading || polls.incrementAndGet() > 1) 2 else 1
+                    respond(body = if (isReading) ONE_ROW else REMOVAL, headers = "Store-Era: $era\r\n")
+                }
+                store.use {
+                    WatchedTable(SocketAddress("127.0.0.1", it.address.substringAfter(':').toInt())).use { table ->
+                        table.nextNotification() shouldBe "all [a]"
+                        table.nextNotification() shouldBe "all [a] after an outage"
+                        table.nextNotification() shouldBe "changed [(a, null)]"
+                    }
+                }
+            }
+
             it("is polled at short intervals after it was read completely, then at long ones") {
                 val timings = WatchTimings(
                     longPollTimeout = 10.milliseconds,
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/fuzz/WireTargets.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/fuzz/WireTargets.kt
@@ -31,6 +31,7 @@
 import org.bilberryhead.platform.wire.HeaderValues
 import org.bilberryhead.platform.wire.StageCodec
 import org.bilberryhead.platform.wire.StoreCodec
+import org.bilberryhead.platform.wire.StoreEra
 import kotlin.time.Clock
 import kotlin.time.Duration
 
@@ -69,7 +70,7 @@
 
     val all: List<FuzzTarget> = listOf(
         textTarget("store rows", STORE_ROWS, """{"rows":[],"ver":1}""") { text ->
-            StoreCodec.decodeRows(text)?.rows?.forEach { it.value?.length }
+            StoreCodec.decodeRows(text, StoreEra.UNSTATED)?.rows?.forEach { it.value?.length }
         },
         textTarget("configuration", LoopbackDeployment.CONFIGURATION) { useConfiguration(it) },
         textTarget("endpoint entries", ENDPOINT_ROW) { EndpointEntryDecoder.decode("e", it) },
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/store/EvacuationListenerTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/store/EvacuationListenerTest.kt
@@ -6,7 +6,9 @@
 import io.kotest.matchers.shouldBe
 import org.bilberryhead.core.common.DataCentre
 import org.bilberryhead.forwarding.DecisionLog
+import org.bilberryhead.platform.wire.StoreEra
 import org.bilberryhead.platform.wire.StoreRow
+import org.bilberryhead.platform.wire.StoreVersion
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -17,17 +19,21 @@
         val south = DataCentre("south")
 
         class Fixture(var lastReadAt: Instant? = start) {
+            var now = start
             val applied = mutableListOf<Set<DataCentre>>()
-            val listener = EvacuationListener(DecisionLog(linesPerSecond = 10) { start }, { lastReadAt }, applied::add)
+            val listener =
+                EvacuationListener(DecisionLog(linesPerSecond = 10) { start }, { now }, { lastReadAt }, applied::add)
         }
 
-        fun row(dataCentre: DataCentre, value: String? = "{}") = StoreRow("evacuate/$dataCentre", value, version = 1)
+        val version = StoreVersion(StoreEra(1), number = 1)
+
+        fun row(dataCentre: DataCentre, value: String? = "{}") = StoreRow("evacuate/$dataCentre", value, version)
 
         describe("rows that evacuate data centres") {
             it("count whatever their value is, and other rows of the operator do not") {
                 val fixture = Fixture()
-                val configuration = StoreRow("config", "{}", version = 1)
-                fixture.listener.onTableRead(listOf(configuration, row(north, "not readable")), afterOutage = false)
+                val configuration = StoreRow("config", "{}", version)
+                fixture.listener.onTableRead(listOf(configuration, row(north, "not readable")), TableReading())
                 fixture.applied shouldBe listOf(setOf(north))
             }
 
@@ -41,7 +47,7 @@
             it("end when a complete read lacks them, because their removal was missed in an outage") {
                 val fixture = Fixture()
                 fixture.listener.onRowsChanged(listOf(row(north)))
-                fixture.listener.onTableRead(emptyList(), afterOutage = true)
+                fixture.listener.onTableRead(emptyList(), TableReading(afterOutage = true))
                 fixture.listener.evacuated.shouldBeEmpty()
             }
 
@@ -52,17 +58,46 @@
             }
         }
 
+        describe("rows of a store that has come back from a copy") {
+            val restored = TableReading(afterRestore = true)
+
+            it("end no evacuation before the operator had the time to write its row again") {
+                val fixture = Fixture()
+                fixture.listener.onRowsChanged(listOf(row(north)))
+                fixture.listener.onTableRead(emptyList(), restored)
+                fixture.now = start + 1.seconds
+                fixture.listener.endMissing()
+                fixture.listener.onTableRead(emptyList(), TableReading(afterOutage = true))
+                fixture.listener.evacuated shouldBe setOf(north)
+                fixture.now = start + 2.seconds
+                fixture.listener.endMissing()
+                fixture.listener.evacuated.shouldBeEmpty()
+            }
+
+            it("hold when they are written again, or changed since") {
+                val fixture = Fixture()
+                fixture.listener.onRowsChanged(listOf(row(north), row(south)))
+                fixture.listener.onTableRead(listOf(row(south)), restored)
+                fixture.listener.onRowsChanged(listOf(row(north)))
+                fixture.listener.onRowsChanged(listOf(row(south, value = null)))
+                fixture.listener.evacuated shouldBe setOf(north)
+                fixture.now = start + 2.seconds
+                fixture.listener.endMissing()
+                fixture.listener.evacuated shouldBe setOf(north)
+            }
+        }
+
         describe("a set that could not be applied") {
             it("is applied when it is read again") {
                 var fails = true
                 val applied = mutableListOf<Set<DataCentre>>()
-                val listener = EvacuationListener(DecisionLog(linesPerSecond = 10) { start }, { start }) {
+                val listener = EvacuationListener(DecisionLog(linesPerSecond = 10) { start }, { start }, { start }) {
                     if (fails) throw OutOfMemoryError("test")
                     applied += it
                 }
-                shouldThrow<OutOfMemoryError> { listener.onTableRead(listOf(row(north)), afterOutage = false) }
+                shouldThrow<OutOfMemoryError> { listener.onTableRead(listOf(row(north)), TableReading()) }
                 fails = false
-                listener.onTableRead(listOf(row(north)), afterOutage = true)
+                listener.onTableRead(listOf(row(north)), TableReading(afterOutage = true))
                 applied shouldBe listOf(setOf(north))
             }
         }
