Bound the suspects of crashes by all their parts together

Callers saw: a part that crashes each endpoint that begins to answer it was never refused when it stood behind 64 others in the prompt.

Cause: a crash kept its first 64 suspects and dropped the rest without a word, those of all requests that broke at it together, and no part with an id of more than 64 characters. Cleared parts kept their places, so that a part behind them was not suspected later either. The row with an entry's reports left out what was over 32,768 characters in the same way: first the older crashes, and a single large one as well.

Change: the bound is one of memory and holds for the parts of all crashes together: 32,768, eight heads full of the shortest parts, by reckoning some 3 MB. Beyond it older crashes go as a whole. A single crash that alone has more loses the parts that have succeeded first; that is counted and logged. Cleared parts leave the suspects. A long id is replaced by a digest where it is read, so that all that keep ids by part have bounded ones.

Cost: none for prompts of ordinary size: one row, written as often as before. A decision counts the parts first and looks closer only at those in three crashes or more; clearing no longer builds a set for each part and crash.

--- a/core/src/main/kotlin/org/bilberryhead/core/quarantine/CrashCover.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/quarantine/CrashCover.kt
@@ -51,17 +51,21 @@
 
     /** Returns the parts with the most crashes that suffice, with these crashes. */
     private fun bestParts(crashes: List<SuspectedCrash>): Map<PromptPartId, Set<SuspectedCrash>> {
-        val sufficient = crashes
-            .flatMap { crash -> crash.suspects.map { it to crash } }
-            .groupBy({ it.first }, { it.second })
-            .mapValues { it.value.toSet() }
-            .filter { isSufficient(it.key, it.value) }
+        val sufficient = crashesByPart(crashes).filter { isSufficient(it.key, it.value) }
         // A part that all prompts of a route share is in all of their crashes, also in those that it did not cause.
         val candidates = sufficient.filterKeys { !hasSucceeded(it) }.ifEmpty { sufficient }
         val most = candidates.values.maxOfOrNull { it.size } ?: return emptyMap()
         return candidates.filterValues { it.size == most }
     }
 
+    /** Returns the crashes of the parts that are in enough of them. Most parts are in few, and cost a count only. */
+    private fun crashesByPart(crashes: List<SuspectedCrash>): Map<PromptPartId, Set<SuspectedCrash>> {
+        val counts = HashMap<PromptPartId, Int>()
+        crashes.forEach { crash -> crash.suspects.forEach { counts.merge(it, 1, Int::plus) } }
+        counts.values.removeAll { it < limits.crashes }
+        return counts.keys.associateWith { part -> crashes.filterTo(mutableSetOf()) { part in it.suspects } }
+    }
+
     private fun isSufficient(part: PromptPartId, crashes: Set<SuspectedCrash>): Boolean {
         if (!hasSucceeded(part)) return crashes.size >= limits.crashes
         val span = crashes.maxOf { it.at } - crashes.minOf { it.at }
--- a/core/src/main/kotlin/org/bilberryhead/core/quarantine/CrashReport.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/quarantine/CrashReport.kt
@@ -17,7 +17,8 @@
 /**
  * What one entry knows of a crash. The reports of several entries on the same crash add up.
  *
- * @property suspects shared parts of the prompts that the endpoint was about to answer when it crashed
+ * @property suspects shared parts of the prompts that the endpoint was about to answer when it crashed, without those
+ *   that the entry has cleared
  * @property cleared suspects of this crash, also of other entries, that were answered successfully since
  */
 data class CrashReport(
@@ -47,9 +48,9 @@
  *   endpoints that fail together for another reason do so in a shorter time
  * @property retention time after which a crash no longer counts, and a quarantine without new evidence ends
  * @property maximumCrashes largest number of crashes that are remembered
- * @property maximumSuspects largest number of suspects of one crash
+ * @property maximumSuspects largest number of parts that are remembered for all crashes together; the prompts that fit
+ *   into the heads of several requests
  * @property maximumSucceeded largest number of parts of which a success is remembered
- * @property maximumIdLength length up to which ids of parts are remembered, in characters
  */
 data class QuarantineLimits(
     val crashes: Int = 3,
@@ -58,7 +59,6 @@
     val succeededSpan: Duration = 5.seconds,
     val retention: Duration = 10.minutes,
     val maximumCrashes: Int = 64,
-    val maximumSuspects: Int = 64,
+    val maximumSuspects: Int = 32_768,
     val maximumSucceeded: Int = 4_000,
-    val maximumIdLength: Int = 64,
 )
--- a/core/src/main/kotlin/org/bilberryhead/core/quarantine/PartQuarantine.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/quarantine/PartQuarantine.kt
@@ -13,14 +13,30 @@
  */
 class PartQuarantine(private val limits: QuarantineLimits = QuarantineLimits()) {
     private class Crash(val knownSince: Instant) {
+        /** Parts that may be the cause, without those in [cleared]. */
         val suspects = mutableSetOf<PromptPartId>()
         val cleared = mutableSetOf<PromptPartId>()
         val ownSuspects = mutableSetOf<PromptPartId>()
         val ownCleared = mutableSetOf<PromptPartId>()
 
-        val remaining: Set<PromptPartId> get() = suspects - cleared
+        val partCount: Int get() = suspects.size + cleared.size
 
         val hasOwnReport: Boolean get() = ownSuspects.isNotEmpty() || ownCleared.isNotEmpty()
+
+        /** Clears [parts]; returns whether that was not known. */
+        fun clear(parts: Collection<PromptPartId>, isOwn: Boolean): Boolean {
+            suspects.removeAll(parts.toSet())
+            ownSuspects.removeAll(parts.toSet())
+            val isNewOwn = isOwn && ownCleared.addAll(parts)
+            return cleared.addAll(parts) || isNewOwn
+        }
+
+        /** Adds suspects unless they are cleared; returns whether that was not known. */
+        fun suspect(parts: Collection<PromptPartId>, isOwn: Boolean): Boolean {
+            val uncleared = parts.filter { it !in cleared }
+            val isNewOwn = isOwn && ownSuspects.addAll(uncleared)
+            return suspects.addAll(uncleared) || isNewOwn
+        }
     }
 
     private val crashes = LinkedHashMap<CrashId, Crash>()
@@ -31,6 +47,10 @@
     var quarantined: List<QuarantinedParts> = emptyList()
         private set
 
+    /** Number of parts that one crash left beyond the maximum, and that are not held for suspects. */
+    var droppedSuspects: Long = 0
+        private set
+
     /** Number of crashes that are remembered. */
     val crashCount: Int get() = crashes.size
 
@@ -49,20 +69,26 @@
     /** Records a [report]; [isOwn] when it is one of this entry. Returns whether it says anything new. */
     fun record(report: CrashReport, now: Instant, isOwn: Boolean = false): Boolean {
         val crash = crashes[report.crash] ?: Crash(now)
-        val suspects = report.suspects.filter { it.value.length <= limits.maximumIdLength }
-        val cleared = report.cleared.filter { it.value.length <= limits.maximumIdLength }
-        val isNew = listOf(
-            addLimited(crash.suspects, suspects),
-            addLimited(crash.cleared, cleared),
-            isOwn && addLimited(crash.ownSuspects, suspects),
-            isOwn && addLimited(crash.ownCleared, cleared),
-        ).any { it }
-        if (isNew) {
-            crashes[report.crash] = crash
-            forgetSurplus()
-            decide(now)
-        }
-        return isNew
+        val isCleared = crash.clear(withinLimit(crash, report.cleared, now), isOwn)
+        val isSuspected = crash.suspect(withinLimit(crash, report.suspects, now), isOwn)
+        if (!isCleared && !isSuspected) return false
+        crashes[report.crash] = crash
+        forgetSurplus(report.crash)
+        decide(now)
+        return true
+    }
+
+    /**
+     * Returns as many of [parts] as one crash may have. Only prompts that fill the heads of several requests exceed
+     * that; the parts that have succeeded are left out first then, as a part that crashes endpoints does not succeed.
+     */
+    private fun withinLimit(crash: Crash, parts: Set<PromptPartId>, now: Instant): Collection<PromptPartId> {
+        val room = limits.maximumSuspects - crash.partCount
+        if (parts.size <= room) return parts
+        val known = parts.filter { it in crash.suspects || it in crash.cleared }
+        val added = (parts - known.toSet()).sortedBy { succeeded.contains(it, now) }.take(room.coerceAtLeast(0))
+        droppedSuspects += parts.size - known.size - added.size
+        return known + added
     }
 
     /**
@@ -70,7 +96,7 @@
      * to a quarantine or in it, so that the other entries should know soon.
      */
     fun recordSuccess(parts: List<PromptPartId>, now: Instant): Boolean {
-        parts.filter { it.value.length <= limits.maximumIdLength }.forEach { succeeded.add(it, now) }
+        parts.forEach { succeeded.add(it, now) }
         val cleared = parts.filter { it in suspectedParts }
         if (cleared.isEmpty()) return false
         val highestCount = cleared.maxOf { part -> clear(part) }
@@ -80,11 +106,8 @@
 
     /** Clears [part] of all known crashes, and returns their number. */
     private fun clear(part: PromptPartId): Int {
-        val suspecting = crashes.values.filter { part in it.remaining }
-        suspecting.forEach {
-            it.cleared += part
-            it.ownCleared += part
-        }
+        val suspecting = crashes.values.filter { part in it.suspects }
+        suspecting.forEach { it.clear(listOf(part), isOwn = true) }
         return suspecting.size
     }
 
@@ -100,25 +123,23 @@
         return expired.values.any { it.hasOwnReport }
     }
 
-    /** Removes the oldest crashes beyond the maximum; those that a quarantine is based on are kept longer. */
-    private fun forgetSurplus() {
-        while (crashes.size > limits.maximumCrashes) {
-            val oldest = crashes.keys.firstOrNull { id -> quarantined.none { id in it.crashes } }
-            crashes.remove(oldest ?: crashes.keys.first())
+    /**
+     * Removes the oldest crashes beyond the maximum, of crashes or of parts, but not the [newest]; those that a
+     * quarantine is based on are kept longer. A crash is removed as a whole, so that no part of it goes unnoticed.
+     */
+    private fun forgetSurplus(newest: CrashId) {
+        while (crashes.size > limits.maximumCrashes || crashes.values.sumOf { it.partCount } > limits.maximumSuspects) {
+            val others = crashes.keys.filter { it != newest }
+            crashes.remove(others.firstOrNull { id -> quarantined.none { id in it.crashes } } ?: others.first())
         }
     }
 
     private fun decide(now: Instant) {
-        val suspected = crashes.map { (id, crash) -> SuspectedCrash(id, crash.knownSince, crash.remaining) }
-        suspectedParts = suspected.flatMapTo(mutableSetOf()) { it.suspects }
+        val suspected = crashes.map { (id, crash) -> SuspectedCrash(id, crash.knownSince, crash.suspects) }
+        suspectedParts = suspected.flatMapTo(HashSet()) { it.suspects }
         quarantined = CrashCover(limits) { succeeded.contains(it, now) }.explain(suspected).map { parts ->
             val own = suspected.filter { it.suspects.containsAll(parts) }
             QuarantinedParts(parts, own.mapTo(mutableSetOf()) { it.id }, own.maxOf { it.at } + limits.retention)
         }
     }
-
-    private fun addLimited(target: MutableSet<PromptPartId>, parts: Collection<PromptPartId>): Boolean {
-        val added = parts.filter { it !in target }.take(limits.maximumSuspects - target.size)
-        return target.addAll(added)
-    }
 }
--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EngineLoad.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EngineLoad.kt
@@ -1,5 +1,7 @@
 package org.bilberryhead.core.serving
 
+import java.security.MessageDigest
+import java.util.Base64
 import kotlin.math.max
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -11,6 +13,23 @@
 @JvmInline
 value class PromptPartId(val value: String) {
     override fun toString(): String = value
+
+    /** Makes ids of bounded length. */
+    companion object {
+        /** Longest id that is kept as it is, in characters. */
+        private const val MAXIMUM_LENGTH = 32
+
+        /** Bytes of a digest that stands for a longer id. */
+        private const val DIGEST_BYTES = 16
+
+        /** Returns the id that callers write as [text]; a digest stands for a long one. */
+        fun of(text: String): PromptPartId = PromptPartId(if (text.length <= MAXIMUM_LENGTH) text else digestOf(text))
+
+        private fun digestOf(text: String): String {
+            val digest = MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray())
+            return "sha256-" + Base64.getUrlEncoder().withoutPadding().encodeToString(digest.copyOf(DIGEST_BYTES))
+        }
+    }
 }
 
 /** A part of a prompt and its length in tokens. */
--- a/core/src/test/kotlin/org/bilberryhead/core/quarantine/PartQuarantineTest.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/quarantine/PartQuarantineTest.kt
@@ -2,9 +2,9 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainAll
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.doubles.shouldBeGreaterThan
-import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
@@ -168,21 +168,88 @@
             }
         }
 
+        describe("a part among thousands of others that were about to be answered at the same crashes") {
+            // Guards against a bound on the suspects of a crash, behind which the part would never be suspected.
+            fun prompt(number: Int, badAt: Int) =
+                List(2_000) { PromptPartId("doc-${number * 7 + it}") }.toMutableList().apply { add(badAt, part("bad")) }
+
+            for (badAt in listOf(0, 64, 2_000)) {
+                it("is found wherever it stands in its prompt, here at $badAt") {
+                    val quarantine = PartQuarantine()
+                    for (number in 0..3) {
+                        val report = CrashReport(crash(number), prompt(number, badAt).toSet())
+                        quarantine.record(report, start + number.seconds)
+                        quarantine.recordSuccess(prompt(number, badAt) - part("bad"), start + number.seconds)
+                    }
+                    quarantine.names shouldBe listOf("bad")
+                }
+            }
+
+            it("is found whoever else was about to be answered there, and in whatever order they are reported") {
+                for (isLast in listOf(true, false)) {
+                    val quarantine = PartQuarantine()
+                    for (number in 0..3) {
+                        val others = List(6) { CrashReport(crash(number), prompt(number * 6 + it, 0).drop(1).toSet()) }
+                        val own = CrashReport(crash(number), setOf(part("bad")))
+                        (if (isLast) others + own else listOf(own) + others).forEach { quarantine.record(it, start) }
+                    }
+                    quarantine.recordSuccess(List(2_200) { PromptPartId("doc-$it") }, start + 1.seconds)
+                    quarantine.names shouldBe listOf("bad")
+                }
+            }
+
+            it("is found although its id is long, and is not taken for another long one") {
+                val long = "x".repeat(10_000)
+                val quarantine = PartQuarantine()
+                repeat(3) {
+                    quarantine.record(CrashReport(crash(it), setOf(PromptPartId.of(long + "bad"), part("a$it"))), start)
+                }
+                quarantine.quarantineOf(listOf(PromptPartId.of(long + "bad"))).shouldNotBeNull()
+                quarantine.quarantineOf(listOf(PromptPartId.of(long + "sound"))).shouldBeNull()
+            }
+        }
+
+        describe("parts that were cleared") {
+            it("leave the room that they had to others at the same crash") {
+                val quarantine = PartQuarantine(QuarantineLimits(maximumSuspects = 40))
+                for (number in 0..2) {
+                    val others = List(10) { part("sound-$number-$it") }
+                    quarantine.record(CrashReport(crash(number), others.toSet()), start)
+                    quarantine.recordSuccess(others, start)
+                    quarantine.record(CrashReport(crash(number), setOf(part("bad"))), start)
+                }
+                quarantine.names shouldBe listOf("bad")
+            }
+        }
+
         describe("the memory") {
             it("is bounded, and keeps the crashes on which a quarantine is based") {
                 val limits = QuarantineLimits()
                 val quarantine = quarantineAfter("bad a", "bad b", "bad c")
                 for (number in 10..1_000) {
-                    val suspects = (0..100).mapTo(mutableSetOf()) { part("$number-$it") } + part("x".repeat(10_000))
+                    val suspects = (0..100).mapTo(mutableSetOf()) { part("$number-$it") }
                     quarantine.record(CrashReport(crash(number), suspects, suspects), start, isOwn = true)
                     quarantine.recordSuccess((0..9).map { part("success-$number-$it") }, start)
                 }
                 quarantine.crashCount shouldBe limits.maximumCrashes
                 quarantine.succeededCount shouldBe limits.maximumSucceeded
-                val sizes = quarantine.ownReports.map { it.suspects.size }
-                sizes.max() shouldBeLessThanOrEqual limits.maximumSuspects
                 quarantine.names shouldBe listOf("bad")
             }
+
+            it("is bounded for parts: older crashes go as a whole, and what one crash has too much is counted") {
+                val quarantine = PartQuarantine(QuarantineLimits(maximumSuspects = 100))
+                val known = List(60) { part("known-$it") }
+                quarantine.recordSuccess(known, start)
+                quarantine.record(CrashReport(crash(0), setOf(part("old"))), start, isOwn = true)
+                val suspects = known + List(60) { part("new-$it") }
+                quarantine.record(CrashReport(crash(1), suspects.toSet()), start, isOwn = true)
+                quarantine.crashCount shouldBe 1
+                quarantine.droppedSuspects shouldBe 20
+                // Parts that have succeeded are left out before the others.
+                val kept = quarantine.ownReports.single().suspects
+                kept.size shouldBe 100
+                kept shouldContainAll suspects.drop(60)
+            }
         }
 
         describe("entries that share reports while one request in 20 has a part that crashes endpoints") {
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/CrashReportPublisher.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/CrashReportPublisher.kt
@@ -16,17 +16,19 @@
 import kotlin.time.Instant
 
 /**
- * Writes this entry's row of crash reports into the store when [reports] have changed. Changes are collected, and a
- * write that fails is repeated. Nothing is written before [allow] was called.
+ * Writes this entry's crash reports into the store when [reports] have changed: one row, or several when they are many,
+ * of which only those that change are written. Changes are collected, and a write that fails is repeated. Nothing is
+ * written before [allow] was called.
  */
 internal class CrashReportPublisher(
-    ownId: DaemonId,
+    private val ownId: DaemonId,
     private val writer: StoreWriter,
     private val thread: EventThread,
     private val decisions: DecisionLog,
     private val reports: () -> List<CrashReport>,
 ) {
-    private val row = RowKey(WireTables.CRASHES, ownId.value)
+    /** The texts of the rows that may be in the store; null for a row whose text is not known. */
+    private val written = mutableMapOf<RowKey, String?>()
     private var isAllowed = false
     private var isWriting = false
     private var dueAt: Instant? = null
@@ -34,9 +36,10 @@
     private var notBefore = thread.now()
     private var backoff = INITIAL_BACKOFF
 
-    /** Allows writes: the row that an earlier run of this entry left is known, and will not be lost. */
-    fun allow() {
+    /** Allows writes: the rows that an earlier run of this entry left, with [leftKeys], are known. */
+    fun allow(leftKeys: List<String> = emptyList()) {
         isAllowed = true
+        leftKeys.forEach { written[RowKey(WireTables.CRASHES, it)] = null }
         dueAt?.let { writeAt(it) }
     }
 
@@ -48,6 +51,12 @@
         if (isAllowed && !isWriting) writeAt(at)
     }
 
+    /** Writes all reports again within [delay]: the store may have lost them. */
+    fun publishAgain(delay: Duration) {
+        written.keys.toList().forEach { written[it] = null }
+        publish(delay)
+    }
+
     private fun writeAt(at: Instant) {
         timer?.cancel()
         timer = thread.after(maxOf(at, notBefore) - thread.now()) { write() }
@@ -55,21 +64,29 @@
 
     private fun write() {
         val current = reports()
-        val transaction = if (current.isEmpty()) {
-            RowTransaction(removals = listOf(row))
-        } else {
-            RowTransaction(puts = mapOf(row to CrashRow.encode(current)))
+        val rows = CrashRow.encode(current).withIndex().associate { (number, text) ->
+            RowKey(WireTables.CRASHES, CrashRow.keyOf(ownId, number)) to text
         }
+        val puts = rows.filter { (row, text) -> written[row] != text }
+        val removals = (written.keys - rows.keys).toList()
         dueAt = null
+        if (puts.isEmpty() && removals.isEmpty()) return
         isWriting = true
-        writer.write(transaction) { status, _ ->
+        puts.keys.forEach { written[it] = null }
+        writer.write(RowTransaction(puts = puts, removals = removals)) { status, _ ->
             isWriting = false
-            decisions.write("crash reports written") { mapOf("crashes" to current.size, "status" to status) }
-            written(isSuccess = status == StoreWriter.OK)
+            decisions.write("crash reports written") {
+                mapOf("crashes" to current.size, "rows" to puts.size, "status" to status)
+            }
+            if (status == StoreWriter.OK) {
+                written += puts
+                written -= removals.toSet()
+            }
+            writeEnded(isSuccess = status == StoreWriter.OK)
         }
     }
 
-    private fun written(isSuccess: Boolean) {
+    private fun writeEnded(isSuccess: Boolean) {
         if (isSuccess) {
             backoff = INITIAL_BACKOFF
             notBefore = thread.now() + INTERVAL
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/CrashTableListener.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/CrashTableListener.kt
@@ -15,7 +15,8 @@
 /**
  * Reads the crash reports of all entries.
  *
- * @param ownRowRead called once, with the reports that an earlier run of this entry left in the store
+ * @param ownRowsRead called once, with the keys of the rows that an earlier run of this entry left in the store, and
+ *   their reports
  * @param storeRestored called with the reports of this entry that are left in a store that has come back from a copy
  * @param reportsRead called with the reports of another entry
  */
@@ -23,7 +24,7 @@
     private val ownId: DaemonId,
     private val thread: EventThread,
     private val decisions: DecisionLog,
-    private val ownRowRead: (List<CrashReport>) -> Unit,
+    private val ownRowsRead: (keys: List<String>, List<CrashReport>) -> Unit,
     private val storeRestored: (List<CrashReport>) -> Unit,
     private val reportsRead: (List<CrashReport>) -> Unit,
 ) : TableListener {
@@ -31,26 +32,24 @@
     class KnownRow(val key: String, val version: StoreVersion, val unchangedSince: Instant)
 
     private val rows = mutableMapOf<String, KnownRow>()
-    private var isOwnRowRead = false
+    private var areOwnRowsRead = false
 
     /** Returns the rows of other writers that have not changed for [time]. */
     fun unchangedFor(time: Duration): List<KnownRow> = rows.values.filter { thread.now() - it.unchangedSince >= time }
 
     override fun onTableRead(rows: List<StoreRow>, reading: TableReading) {
         this.rows.keys.retainAll(rows.mapTo(mutableSetOf()) { it.key })
-        if (!isOwnRowRead) {
-            isOwnRowRead = true
-            ownRowRead(ownReports(rows))
+        val ownRows = rows.filter { CrashRow.isOf(ownId, it.key) }
+        if (!areOwnRowsRead) {
+            areOwnRowsRead = true
+            ownRowsRead(ownRows.map { it.key }, ownRows.flatMap(::reportsOf))
         } else if (reading.afterRestore) {
-            storeRestored(ownReports(rows))
+            storeRestored(ownRows.flatMap(::reportsOf))
         }
         onRowsChanged(rows)
     }
 
-    private fun ownReports(rows: List<StoreRow>): List<CrashReport> =
-        rows.firstOrNull { it.key == ownId.value }?.let(::reportsOf).orEmpty()
-
-    override fun onRowsChanged(rows: List<StoreRow>) = rows.filter { it.key != ownId.value }.forEach(::read)
+    override fun onRowsChanged(rows: List<StoreRow>) = rows.filterNot { CrashRow.isOf(ownId, it.key) }.forEach(::read)
 
     private fun read(row: StoreRow) {
         if (rows[row.key]?.version == row.version) return
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/QuarantineService.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/QuarantineService.kt
@@ -46,16 +46,17 @@
         ownId,
         thread,
         decisions,
-        ownRowRead = { reports ->
+        ownRowsRead = { keys, reports ->
             record(reports, isOwn = true)
-            publisher.allow()
+            publisher.allow(keys)
         },
         storeRestored = { left ->
-            if (left.toSet() != quarantine.ownReports.toSet()) publisher.publish(SLOW_DELAY * random.nextDouble())
+            if (left.toSet() != quarantine.ownReports.toSet()) publisher.publishAgain(SLOW_DELAY * random.nextDouble())
         },
         reportsRead = { record(it, isOwn = false) },
     )
     private var loggedParts = emptyList<QuarantinedParts>()
+    private var loggedDroppedSuspects = 0L
 
     /** Receives the rows of the table of crash reports. */
     val reports: TableListener get() = tableListener
@@ -120,12 +121,20 @@
         logChanges()
     }
 
+    private fun logDroppedSuspects() {
+        val dropped = quarantine.droppedSuspects - loggedDroppedSuspects
+        if (dropped == 0L) return
+        loggedDroppedSuspects += dropped
+        decisions.write("suspects left out") { mapOf("parts" to dropped, "reason" to "too many parts at one crash") }
+    }
+
     private fun record(reports: List<CrashReport>, isOwn: Boolean) {
-        reports.takeLast(limits.maximumCrashes).forEach { quarantine.record(it, thread.now(), isOwn) }
+        reports.takeLast(MAXIMUM_REPORTS).forEach { quarantine.record(it, thread.now(), isOwn) }
         logChanges()
     }
 
     private fun logChanges() {
+        logDroppedSuspects()
         val current = quarantine.quarantined
         if (current === loggedParts) return
         val currentParts = current.map { it.parts }
@@ -155,6 +164,9 @@
         const val REASON = "a part of the prompt crashes endpoints"
         const val LOGGED_ITEMS = 5
 
+        /** Largest number of reports that are read from the rows of one entry. */
+        const val MAXIMUM_REPORTS = 512
+
         /** Largest number of rows that are removed at one check. */
         const val MAXIMUM_REMOVALS = 20
 
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/fuzz/WireTargets.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/fuzz/WireTargets.kt
@@ -115,7 +115,7 @@
 
     private fun crashRow(): String {
         val parts = setOf(PromptPartId("5c1e07a2"), PromptPartId("91bd3f06"))
-        return CrashRow.encode(listOf(CrashReport(CrashId(EndpointId("e"), startedAt = 1), parts, parts)))
+        return CrashRow.encode(listOf(CrashReport(CrashId(EndpointId("e"), startedAt = 1), parts, parts))).single()
     }
 
     private fun useConfiguration(text: String) {
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/store/StoreErasTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/store/StoreErasTest.kt
@@ -21,8 +21,10 @@
 
 private fun version(era: Long, number: Long) = StoreVersion(StoreEra(era), number)
 
-private fun crashRow(writer: String, endpoint: String, version: StoreVersion) =
-    StoreRow(writer, CrashRow.encode(listOf(CrashReport(CrashId(EndpointId(endpoint), startedAt = 1)))), version)
+private fun crashRow(writer: String, endpoint: String, version: StoreVersion): StoreRow {
+    val report = CrashReport(CrashId(EndpointId(endpoint), startedAt = 1))
+    return StoreRow(writer, CrashRow.encode(listOf(report)).single(), version)
+}
 
 /** Reads the rows of crash reports as the entry `own`. */
 private class CrashReader {
@@ -33,7 +35,7 @@
         DaemonId("own"),
         thread,
         DecisionLog(linesPerSecond = 10, thread::now),
-        ownRowRead = { },
+        ownRowsRead = { _, _ -> },
         storeRestored = { ownReportsLeft += it.size },
         reportsRead = { reports -> endpointsRead += reports.map { it.crash.endpoint.value } },
     )
