Take the last report of an endpoint's last run, in whatever order they are read

Cause: the row that was read last was taken for the newest. A heartbeat from before a report of draining can reach the store after it, and a store that has come back from a copy lists the rows of before; either made the endpoint usable again. The reports of a run have an order, `sequence` within `born`, which the decoder did not read. Only a run that had said in an answer that it leaves was remembered.

Change: an entry has its place in its run.

No calls are added.

--- a/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointRun.kt
+++ b/core/src/main/kotlin/org/bilberryhead/core/serving/EndpointRun.kt
@@ -28,3 +28,32 @@
         const val MAXIMUM_RUNS = 4_096
     }
 }
+
+/**
+ * Remembers the last report of the runs of endpoints whose entries were removed, so that an earlier report that is read
+ * afterwards is known as such.
+ *
+ * @param maximumRuns number of runs that are remembered; the oldest are forgotten first
+ */
+internal class GoneRuns(private val maximumRuns: Int = MAXIMUM_RUNS) {
+    private val lastSequences = LinkedHashMap<EndpointRun, Long>()
+
+    /** Remembers that [entry] was removed. */
+    fun add(entry: EndpointEntry) {
+        val sequence = entry.sequence ?: return
+        lastSequences[entry.run] = sequence
+        if (lastSequences.size > maximumRuns) lastSequences.remove(lastSequences.keys.first())
+    }
+
+    /** Returns whether [entry] was reported before the last report of a run that was removed, or is [orThatReport]. */
+    fun isEarlier(entry: EndpointEntry, orThatReport: Boolean): Boolean {
+        val sequence = entry.sequence ?: return false
+        val last = lastSequences[entry.run] ?: return false
+        return sequence < last || (orThatReport && sequence == last)
+    }
+
+    private companion object {
+        /** As many as [LeavingRuns] remembers. */
+        const val MAXIMUM_RUNS = 4_096
+    }
+}
--- a/core/src/test/kotlin/org/bilberryhead/core/serving/ServingBuilders.kt
+++ b/core/src/test/kotlin/org/bilberryhead/core/serving/ServingBuilders.kt
@@ -16,6 +16,7 @@
     isDraining: Boolean = false,
     startedAt: Long = 1,
     slots: Int = 4,
+    sequence: Long? = null,
 ) = EndpointEntry(
     id = EndpointId(id),
     pool = PoolName("p"),
@@ -24,6 +25,7 @@
     slots = slots,
     isDraining = isDraining,
     startedAt = startedAt,
+    sequence = sequence,
 )
 
 internal fun stagePiece(
