--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/ForwardingDaemon.kt
@@ -47,11 +47,9 @@
 import org.bilberryhead.forwarding.store.ConfigurationListener
 import org.bilberryhead.forwarding.store.EndpointListener
 import org.bilberryhead.forwarding.store.EvacuationListener
+import org.bilberryhead.forwarding.store.StoreClient
 import org.bilberryhead.forwarding.store.StoreCopy
-import org.bilberryhead.forwarding.store.StoreEras
 import org.bilberryhead.forwarding.store.StoreTableWatch
-import org.bilberryhead.forwarding.store.StoreWriter
-import org.bilberryhead.forwarding.store.TableListener
 import org.bilberryhead.forwarding.store.TableListeners
 import org.bilberryhead.forwarding.store.WatchTimings
 import org.bilberryhead.platform.wire.WireHeaders
@@ -76,10 +74,9 @@
     private val memory = MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory())
     private val connector = Connector(thread, WireHeaders.REQUEST_ID, memory)
     private val exchange = SingleExchange(thread, connector)
-    private val storeEras = StoreEras()
-    private val storeWriter = StoreWriter(settings.store, exchange, storeEras)
-    private val membership = MembershipService(settings, thread, storeWriter, decisions, random)
-    private val quarantine = QuarantineService(settings.id, thread, storeWriter, decisions, metrics, random)
+    private val store = StoreClient(settings.store, thread, connector, decisions, metrics, random)
+    private val membership = MembershipService(settings, thread, store.writer, decisions, random)
+    private val quarantine = QuarantineService(settings.id, thread, store.writer, decisions, metrics, random)
     private val peers = Peers(settings.id, membership::members) { PeerClient(it, thread, decisions, connector) }
     private val directory = EndpointDirectory()
     private val coldStartLimit = ColdStartLimit(settings.id, membership::knownIds)
@@ -123,14 +120,14 @@
         connectionWaitQueue.dispatchAll()
     }
     private val operatorWatch: StoreTableWatch =
-        watch(
+        store.watch(
             WireTables.OPERATOR,
             WatchTimings.forConfiguration(settings.configurationDelay),
             // Evacuations first, so that nothing is sent by a new configuration to an evacuated data centre.
             TableListeners(evacuationListener, configurationListener),
         )
     private val endpointWatch =
-        watch(WireTables.ENDPOINTS, WatchTimings.forEndpoints(settings.drainNotice), endpointListener)
+        store.watch(WireTables.ENDPOINTS, WatchTimings.forEndpoints(settings.drainNotice), endpointListener)
     private val storeCopy = StoreCopy(
         thread,
         operatorWatch,
@@ -217,9 +214,9 @@
     private fun watchStore() {
         operatorWatch.start()
         endpointWatch.start()
-        watch(WireTables.ENTRIES, WatchTimings.forEntries, membership.entries).start()
-        watch(WireTables.LEASES, WatchTimings.forLeases(membership.renewalInterval), membership.leases).start()
-        watch(WireTables.CRASHES, WatchTimings.forCrashReports, quarantine.reports).start()
+        store.watch(WireTables.ENTRIES, WatchTimings.forEntries, membership.entries).start()
+        store.watch(WireTables.LEASES, WatchTimings.forLeases(membership.renewalInterval), membership.leases).start()
+        store.watch(WireTables.CRASHES, WatchTimings.forCrashReports, quarantine.reports).start()
         quarantine.start(membership::isRemover)
         PeerCatchUp(thread, exchange, storeCopy, decisions, ::peerAddresses).start()
         membership.start { endpointWatch.lastResponseAt }
@@ -233,19 +230,6 @@
         thread.every(DECAY_INTERVAL) { endpoints.decaySlowdown() }
     }
 
-    private fun watch(table: String, timings: WatchTimings, listener: TableListener) = StoreTableWatch(
-        table = table,
-        store = settings.store,
-        timings = timings,
-        thread = thread,
-        connector = connector,
-        decisions = decisions,
-        metrics = metrics,
-        random = random,
-        listener = listener,
-        eras = storeEras,
-    )
-
     private fun peerAddresses() =
         (settings.seeds + membership.members.map { it.peerAddress }).distinct().filter { it != settings.peers }
 
--- a/soak/src/main/kotlin/org/bilberryhead/soak/OperatorChanges.kt
+++ b/soak/src/main/kotlin/org/bilberryhead/soak/OperatorChanges.kt
@@ -7,7 +7,8 @@
 
 /**
  * Writes configurations as an operator does: routes come and go elsewhere, a route's pool moves and returns, timeouts,
- * objectives and limits rise and fall, client keys are added. The routes that callers use stay.
+ * objectives and limits rise and fall, client keys are added. The routes that callers use stay. In a drill the store
+ * comes back from a copy, and the operator writes the configuration again.
  */
 internal class OperatorChanges(private val store: RowStore, private val random: Random) {
     private enum class Change { OTHER_ROUTE, POOL, TIMEOUT, IDLE_TIMEOUT, OBJECTIVE, KEY }
@@ -27,6 +28,7 @@
         private set
 
     /** Changes one thing at random and writes the configuration. */
+    @Synchronized
     fun change(): String {
         val description = changeOne()
         version += random.nextInt(1, MAX_VERSION_STEP)
@@ -34,6 +36,17 @@
         return "configuration $version: $description"
     }
 
+    /** Lets the store come back from [copy], and writes the configuration again. */
+    @Synchronized
+    fun restoreStore(copy: RowStore.Copy): String {
+        store.restore(copy)
+        write()
+        return "the store comes back from a copy"
+    }
+
+    /** Copies the rows of the store. */
+    fun copyStore(): RowStore.Copy = store.copy()
+
     /** Writes the configuration as it is. */
     fun write() = store.put(RowKey(WireTables.OPERATOR, WireTables.CONFIGURATION_KEY), configuration())
 
