Spread the rewriting of crash reports over 4 s like that of registrations

After a drill each entry writes the reports that the store has lost. Over one second 300 entries with reports would exceed the 200 transactions a second that one part of the store takes; over 4 s they are 75 a second. Reckoned, not played.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/QuarantineService.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/QuarantineService.kt
@@ -51,7 +51,7 @@
             publisher.allow(keys)
         },
         storeRestored = { left ->
-            if (left.toSet() != quarantine.ownReports.toSet()) publisher.publishAgain(SLOW_DELAY * random.nextDouble())
+            if (left.toSet() != quarantine.ownReports.toSet()) publisher.publishAgain(REWRITE_SPREAD * random.nextDouble())
         },
         reportsRead = { record(it, isOwn = false) },
     )
@@ -173,6 +173,9 @@
         /** Time in which the reports on one crash are collected before they are written. */
         val FAST_DELAY = 100.milliseconds
         val SLOW_DELAY = 1.seconds
+
+        /** Time over which hundreds of entries distribute their writes after the store has lost their reports. */
+        val REWRITE_SPREAD = 4.seconds
         val EXPIRY_CHECK_INTERVAL = 1.seconds
         val REMOVAL_CHECK_INTERVAL = 60.seconds
         val SHORTEST_RETRY_AFTER = 100.milliseconds
