Remove rows of crash reports that a restored store has again

A store that comes back from a copy can list rows of crash reports that their entry had removed since. The entry rewrote what was lost but did not know of these, and they stayed for the 20 minutes after which old rows are removed; whoever reads them takes their crashes for new ones. Found by reading. CrashReportPublisherTest has the case.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/CrashReportPublisher.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/CrashReportPublisher.kt
@@ -39,7 +39,7 @@
     /** Allows writes: the rows that an earlier run of this entry left, with [leftKeys], are known. */
     fun allow(leftKeys: List<String> = emptyList()) {
         isAllowed = true
-        leftKeys.forEach { written[RowKey(WireTables.CRASHES, it)] = null }
+        recordLeft(leftKeys)
         dueAt?.let { writeAt(it) }
     }
 
@@ -51,12 +51,15 @@
         if (isAllowed && !isWriting) writeAt(at)
     }
 
-    /** Writes all reports again within [delay]: the store may have lost them. */
-    fun publishAgain(delay: Duration) {
-        written.keys.toList().forEach { written[it] = null }
+    /** Writes all reports again within [delay]: the store has lost some, and has rows with [leftKeys]. */
+    fun publishAgain(leftKeys: List<String>, delay: Duration) {
+        written.clear()
+        recordLeft(leftKeys)
         publish(delay)
     }
 
+    private fun recordLeft(keys: List<String>) = keys.forEach { written[RowKey(WireTables.CRASHES, it)] = null }
+
     private fun writeAt(at: Instant) {
         timer?.cancel()
         timer = thread.after(maxOf(at, notBefore) - thread.now()) { write() }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/CrashTableListener.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/CrashTableListener.kt
@@ -17,7 +17,7 @@
  *
  * @param ownRowsRead called once, with the keys of the rows that an earlier run of this entry left in the store, and
  *   their reports
- * @param storeRestored called with the reports of this entry that are left in a store that has come back from a copy
+ * @param storeRestored called with the same of the rows of this entry in a store that has come back from a copy
  * @param reportsRead called with the reports of another entry
  */
 internal class CrashTableListener(
@@ -25,7 +25,7 @@
     private val thread: EventThread,
     private val decisions: DecisionLog,
     private val ownRowsRead: (keys: List<String>, List<CrashReport>) -> Unit,
-    private val storeRestored: (List<CrashReport>) -> Unit,
+    private val storeRestored: (keys: List<String>, List<CrashReport>) -> Unit,
     private val reportsRead: (List<CrashReport>) -> Unit,
 ) : TableListener {
     /** A row of another writer, and since when it has been seen unchanged. */
@@ -44,7 +44,7 @@
             areOwnRowsRead = true
             ownRowsRead(ownRows.map { it.key }, ownRows.flatMap(::reportsOf))
         } else if (reading.afterRestore) {
-            storeRestored(ownRows.flatMap(::reportsOf))
+            storeRestored(ownRows.map { it.key }, ownRows.flatMap(::reportsOf))
         }
         onRowsChanged(rows)
     }
--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/QuarantineService.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/QuarantineService.kt
@@ -50,8 +50,9 @@
             record(reports, isOwn = true)
             publisher.allow(keys)
         },
-        storeRestored = { left ->
-            if (left.toSet() != quarantine.ownReports.toSet()) publisher.publishAgain(REWRITE_SPREAD * random.nextDouble())
+        storeRestored = { keys, reports ->
+            val isUnchanged = reports.toSet() == quarantine.ownReports.toSet()
+            if (!isUnchanged) publisher.publishAgain(keys, REWRITE_SPREAD * random.nextDouble())
         },
         reportsRead = { record(it, isOwn = false) },
     )
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/CrashReportPublisherTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/CrashReportPublisherTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
@@ -34,8 +35,8 @@
 
 /** A publisher of one report for each call of [crash], and a store that answers its writes with [statuses] in turn. */
 private class PublishedReports(private val statuses: List<Int>) : AutoCloseable {
-    /** A write that arrived, with the number of reports in its row. */
-    class Write(val at: TimeSource.Monotonic.ValueTimeMark, val reports: Int)
+    /** A write that arrived, with the number of reports in its row, and the keys of the rows that it removes. */
+    class Write(val at: TimeSource.Monotonic.ValueTimeMark, val reports: Int, val removedKeys: List<String>)
 
     private val thread = newEventThread()
     private val address = freeAddress()
@@ -46,7 +47,8 @@
 
     init {
         SimpleHttpServer(thread) { request ->
-            writes += Write(TimeSource.Monotonic.markNow(), reportsIn(request.content().toString(Charsets.UTF_8)))
+            val body = Json.parseToJsonElement(request.content().toString(Charsets.UTF_8)).jsonObject
+            writes += Write(TimeSource.Monotonic.markNow(), reportsIn(body), removedKeysIn(body))
             SimpleHttpResponse(statuses[minOf(answered++, statuses.size - 1)], """{"ver":1}""")
         }.listen(address)
         val writer = StoreWriter(address, SingleExchange(thread, Connector(thread, "X-Request-Id")))
@@ -55,8 +57,11 @@
         }
     }
 
-    private fun reportsIn(body: String): Int {
-        val row = Json.parseToJsonElement(body).jsonObject.getValue("set_keys").jsonArray.single().jsonObject
+    private fun removedKeysIn(body: JsonObject): List<String> =
+        body.getValue("remove").jsonArray.map { it.jsonObject.getValue("key").jsonPrimitive.content }
+
+    private fun reportsIn(body: JsonObject): Int {
+        val row = body.getValue("set_keys").jsonArray.single().jsonObject
         val text = Base64.getDecoder().decode(row.getValue("value").jsonPrimitive.content).decodeToString()
         return CrashRow.decode(text).shouldNotBeNull().reports.size
     }
@@ -68,6 +73,8 @@
         publisher.publish(delay)
     }
 
+    fun storeRestored(leftKeys: List<String>) = thread.loop.execute { publisher.publishAgain(leftKeys, Duration.ZERO) }
+
     fun nextWrite(): Write = checkNotNull(writes.poll(10, TimeUnit.SECONDS)) { "nothing was written" }
 
     fun writeWithin(time: Duration): Write? = writes.poll(time.inWholeMilliseconds, TimeUnit.MILLISECONDS)
@@ -98,6 +105,18 @@
                 }
             }
 
+            it("are written again when the store has lost them, and rows that it has again without need are removed") {
+                PublishedReports(listOf(OK)).use {
+                    it.allow()
+                    it.crash()
+                    it.nextWrite().removedKeys shouldBe emptyList()
+                    it.storeRestored(leftKeys = listOf("e", "e/1"))
+                    val again = it.nextWrite()
+                    again.reports shouldBe 1
+                    again.removedKeys shouldBe listOf("e/1")
+                }
+            }
+
             it("that change after a write are collected for the next one, which keeps its distance") {
                 PublishedReports(listOf(OK)).use {
                     it.allow()
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/store/StoreErasTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/store/StoreErasTest.kt
@@ -30,13 +30,13 @@
 private class CrashReader {
     private val thread = newEventThread()
     val endpointsRead = mutableListOf<String>()
-    val ownReportsLeft = mutableListOf<Int>()
+    val ownRowsLeft = mutableListOf<Pair<List<String>, Int>>()
     val listener = CrashTableListener(
         DaemonId("own"),
         thread,
         DecisionLog(linesPerSecond = 10, thread::now),
         ownRowsRead = { _, _ -> },
-        storeRestored = { ownReportsLeft += it.size },
+        storeRestored = { keys, reports -> ownRowsLeft += keys to reports.size },
         reportsRead = { reports -> endpointsRead += reports.map { it.crash.endpoint.value } },
     )
 }
@@ -81,7 +81,7 @@
                 reader.listener.onTableRead(emptyList(), TableReading(afterOutage = true))
                 val left = crashRow("own", "x", version(era = 2, number = 5))
                 reader.listener.onTableRead(listOf(left), TableReading(afterRestore = true))
-                reader.ownReportsLeft shouldBe listOf(1)
+                reader.ownRowsLeft shouldBe listOf(listOf("own") to 1)
             }
         }
     })
