Do not count a write of crash reports that a restored store may have lost

Cause, by reading the failed order of events: the restore was noticed while a write was on its way. The response to this write was then taken as proof that the row is there, although the store may have made it before it came back without it; the next write left the row out. The fault is in the product, not in the test.

A write that was sent before a restore was noticed proves nothing now: its rows are written again.

--- a/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/CrashReportPublisher.kt
+++ b/forwarding/src/main/kotlin/org/bilberryhead/forwarding/quarantine/CrashReportPublisher.kt
@@ -29,6 +29,9 @@
 ) {
     /** The texts of the rows that may be in the store; null for a row whose text is not known. */
     private val written = mutableMapOf<RowKey, String?>()
+
+    /** Number of times that the store has come back from a copy. */
+    private var restoreCount = 0
     private var isAllowed = false
     private var isWriting = false
     private var dueAt: Instant? = null
@@ -53,6 +56,7 @@
 
     /** Writes all reports again within [delay]: the store has lost some, and has rows with [leftKeys]. */
     fun publishAgain(leftKeys: List<String>, delay: Duration) {
+        restoreCount++
         written.clear()
         recordLeft(leftKeys)
         publish(delay)
@@ -76,12 +80,16 @@
         if (puts.isEmpty() && removals.isEmpty()) return
         isWriting = true
         puts.keys.forEach { written[it] = null }
+        val restoresBefore = restoreCount
         writer.write(RowTransaction(puts = puts, removals = removals)) { status, _ ->
             isWriting = false
             decisions.write("crash reports written") {
                 mapOf("crashes" to current.size, "rows" to puts.size, "status" to status)
             }
-            if (status == StoreWriter.OK) {
+            if (restoreCount != restoresBefore) {
+                // The store may have made this change before it came back without it.
+                (puts.keys + removals).forEach { written[it] = null }
+            } else if (status == StoreWriter.OK) {
                 written += puts
                 written -= removals.toSet()
             }
--- a/forwarding/src/test/kotlin/org/bilberryhead/forwarding/CrashReportPublisherTest.kt
+++ b/forwarding/src/test/kotlin/org/bilberryhead/forwarding/CrashReportPublisherTest.kt
@@ -106,6 +106,7 @@
             }
 
             it("are written again when the store has lost them, and rows that it has again without need are removed") {
+                // Also when that is known before the response to a write: the store may have lost this write, too.
                 PublishedReports(listOf(OK)).use {
                     it.allow()
                     it.crash()
