--- a/soak/src/main/kotlin/org/bilberryhead/soak/OperatorChanges.kt
+++ b/soak/src/main/kotlin/org/bilberryhead/soak/OperatorChanges.kt
@@ -7,8 +7,8 @@
 
 /**
  * Writes configurations as an operator does: routes come and go elsewhere, a route's pool moves and returns, timeouts,
- * objectives and limits rise and fall, client keys are added. The routes that callers use stay. In a drill the store
- * comes back from a copy, and the operator writes the configuration again.
+ * objectives and limits rise and fall, client keys are added. The routes that callers use stay. After a
+ * restore of the store the operator writes the configuration again.
  */
 internal class OperatorChanges(private val store: RowStore, private val random: Random) {
     private enum class Change { OTHER_ROUTE, POOL, TIMEOUT, IDLE_TIMEOUT, OBJECTIVE, KEY }
--- a/soak/src/main/kotlin/org/bilberryhead/soak/PlannedWork.kt
+++ b/soak/src/main/kotlin/org/bilberryhead/soak/PlannedWork.kt
@@ -12,7 +12,7 @@
 
 /**
  * Does planned work: new configurations, SIGHUP, SIGTERM of one entry after the other with a start afterwards, and
- * drills in which the store comes back from a copy.
+ * returns of the store from a copy of its rows.
  *
  * @param record called with a description of each step
  */
@@ -27,7 +27,7 @@
     private val threads = mutableListOf<Thread>()
     private val signalRandom = Random(seed + SIGNAL_STREAM)
     private val pauseRandom = Random(seed + PAUSE_STREAM)
-    private val drillRandom = Random(seed + DRILL_STREAM)
+    private val restoreRandom = Random(seed + RESTORE_STREAM)
     private val terminations = ConcurrentHashMap<Int, TimeMark>()
 
     /** Starts the threads. */
@@ -63,9 +63,9 @@
     }
 
     private fun restoreStore() {
-        Thread.sleep(drillRandom.nextLong(MIN_DRILL_INTERVAL_MS, MAX_DRILL_INTERVAL_MS))
+        Thread.sleep(restoreRandom.nextLong(MIN_RESTORE_INTERVAL_MS, MAX_RESTORE_INTERVAL_MS))
         val copy = operator.copyStore()
-        Thread.sleep(drillRandom.nextLong(MIN_COPY_AGE_MS, MAX_COPY_AGE_MS))
+        Thread.sleep(restoreRandom.nextLong(MIN_COPY_AGE_MS, MAX_COPY_AGE_MS))
         record(operator.restoreStore(copy))
     }
 
@@ -105,13 +105,13 @@
     private companion object {
         const val SIGNAL_STREAM = 71_000
         const val PAUSE_STREAM = 72_000
-        const val DRILL_STREAM = 74_000
+        const val RESTORE_STREAM = 74_000
         const val MIN_CHANGE_INTERVAL_MS = 50L
         const val MAX_CHANGE_INTERVAL_MS = 300L
         const val MIN_SIGNAL_INTERVAL_MS = 300L
         const val MAX_SIGNAL_INTERVAL_MS = 1_500L
-        const val MIN_DRILL_INTERVAL_MS = 1_000L
-        const val MAX_DRILL_INTERVAL_MS = 4_000L
+        const val MIN_RESTORE_INTERVAL_MS = 1_000L
+        const val MAX_RESTORE_INTERVAL_MS = 4_000L
         const val MIN_COPY_AGE_MS = 300L
         const val MAX_COPY_AGE_MS = 3_000L
         const val GRACE_S = 8L
